--- /dev/null
+++ b/cmd/junctionctl/main.go
@@ -0,0 +1,10 @@
+// Command junctionctl is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"github.com/junctionfold/junctionfold/internal/cli"
+)
+
+func main() { os.Exit(cli.Operator(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/coord/dispatch/dispatch.go
@@ -0,0 +1,384 @@
+// Package dispatch is the decision core of one target's owner. It composes the
+// queue of waiting requests, the target's adapter slots and the order of loads.
+//
+// Feed it requests, the ends of requests and loads, and the time; carry out the
+// actions it returns, in order. It promises:
+//
+//   - a request starts only on the adapter it names, resident and pinned;
+//   - each submitted request gets exactly one ActStart or ActRefuse, unless it
+//     is cancelled first;
+//   - at most one load is under way; it serves every waiter of its adapter;
+//   - a request that cannot meet its deadline is refused as soon as that shows.
+//
+// Submit and Finished are O(resident + waiting adapters).
+package dispatch
+
+import (
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/residency"
+)
+
+// Cause says why a request was refused.
+type Cause int
+
+// The causes of a refusal. In each case the request was not run.
+const (
+	CauseQueueFull Cause = iota + 1
+	CauseDeadline
+	CauseLoadFailed
+	CauseStopped
+)
+
+// String gives the cause as the stable code that callers see.
+func (c Cause) String() string {
+	switch c {
+	case CauseQueueFull:
+		return "queue_full"
+	case CauseDeadline:
+		return "deadline_unreachable"
+	case CauseLoadFailed:
+		return "adapter_load_failed"
+	case CauseStopped:
+		return "owner_stopped"
+	}
+	return "unknown"
+}
+
+// Request is one request for the target.
+type Request struct {
+	// Handle is the caller's own name for the request, unique while it lives.
+	Handle uint64
+	// Adapter to run on; a base model needs no slot.
+	Adapter coord.Adapter
+	// Rank of its priority; higher goes first.
+	Rank int
+	// Deadline after which an answer is worthless.
+	Deadline time.Time
+
+	arrived time.Time
+}
+
+// ActionKind tells what to do.
+type ActionKind int
+
+// The kinds of action.
+const (
+	// ActStart sends the request Handle to the target.
+	ActStart ActionKind = iota + 1
+	// ActRefuse answers the request Handle: not run, for Cause.
+	ActRefuse
+	// ActAskTurn asks for a turn at the weight store, worth Value.
+	ActAskTurn
+	// ActGiveTurn gives a turn back.
+	ActGiveTurn
+	// ActLoad orders the target to load Adapter under Name.
+	ActLoad
+	// ActUnload orders the target to unload Name.
+	ActUnload
+)
+
+// Action is one thing to do. Which fields are set depends on Kind.
+type Action struct {
+	Kind       ActionKind
+	Handle     uint64
+	Cause      Cause
+	RetryAfter time.Duration
+	Adapter    coord.Adapter
+	Name       string
+	Value      float64
+}
+
+// Config holds the settings of a Dispatcher.
+type Config struct {
+	Residency residency.Config
+	// Batch is how many requests the target runs well at once.
+	Batch int
+	// QueueLimit is how many requests may wait.
+	QueueLimit int
+	// LoadTime is the expected time of one load, from turn to resident.
+	LoadTime time.Duration
+	// ServiceTime is the first guess at the time of one request; later ones
+	// are measured.
+	ServiceTime time.Duration
+	// AgeStep is the wait that raises a request by one rank.
+	AgeStep time.Duration
+	// LoadTries is how many loads of an adapter may fail before its waiters
+	// are refused.
+	LoadTries int
+	// KeepFactor is how much more a waiting adapter must be worth than the
+	// heat of the victim it pushes out.
+	KeepFactor float64
+	// NameSuffix is added to an adapter's name at the engine, to tell this
+	// owner's loads from an earlier owner's.
+	NameSuffix string
+}
+
+// phase is the step that the single load of a target has reached.
+type phase int
+
+const (
+	idle phase = iota
+	asked
+	unloading
+	loading
+)
+
+// Dispatcher is the decision core of one target.
+type Dispatcher struct {
+	cfg     Config
+	slots   *residency.Table
+	waiting map[coord.Adapter]*queue
+	queued  int
+	running map[uint64]run
+	service time.Duration
+	loadAvg time.Duration
+
+	phase     phase
+	next      coord.Adapter
+	loadSince time.Time
+	retryAt   time.Time
+	fails     map[coord.Adapter]int
+	stopped   bool
+	acts      []Action
+}
+
+type run struct {
+	adapter coord.Adapter
+	since   time.Time
+}
+
+// New returns a Dispatcher for an empty target.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg:     cfg,
+		slots:   residency.New(cfg.Residency),
+		waiting: map[coord.Adapter]*queue{},
+		running: map[uint64]run{},
+		fails:   map[coord.Adapter]int{},
+		service: cfg.ServiceTime,
+		loadAvg: cfg.LoadTime,
+	}
+}
+
+// Slots returns the target's slot table.
+func (d *Dispatcher) Slots() *residency.Table { return d.slots }
+
+// Running returns how many requests run.
+func (d *Dispatcher) Running() int { return len(d.running) }
+
+// Queued returns how many requests wait.
+func (d *Dispatcher) Queued() int { return d.queued }
+
+// SameAdapter returns how many requests of a run or wait.
+func (d *Dispatcher) SameAdapter(a coord.Adapter) int {
+	n := 0
+	if s := d.slots.Find(a); s != nil {
+		n = s.Pins
+	}
+	if q := d.waiting[a]; q != nil {
+		n += q.len()
+	}
+	return n
+}
+
+// Submit takes a request.
+func (d *Dispatcher) Submit(now time.Time, r Request) []Action {
+	r.arrived = now
+	if d.stopped {
+		return d.refuseNow(r.Handle, CauseStopped, 0)
+	}
+	if d.queued >= d.cfg.QueueLimit {
+		return d.refuseNow(r.Handle, CauseQueueFull, d.queueTime())
+	}
+	if wait := d.expectedWait(now, r); now.Add(wait).After(r.Deadline) {
+		return d.refuseNow(r.Handle, CauseDeadline, wait)
+	}
+	d.enqueue(r)
+	return d.settle(now)
+}
+
+func (d *Dispatcher) refuseNow(handle uint64, c Cause, retry time.Duration) []Action {
+	return []Action{{Kind: ActRefuse, Handle: handle, Cause: c, RetryAfter: retry}}
+}
+
+func (d *Dispatcher) enqueue(r Request) {
+	q := d.waiting[r.Adapter]
+	if q == nil {
+		q = &queue{}
+		d.waiting[r.Adapter] = q
+	}
+	q.push(r)
+	d.queued++
+}
+
+// queueTime is how long the queue takes to drain.
+func (d *Dispatcher) queueTime() time.Duration {
+	rounds := d.queued / d.cfg.Batch
+	return time.Duration(rounds+1) * d.service
+}
+
+// expectedWait is how long r would wait before it starts.
+func (d *Dispatcher) expectedWait(now time.Time, r Request) time.Duration {
+	ahead := len(d.running) + d.queued
+	wait := time.Duration(ahead/d.cfg.Batch) * d.service
+	if r.Adapter.IsBase() || d.slots.IsResident(r.Adapter) {
+		return wait
+	}
+	return max(wait, d.expectedLoad(now, r.Adapter))
+}
+
+func (d *Dispatcher) expectedLoad(now time.Time, a coord.Adapter) time.Duration {
+	if d.next == a && d.phase == loading {
+		return max(0, d.loadAvg-now.Sub(d.loadSince))
+	}
+	loads := 1
+	for other := range d.waiting {
+		if other != a && !d.ready(other) {
+			loads++
+		}
+	}
+	return time.Duration(loads) * d.loadAvg
+}
+
+// Finished takes the end of a running request, whole or not.
+func (d *Dispatcher) Finished(now time.Time, handle uint64) []Action {
+	r, ok := d.running[handle]
+	if !ok {
+		return nil
+	}
+	delete(d.running, handle)
+	d.slots.Unpin(r.adapter)
+	d.service = blend(d.service, now.Sub(r.since))
+	return d.settle(now)
+}
+
+// blendShare is the weight of a new sample in a running mean, as one in N.
+const blendShare = 8
+
+func blend(mean, sample time.Duration) time.Duration {
+	return mean + (sample-mean)/blendShare
+}
+
+// Cancel forgets a waiting request whose caller has gone. For a running
+// request the caller calls Finished once the target has let go of it.
+func (d *Dispatcher) Cancel(now time.Time, handle uint64) []Action {
+	for a, q := range d.waiting {
+		if q.remove(handle) {
+			d.queued--
+			d.dropIfEmpty(a)
+			return d.settle(now)
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) dropIfEmpty(a coord.Adapter) {
+	if q := d.waiting[a]; q != nil && q.len() == 0 {
+		delete(d.waiting, a)
+	}
+}
+
+// Inherit starts the target from what it reports as resident.
+func (d *Dispatcher) Inherit(now time.Time, names []string, parse func(string) (coord.Adapter, bool), usable bool) []Action {
+	d.slots.Inherit(now, names, parse, usable)
+	return d.settle(now)
+}
+
+// ReleaseHolds frees the inherited adapters for eviction.
+func (d *Dispatcher) ReleaseHolds(now time.Time) []Action {
+	d.slots.ReleaseHolds()
+	return d.settle(now)
+}
+
+// Reconcile compares the slots with what the target reports, after a restart or
+// an answer that does not fit. held says whether an earlier owner may still use
+// names that this owner does not know.
+func (d *Dispatcher) Reconcile(now time.Time, names []string, held bool) []Action {
+	d.slots.Reconcile(now, names, held)
+	return d.settle(now)
+}
+
+// Stop refuses all that waits and everything that comes after. Running
+// requests go on.
+func (d *Dispatcher) Stop(time.Time) []Action {
+	d.stopped = true
+	d.acts = nil
+	for _, q := range d.waiting {
+		for _, r := range q.items {
+			d.act(Action{Kind: ActRefuse, Handle: r.Handle, Cause: CauseStopped})
+		}
+	}
+	d.waiting = map[coord.Adapter]*queue{}
+	d.queued = 0
+	return d.acts
+}
+
+// Tick refuses waiting requests that can no longer meet their deadline and
+// retries a load after its pause.
+func (d *Dispatcher) Tick(now time.Time) []Action {
+	return d.settle(now)
+}
+
+func (d *Dispatcher) act(a Action) { d.acts = append(d.acts, a) }
+
+// settle brings the target to rest after an event: refuse what is too late,
+// start what can run, then see to the next load.
+func (d *Dispatcher) settle(now time.Time) []Action {
+	d.acts = nil
+	d.expire(now)
+	for len(d.running) < d.cfg.Batch && d.startNext(now) {
+	}
+	d.planLoad(now)
+	return d.acts
+}
+
+func (d *Dispatcher) expire(now time.Time) {
+	for a, q := range d.waiting {
+		for _, r := range q.takeExpired(now) {
+			d.queued--
+			d.act(Action{Kind: ActRefuse, Handle: r.Handle, Cause: CauseDeadline, RetryAfter: d.queueTime()})
+		}
+		d.dropIfEmpty(a)
+	}
+}
+
+// ready reports whether requests of a can start without a load.
+func (d *Dispatcher) ready(a coord.Adapter) bool {
+	return a.IsBase() || d.slots.IsResident(a)
+}
+
+// startNext starts the most urgent request that needs no load.
+func (d *Dispatcher) startNext(now time.Time) bool {
+	var best *queue
+	for a, q := range d.waiting {
+		if d.ready(a) && (best == nil || q.moreUrgent(best, now, d.cfg.AgeStep)) {
+			best = q
+		}
+	}
+	if best == nil {
+		return false
+	}
+	r := best.pop()
+	d.queued--
+	d.dropIfEmpty(r.Adapter)
+	d.slots.Pin(now, r.Adapter)
+	d.running[r.Handle] = run{adapter: r.Adapter, since: now}
+	d.act(Action{Kind: ActStart, Handle: r.Handle, Adapter: r.Adapter, Name: d.nameOf(r.Adapter)})
+	return true
+}
+
+func (d *Dispatcher) nameOf(a coord.Adapter) string {
+	if s := d.slots.Find(a); s != nil {
+		return s.Name
+	}
+	return a.String() + d.suffixFor(a)
+}
+
+func (d *Dispatcher) suffixFor(a coord.Adapter) string {
+	if a.IsBase() {
+		return ""
+	}
+	return d.cfg.NameSuffix
+}
--- /dev/null
+++ b/coord/dispatch/load.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+)
+
+// planLoad asks for a turn when an adapter waits for a load, none is under way
+// and a slot can be had for it.
+func (d *Dispatcher) planLoad(now time.Time) {
+	if d.phase != idle || d.stopped || now.Before(d.retryAt) {
+		return
+	}
+	a, worth, ok := d.worthiest(now)
+	if !ok || !d.hasRoom(now, worth) {
+		return
+	}
+	d.phase = asked
+	d.next = a
+	d.act(Action{Kind: ActAskTurn, Adapter: a, Value: worth})
+}
+
+// worthiest returns the waiting adapter whose load is worth most.
+func (d *Dispatcher) worthiest(now time.Time) (best coord.Adapter, worth float64, ok bool) {
+	for a, q := range d.waiting {
+		if d.ready(a) || d.slots.Find(a) != nil {
+			continue
+		}
+		w := q.worth(now, d.cfg.AgeStep)
+		if !ok || w > worth || (w == worth && a.String() < best.String()) {
+			best, worth, ok = a, w, true
+		}
+	}
+	return best, worth, ok
+}
+
+func (d *Dispatcher) hasRoom(now time.Time, worth float64) bool {
+	if d.slots.Free() > 0 {
+		return true
+	}
+	_, ok := d.victimFor(now, worth)
+	return ok
+}
+
+// victimFor picks an adapter to give up for a load of this worth. Adapters with
+// waiters are kept, and so are those that are hotter than the load is worth;
+// the worth grows with the wait, so the load gets its slot in the end.
+func (d *Dispatcher) victimFor(now time.Time, worth float64) (string, bool) {
+	keep := func(a coord.Adapter) bool { return d.waiting[a] != nil }
+	name, heat, ok := d.slots.Victim(now, keep)
+	if !ok || heat*d.cfg.KeepFactor > worth {
+		return "", false
+	}
+	return name, true
+}
+
+// TurnGranted starts the load that asked for a turn. When no one waits for the
+// adapter any more, the turn goes back.
+func (d *Dispatcher) TurnGranted(now time.Time) []Action {
+	d.acts = nil
+	if d.phase != asked {
+		d.act(Action{Kind: ActGiveTurn})
+		return d.acts
+	}
+	q := d.waiting[d.next]
+	if q == nil {
+		return d.giveTurnBack(now)
+	}
+	if d.slots.Free() > 0 {
+		d.beginLoad(now)
+		return d.acts
+	}
+	victim, ok := d.victimFor(now, q.worth(now, d.cfg.AgeStep))
+	if !ok || !d.slots.BeginUnload(victim) {
+		return d.giveTurnBack(now)
+	}
+	d.phase = unloading
+	d.act(Action{Kind: ActUnload, Name: victim})
+	return d.acts
+}
+
+func (d *Dispatcher) giveTurnBack(now time.Time) []Action {
+	d.phase = idle
+	acts := []Action{{Kind: ActGiveTurn}}
+	return append(acts, d.settle(now)...)
+}
+
+func (d *Dispatcher) beginLoad(now time.Time) {
+	d.phase = loading
+	d.loadSince = now
+	name := d.next.String() + d.suffixFor(d.next)
+	d.slots.BeginLoad(now, d.next, name)
+	d.act(Action{Kind: ActLoad, Adapter: d.next, Name: name})
+}
+
+// TurnDenied puts the load off until retry has passed.
+func (d *Dispatcher) TurnDenied(now time.Time, retry time.Duration) []Action {
+	if d.phase == asked {
+		d.phase = idle
+		d.retryAt = now.Add(retry)
+	}
+	return d.settle(now)
+}
+
+// Unloaded takes the end of an unload. When it failed, the slot stays closed
+// until a Reconcile shows what the target holds.
+func (d *Dispatcher) Unloaded(now time.Time, name string, ok bool) []Action {
+	if ok {
+		d.slots.Drop(name)
+	}
+	if d.phase != unloading {
+		return d.settle(now)
+	}
+	if !ok || d.waiting[d.next] == nil {
+		return d.giveTurnBack(now)
+	}
+	d.acts = nil
+	d.beginLoad(now)
+	return d.acts
+}
+
+// Loaded takes the end of a load that succeeded.
+func (d *Dispatcher) Loaded(now time.Time, a coord.Adapter) []Action {
+	d.slots.Loaded(now, a)
+	delete(d.fails, a)
+	return d.endLoad(now, a)
+}
+
+// LoadFailed takes the end of a load that failed. After LoadTries failures the
+// adapter's waiters are refused.
+func (d *Dispatcher) LoadFailed(now time.Time, a coord.Adapter) []Action {
+	d.slots.Drop(d.nameOf(a))
+	d.fails[a]++
+	var refused []Action
+	if d.fails[a] >= d.cfg.LoadTries {
+		refused = d.refuseAll(a)
+		delete(d.fails, a)
+	}
+	return append(refused, d.endLoad(now, a)...)
+}
+
+func (d *Dispatcher) refuseAll(a coord.Adapter) []Action {
+	q := d.waiting[a]
+	if q == nil {
+		return nil
+	}
+	var acts []Action
+	for _, r := range q.items {
+		acts = append(acts, Action{Kind: ActRefuse, Handle: r.Handle, Cause: CauseLoadFailed, RetryAfter: d.loadAvg})
+	}
+	d.queued -= q.len()
+	delete(d.waiting, a)
+	return acts
+}
+
+func (d *Dispatcher) endLoad(now time.Time, a coord.Adapter) []Action {
+	if d.phase != loading || d.next != a {
+		return d.settle(now)
+	}
+	d.phase = idle
+	d.loadAvg = blend(d.loadAvg, now.Sub(d.loadSince))
+	acts := []Action{{Kind: ActGiveTurn}}
+	return append(acts, d.settle(now)...)
+}
--- /dev/null
+++ b/coord/outcome/outcome.go
@@ -0,0 +1,226 @@
+// Package outcome keeps the records that stop a keyed request from running
+// twice. A caller's repeat of a request may reach another VM, after a crash or
+// on the other side of a partition, so a record must be found by whoever asks.
+//
+// # How a key is guarded
+//
+// The record of a key has three holders, the top of a rendezvous over the
+// published list, spread over halls. Before a request runs, Quorum asks all
+// three to record it; two must accept. Any two pairs out of three share a
+// holder, so a second run of the key meets the first one's record.
+//
+// That argument needs holders that can have missed no record. A holder counts
+// only while it is certain: see History. A holder that has just started, or has
+// just become one through a change of the list, answers but does not count until
+// it has the others' records.
+//
+// What the argument does not cover is said in docs/design/at-most-once.md: a
+// loss of all VMs at once loses all records.
+//
+// When two certain holders cannot be reached the request is not run; as an
+// earlier try may have been, the answer says that the outcome is unknown.
+//
+// Table is one holder; Quorum is one try to begin or finish. Both are O(1) in
+// the number of records, but for expiry, which is amortized.
+package outcome
+
+import (
+	"bytes"
+	"time"
+)
+
+// Holders is how many VMs hold each record, Needed how many must accept.
+const (
+	Holders = 3
+	Needed  = 2
+)
+
+// Status is how far the run of a key has come.
+type Status int
+
+// The statuses of a record.
+const (
+	// Open records belong to a run that has not finished, or never will.
+	Open Status = iota + 1
+	// Done records hold the outcome.
+	Done
+	// NotRun records belong to a run that provably did not happen; the key may
+	// run again.
+	NotRun
+)
+
+// Record is what is kept of one key.
+type Record struct {
+	Key string
+	// Run tells one try of the request from another.
+	Run string
+	// Fingerprint of the request, to catch a key that is used for two.
+	Fingerprint []byte
+	Status      Status
+	// Answer is the encoded answer of a Done record; nil when it was too
+	// large to keep.
+	Answer []byte
+	Since  time.Time
+}
+
+// Verdict is a holder's answer to Begin.
+type Verdict int
+
+// The verdicts of a holder.
+const (
+	// Granted means that the run is recorded here.
+	Granted Verdict = iota + 1
+	// Busy means that another run of the key is open.
+	Busy
+	// Repeat means that the key has an outcome.
+	Repeat
+	// Mismatch means that the key belongs to a different request.
+	Mismatch
+	// Full means that no more records fit.
+	Full
+)
+
+// Config holds the limits of a Table.
+type Config struct {
+	// Retention is how long a record is kept.
+	Retention time.Duration
+	// MaxBytes bounds the keys and answers held.
+	MaxBytes int
+}
+
+// Table is the records of one holder.
+type Table struct {
+	cfg     Config
+	records map[string]*Record
+	order   []expiry
+	bytes   int
+}
+
+type expiry struct {
+	key string
+	run string
+	at  time.Time
+}
+
+// recordOverhead is the approximate cost of a record without its strings.
+const recordOverhead = 160
+
+// NewTable returns an empty Table.
+func NewTable(cfg Config) *Table {
+	return &Table{cfg: cfg, records: map[string]*Record{}}
+}
+
+// SetLimits takes new limits. Records held are not dropped to meet them.
+func (t *Table) SetLimits(cfg Config) { t.cfg = cfg }
+
+// Len returns how many records are held, and Bytes their approximate size.
+func (t *Table) Len() int { return len(t.records) }
+
+// Bytes returns the approximate size of the records held.
+func (t *Table) Bytes() int { return t.bytes }
+
+func (r *Record) size() int {
+	return recordOverhead + len(r.Key) + len(r.Run) + len(r.Fingerprint) + len(r.Answer)
+}
+
+// Begin records that run is about to run key.
+func (t *Table) Begin(now time.Time, key, run string, fingerprint []byte) (Verdict, *Record) {
+	t.Expire(now)
+	old := t.records[key]
+	if old == nil {
+		return t.insert(now, &Record{Key: key, Run: run, Fingerprint: fingerprint, Status: Open})
+	}
+	if !bytes.Equal(old.Fingerprint, fingerprint) {
+		return Mismatch, old
+	}
+	switch {
+	case old.Status == NotRun:
+		t.remove(old)
+		return t.insert(now, &Record{Key: key, Run: run, Fingerprint: fingerprint, Status: Open})
+	case old.Run == run:
+		return Granted, old
+	case old.Status == Done:
+		return Repeat, old
+	}
+	return Busy, old
+}
+
+func (t *Table) insert(now time.Time, r *Record) (Verdict, *Record) {
+	if t.bytes+r.size() > t.cfg.MaxBytes {
+		return Full, nil
+	}
+	r.Since = now
+	t.put(r)
+	return Granted, r
+}
+
+func (t *Table) put(r *Record) {
+	t.records[r.Key] = r
+	t.bytes += r.size()
+	t.order = append(t.order, expiry{key: r.Key, run: r.Run, at: r.Since.Add(t.cfg.Retention)})
+}
+
+func (t *Table) remove(r *Record) {
+	t.bytes -= r.size()
+	delete(t.records, r.Key)
+}
+
+// Finish stores the outcome of run. The outcome of another run is ignored. An
+// answer that does not fit is left out; the record still says that key ran.
+// The retention starts anew, so that an answer is kept for its full time.
+func (t *Table) Finish(now time.Time, key, run string, status Status, answer []byte) {
+	r := t.records[key]
+	if r == nil || r.Run != run || r.Status != Open {
+		return
+	}
+	t.remove(r)
+	r.Status = status
+	r.Since = now
+	if t.bytes+r.size()+len(answer) <= t.cfg.MaxBytes {
+		r.Answer = answer
+	}
+	t.put(r)
+}
+
+// Copy takes a record from another holder. A finished record replaces an open
+// one; nothing replaces a finished one.
+func (t *Table) Copy(now time.Time, r Record) {
+	old := t.records[r.Key]
+	if old != nil && (old.Status != Open || r.Status == Open) {
+		return
+	}
+	if now.Sub(r.Since) >= t.cfg.Retention {
+		return
+	}
+	if old != nil {
+		t.remove(old)
+	}
+	copied := r
+	if t.bytes+copied.size() > t.cfg.MaxBytes {
+		copied.Answer = nil
+	}
+	t.put(&copied)
+}
+
+// Find returns the record of a key, or nil.
+func (t *Table) Find(key string) *Record { return t.records[key] }
+
+// Each calls f for every record.
+func (t *Table) Each(f func(*Record)) {
+	for _, r := range t.records {
+		f(r)
+	}
+}
+
+// Expire forgets records older than the retention. An expiry that is met while
+// its record has been renewed is put off.
+func (t *Table) Expire(now time.Time) {
+	for len(t.order) > 0 && !now.Before(t.order[0].at) {
+		e := t.order[0]
+		t.order = t.order[1:]
+		r := t.records[e.key]
+		if r != nil && r.Run == e.run && !now.Before(r.Since.Add(t.cfg.Retention)) {
+			t.remove(r)
+		}
+	}
+}
--- /dev/null
+++ b/coord/ownership/ownership.go
@@ -0,0 +1,350 @@
+// Package ownership decides which VM may give orders to a target, and when the
+// adapters that it finds there may be evicted.
+//
+// The owner of a target is a rendezvous choice over the live VMs of the
+// published list, in the target's hall when it has one. VMs with the same view
+// agree without a message. Views differ for a while after a fault, and a paused
+// VM may act on a view that is minutes old, so a choice alone is no permission:
+//
+//   - Every owner orders under a fencing number higher than any seen before.
+//     A target that refuses old numbers makes a late order of an earlier owner
+//     harmless.
+//   - What a new owner finds resident is held: it may not be evicted until each
+//     VM that can have owned the target before has released it. A VM releases
+//     by saying so, by starting anew (its process holds nothing), or by being
+//     dropped from the list (it no longer runs).
+//   - At a target that ignores fencing numbers, the new owner does not use what
+//     it found either, and loads under names of its own, so that a late unload
+//     by an earlier owner cannot name its adapters.
+//
+// No step relies on a clock being right or on a bound on pauses. The cost is
+// availability: while a hold lasts, the slots it covers cannot be reused.
+//
+// Machine is one target's state; all its operations are O(holds).
+package ownership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+)
+
+// Phase is the step that a VM has reached towards owning a target.
+type Phase int
+
+// The phases of ownership.
+const (
+	// Idle VMs do not own the target.
+	Idle Phase = iota
+	// Reading waits for the target's report.
+	Reading
+	// Claiming waits for the target to accept the new fencing number.
+	Claiming
+	// Serving VMs give orders and send requests.
+	Serving
+	// Draining VMs have lost the target and finish what runs.
+	Draining
+)
+
+// String gives the phase's name for logs.
+func (p Phase) String() string {
+	switch p {
+	case Idle:
+		return "idle"
+	case Reading:
+		return "reading"
+	case Claiming:
+		return "claiming"
+	case Serving:
+		return "serving"
+	case Draining:
+		return "draining"
+	}
+	return "unknown"
+}
+
+// ActionKind tells what to do.
+type ActionKind int
+
+// The kinds of action.
+const (
+	// ActRead asks the target for its report.
+	ActRead ActionKind = iota + 1
+	// ActClaim orders the target under Fence.
+	ActClaim
+	// ActAskRelease asks VM whether it has let go of the target under Fence.
+	ActAskRelease
+	// ActServe starts the dispatcher from Resident; HoldsLeft says whether
+	// evictions must wait.
+	ActServe
+	// ActReleaseHolds allows evictions of what was found.
+	ActReleaseHolds
+	// ActStop ends new work on the target.
+	ActStop
+)
+
+// Action is one thing to do. Which fields are set depends on Kind.
+type Action struct {
+	Kind      ActionKind
+	Fence     uint64
+	VM        coord.VMID
+	Resident  []string
+	HoldsLeft bool
+}
+
+// Report is what a target tells of itself.
+type Report struct {
+	// Fence is the highest fencing number that the target has accepted; zero
+	// when it keeps none.
+	Fence    uint64
+	Resident []string
+}
+
+// Peer is another VM that may have owned the target.
+type Peer struct {
+	ID          coord.VMID
+	Incarnation uint64
+}
+
+// retryPause is the least time between two tries of the same step.
+const retryPause = 250 * time.Millisecond
+
+// Machine is one VM's view of who owns one target.
+type Machine struct {
+	self     coord.VMID
+	tie      uint16
+	phase    Phase
+	fence    uint64
+	floor    uint64
+	wanted   bool
+	holds    map[coord.VMID]uint64
+	resident []string
+	running  int
+	nextTry  time.Time
+
+	servingSince time.Time
+	contests     int
+}
+
+// New returns a Machine for a VM that does not own the target. tie tells this
+// VM's fencing numbers from others made in the same millisecond.
+func New(self coord.VMID, tie uint16) *Machine {
+	return &Machine{self: self, tie: tie, holds: map[coord.VMID]uint64{}}
+}
+
+// Phase returns the step reached.
+func (m *Machine) Phase() Phase { return m.phase }
+
+// Fence returns the number that this VM orders under; zero when it has none.
+func (m *Machine) Fence() uint64 { return m.fence }
+
+// Holds returns the VMs that have not released the target, in order.
+func (m *Machine) Holds() []coord.VMID {
+	out := make([]coord.VMID, 0, len(m.holds))
+	for id := range m.holds {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Want says whether the current view makes this VM the owner, and which other
+// VMs of the list can have owned the target before.
+func (m *Machine) Want(now time.Time, wanted bool, others []Peer) []Action {
+	acts := m.dropReleased(others)
+	m.wanted = wanted
+	if wanted && m.phase == Idle {
+		return append(acts, m.startReading(now, others)...)
+	}
+	if !wanted && m.phase != Idle && m.phase != Draining {
+		return append(acts, m.stepDown()...)
+	}
+	return acts
+}
+
+func (m *Machine) startReading(now time.Time, others []Peer) []Action {
+	m.phase = Reading
+	m.nextTry = now.Add(retryPause)
+	m.holds = make(map[coord.VMID]uint64, len(others))
+	for _, p := range others {
+		if p.ID != m.self {
+			m.holds[p.ID] = p.Incarnation
+		}
+	}
+	return []Action{{Kind: ActRead}}
+}
+
+// dropReleased ends the holds of VMs that the list dropped or that have started
+// anew. A VM that was never heard has incarnation zero: its first word proves
+// nothing about an earlier process, so only a known one can be superseded.
+func (m *Machine) dropReleased(others []Peer) []Action {
+	if len(m.holds) == 0 {
+		return nil
+	}
+	listed := make(map[coord.VMID]uint64, len(others))
+	for _, p := range others {
+		listed[p.ID] = p.Incarnation
+	}
+	for id, held := range m.holds {
+		inc, ok := listed[id]
+		if !ok || (held != 0 && inc > held) {
+			delete(m.holds, id)
+		}
+	}
+	return m.afterRelease()
+}
+
+func (m *Machine) afterRelease() []Action {
+	if m.phase != Serving || len(m.holds) > 0 {
+		return nil
+	}
+	return []Action{{Kind: ActReleaseHolds}}
+}
+
+func (m *Machine) stepDown() []Action {
+	m.phase = Draining
+	acts := []Action{{Kind: ActStop}}
+	m.settleDrain()
+	return acts
+}
+
+func (m *Machine) settleDrain() {
+	if m.phase == Draining && m.running == 0 {
+		m.phase = Idle
+	}
+}
+
+// fenceClockShift leaves the low bits of a fencing number for the tie-break.
+const fenceClockShift = 16
+
+// NextFence returns a number above seen that grows with the wall clock, so that
+// a VM which reads no number from the target still passes earlier owners.
+func NextFence(now time.Time, seen uint64, tie uint16) uint64 {
+	clock := max(uint64(now.UnixMilli()), seen>>fenceClockShift+1)
+	return clock<<fenceClockShift | uint64(tie)
+}
+
+// Read takes the target's report.
+func (m *Machine) Read(now time.Time, r Report) []Action {
+	if m.phase != Reading {
+		return nil
+	}
+	m.phase = Claiming
+	m.nextTry = now.Add(retryPause)
+	m.fence = NextFence(now, max(r.Fence, m.floor, m.fence), m.tie)
+	m.resident = r.Resident
+	return []Action{{Kind: ActClaim, Fence: m.fence}}
+}
+
+// Claimed takes the target's acceptance of the claim under fence, with a report
+// made after it: what an earlier owner changed between Read and the claim shows
+// there.
+func (m *Machine) Claimed(now time.Time, fence uint64, r Report) []Action {
+	if m.phase != Claiming || fence != m.fence {
+		return nil
+	}
+	m.phase = Serving
+	m.servingSince = now
+	m.nextTry = now.Add(retryPause)
+	m.resident = r.Resident
+	acts := []Action{{Kind: ActServe, Fence: m.fence, Resident: r.Resident, HoldsLeft: len(m.holds) > 0}}
+	return append(acts, m.askReleases()...)
+}
+
+func (m *Machine) askReleases() []Action {
+	acts := make([]Action, 0, len(m.holds))
+	for _, id := range m.Holds() {
+		acts = append(acts, Action{Kind: ActAskRelease, VM: id, Fence: m.fence})
+	}
+	return acts
+}
+
+// Refused takes the target's refusal of an order under fence: another VM has
+// passed this one. The VM stops at once; when its view still makes it the
+// owner, it reads again after a pause.
+func (m *Machine) Refused(now time.Time, fence, seen uint64) []Action {
+	m.floor = max(m.floor, seen)
+	if fence != m.fence || m.phase == Idle || m.phase == Draining {
+		return nil
+	}
+	return m.yield(now)
+}
+
+// maxContests bounds the doubling of the pause between two contests.
+const maxContests = 5
+
+// yield gives way to another VM that also takes itself for the owner. When the
+// view still makes this VM the owner it tries again, after a pause that doubles
+// with each contest, so that two views that stay apart do not pass the target
+// back and forth.
+func (m *Machine) yield(now time.Time) []Action {
+	if now.Sub(m.servingSince) > contestMemory {
+		m.contests = 0
+	}
+	m.nextTry = now.Add(retryPause << m.contests)
+	m.contests = min(m.contests+1, maxContests)
+	return m.stepDown()
+}
+
+// contestMemory is the tenure after which earlier contests are forgotten.
+const contestMemory = 30 * time.Second
+
+// Released takes vm's word that it uses the target no more under any number
+// below fence.
+func (m *Machine) Released(vm coord.VMID, fence uint64) []Action {
+	if fence != m.fence || len(m.holds) == 0 {
+		return nil
+	}
+	delete(m.holds, vm)
+	return m.afterRelease()
+}
+
+// AskedToRelease takes another VM's claim under fence. It returns true when
+// this VM has let go: it will use no number below fence from now on and none of
+// its requests runs on the target. Otherwise the other VM asks again later.
+func (m *Machine) AskedToRelease(now time.Time, fence uint64) (released bool, acts []Action) {
+	m.floor = max(m.floor, fence)
+	active := m.phase == Reading || m.phase == Claiming || m.phase == Serving
+	if active && m.fence < fence {
+		acts = m.yield(now)
+	}
+	return m.phase == Idle, acts
+}
+
+// MayStart reports whether a request may be sent under the current number. The
+// caller checks it in the same critical section that marks the request as
+// maybe sent.
+func (m *Machine) MayStart() bool { return m.phase == Serving }
+
+// Started counts a request that is about to be sent.
+func (m *Machine) Started() { m.running++ }
+
+// Ended counts a request that the target has let go of.
+func (m *Machine) Ended() {
+	if m.running > 0 {
+		m.running--
+	}
+	m.settleDrain()
+}
+
+// Tick repeats steps that have had no answer.
+func (m *Machine) Tick(now time.Time, others []Peer) []Action {
+	if now.Before(m.nextTry) {
+		return nil
+	}
+	m.nextTry = now.Add(retryPause)
+	switch m.phase {
+	case Idle:
+		if m.wanted {
+			return m.startReading(now, others)
+		}
+	case Reading:
+		return []Action{{Kind: ActRead}}
+	case Claiming:
+		return []Action{{Kind: ActClaim, Fence: m.fence}}
+	case Serving:
+		return m.askReleases()
+	}
+	return nil
+}
--- /dev/null
+++ b/coord/rendezvous/rendezvous.go
@@ -0,0 +1,55 @@
+// Package rendezvous is highest-random-weight hashing: every VM that knows the
+// same members picks the same winner for a key without a message, and a member
+// that leaves moves only its own keys.
+package rendezvous
+
+import "github.com/cespare/xxhash/v2"
+
+// Hash gives the 64-bit hash of a name. Members and keys are hashed once and
+// kept, so that a pick costs one Mix for each member.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Multipliers of the 64-bit finalizer of MurmurHash3.
+const (
+	mixFirst  = 0xff51afd7ed558ccd
+	mixSecond = 0xc4ceb9fe1a85ec53
+	mixShift  = 33
+)
+
+// Mix gives the weight of a member for a key.
+func Mix(member, key uint64) uint64 {
+	h := member ^ (key * mixFirst)
+	h ^= h >> mixShift
+	h *= mixSecond
+	h ^= h >> mixShift
+	h *= mixFirst
+	return h ^ h>>mixShift
+}
+
+// Top writes the indexes of the len(best) heaviest members for a key into
+// best, heaviest first, and returns how many there are. Equal weights keep the
+// order of members. It runs in len(members) * len(best) and does not allocate.
+func Top(members []uint64, key uint64, best []int) int {
+	n := 0
+	for i, m := range members {
+		n = insert(members, key, best, n, i, Mix(m, key))
+	}
+	return n
+}
+
+// insert puts candidate i with weight w into best[:n], which is kept sorted.
+func insert(members []uint64, key uint64, best []int, n, i int, w uint64) int {
+	at := n
+	for at > 0 && Mix(members[best[at-1]], key) < w {
+		at--
+	}
+	if at == len(best) {
+		return n
+	}
+	if n < len(best) {
+		n++
+	}
+	copy(best[at+1:n], best[at:n-1])
+	best[at] = i
+	return n
+}
--- /dev/null
+++ b/internal/bundle/keys.go
@@ -0,0 +1,135 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/pem"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// signContext is signed in front of the manifest, so that a signature made for
+// another purpose with the same key is not valid here.
+const signContext = "junctionfold bundle manifest v1\x00"
+
+const privateKeyType = "PRIVATE KEY"
+
+// NewKey makes a signing key. It returns the private key in PEM and the public
+// key in the form that settings take.
+func NewKey(id string) (privatePEM []byte, public string, err error) {
+	if id == "" || strings.ContainsAny(id, ":, ") {
+		return nil, "", errors.Newf("key id %q: must be one word without : or ,", id)
+	}
+	pub, priv, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, "", errors.Wrap(err, "make key")
+	}
+	der, err := x509.MarshalPKCS8PrivateKey(priv)
+	if err != nil {
+		return nil, "", errors.Wrap(err, "encode key")
+	}
+	block := &pem.Block{Type: privateKeyType, Headers: map[string]string{"Key-Id": id}, Bytes: der}
+	return pem.EncodeToMemory(block), FormatPublicKey(id, pub), nil
+}
+
+// FormatPublicKey gives a public key as id:base64.
+func FormatPublicKey(id string, pub ed25519.PublicKey) string {
+	return id + ":" + base64.StdEncoding.EncodeToString(pub)
+}
+
+// ParsePublicKey reads a public key in the form id:base64.
+func ParsePublicKey(text string) (id string, pub ed25519.PublicKey, err error) {
+	id, encoded, ok := strings.Cut(text, ":")
+	if !ok || id == "" {
+		return "", nil, errors.Newf("%q is not id:base64", text)
+	}
+	raw, err := base64.StdEncoding.DecodeString(encoded)
+	if err != nil || len(raw) != ed25519.PublicKeySize {
+		return "", nil, errors.Newf("key %q is not the base64 of an ed25519 public key", id)
+	}
+	return id, raw, nil
+}
+
+// ParsePrivateKey reads a private key made by NewKey.
+func ParsePrivateKey(data []byte) (id string, priv ed25519.PrivateKey, err error) {
+	block, _ := pem.Decode(data)
+	if block == nil || block.Type != privateKeyType {
+		return "", nil, errors.New("not a PEM private key")
+	}
+	key, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return "", nil, errors.Wrap(err, "decode private key")
+	}
+	priv, ok := key.(ed25519.PrivateKey)
+	if !ok || block.Headers["Key-Id"] == "" {
+		return "", nil, errors.New("not an ed25519 key with a Key-Id header")
+	}
+	return block.Headers["Key-Id"], priv, nil
+}
+
+// Sign adds a signature, or replaces the one of the same key.
+func Sign(m *schema.SignedManifest, id string, priv ed25519.PrivateKey) {
+	value := ed25519.Sign(priv, signedBytes(m))
+	for _, s := range m.Signatures {
+		if s.KeyId == id {
+			s.Value = value
+			return
+		}
+	}
+	m.Signatures = append(m.Signatures, &schema.Signature{KeyId: id, Value: value})
+}
+
+func signedBytes(m *schema.SignedManifest) []byte {
+	return append([]byte(signContext), m.Manifest...)
+}
+
+// Trust says whose signatures make a manifest acceptable.
+type Trust struct {
+	Keys     map[string]ed25519.PublicKey
+	Required int
+}
+
+// NewTrust reads the trust settings.
+func NewTrust(t *schema.BundleTrust) (Trust, error) {
+	out := Trust{Keys: map[string]ed25519.PublicKey{}, Required: int(t.GetRequired())}
+	for _, text := range t.GetPublicKeys() {
+		id, pub, err := ParsePublicKey(text)
+		if err != nil {
+			return Trust{}, err
+		}
+		out.Keys[id] = pub
+	}
+	if out.Required < 1 {
+		return Trust{}, errors.New("at least one signature must be required")
+	}
+	return out, nil
+}
+
+// Signers returns the ids of the trusted keys whose signatures are valid.
+func (t Trust) Signers(m *schema.SignedManifest) []string {
+	var out []string
+	seen := map[string]bool{}
+	for _, s := range m.GetSignatures() {
+		pub, ok := t.Keys[s.GetKeyId()]
+		if !ok || seen[s.GetKeyId()] || !ed25519.Verify(pub, signedBytes(m), s.GetValue()) {
+			continue
+		}
+		seen[s.GetKeyId()] = true
+		out = append(out, s.GetKeyId())
+	}
+	return out
+}
+
+// Verify checks that enough trusted keys signed.
+func (t Trust) Verify(m *schema.SignedManifest) error {
+	signers := t.Signers(m)
+	if len(signers) < t.Required {
+		return errors.Newf("%d valid signatures by trusted keys %v, %d required", len(signers), signers, t.Required)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,221 @@
+// Package catalog is a bundle compiled for serving: what a request's model names
+// resolve to, and the placement map of the targets. A Catalog is immutable.
+package catalog
+
+import (
+	"strings"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/placement"
+	"github.com/junctionfold/junctionfold/coord/rendezvous"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// Catalog is one bundle version, ready to serve.
+type Catalog struct {
+	Version  uint64
+	Weights  *schema.Weights
+	Limits   *schema.Limits
+	Engines  *placement.Map
+	adapters map[string]*Adapter
+	bases    map[string]*Adapter
+	services map[string]*Service
+	targets  map[coord.TargetID]*Target
+	ranks    map[string]int
+}
+
+// Adapter is what the catalog knows of an adapter, or of a base model that is
+// served without one.
+type Adapter struct {
+	Name     string
+	Base     string
+	Versions []string
+	Rank     int
+	// Halls is the placement mask of the halls that may serve it.
+	Halls     uint64
+	RateLimit float64
+}
+
+// Service is a plain service with its instances.
+type Service struct {
+	Name      string
+	Rank      int
+	Timeout   time.Duration
+	RateLimit float64
+	Targets   []*Target
+
+	idempotent map[string]bool
+}
+
+// Target is a back end with the hash of its name.
+type Target struct {
+	*schema.Target
+	ID   coord.TargetID
+	Hash uint64
+}
+
+// Model is what a caller's model name resolves to.
+type Model struct {
+	Adapter coord.Adapter
+	Base    string
+	// Key is the placement key of the adapter and version.
+	Key       uint64
+	Halls     uint64
+	Rank      int
+	RateLimit float64
+}
+
+// ErrorKind says why a model name does not resolve.
+type ErrorKind int
+
+// The kinds of resolution failure.
+const (
+	OK ErrorKind = iota
+	// NoVersion means that the name has no @version.
+	NoVersion
+	// UnknownAdapter means that the bundle has no such adapter.
+	UnknownAdapter
+	// UnknownVersion means that the adapter has no such version.
+	UnknownVersion
+)
+
+// New compiles a bundle.
+func New(version uint64, b *schema.Bundle) *Catalog {
+	c := &Catalog{
+		Version: version, Weights: b.Weights, Limits: b.Limits,
+		adapters: make(map[string]*Adapter, len(b.Adapters)),
+		bases:    make(map[string]*Adapter, len(b.Bases)),
+		services: make(map[string]*Service, len(b.Services)),
+		targets:  make(map[coord.TargetID]*Target, len(b.Targets)),
+		ranks:    make(map[string]int, len(b.Priorities)),
+	}
+	for _, p := range b.Priorities {
+		c.ranks[p.Name] = int(p.Rank)
+	}
+	c.addServices(b.Services)
+	c.addTargets(b.Targets)
+	c.addAdapters(b)
+	return c
+}
+
+func (c *Catalog) addServices(services []*schema.Service) {
+	for _, s := range services {
+		c.services[s.Name] = &Service{
+			Name: s.Name, Rank: c.ranks[s.Priority], RateLimit: s.RateLimit,
+			Timeout:    time.Duration(s.TimeoutMs) * time.Millisecond,
+			idempotent: methodSet(s.IdempotentMethods),
+		}
+	}
+}
+
+// idempotentMethods are those of RFC 9110, section 9.2.2.
+var idempotentMethods = []string{"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
+
+func methodSet(methods []string) map[string]bool {
+	if len(methods) == 0 {
+		methods = idempotentMethods
+	}
+	out := make(map[string]bool, len(methods))
+	for _, m := range methods {
+		out[strings.ToUpper(m)] = true
+	}
+	return out
+}
+
+// Idempotent reports whether calls with the method may be repeated.
+func (s *Service) Idempotent(method string) bool { return s.idempotent[method] }
+
+func (c *Catalog) addTargets(targets []*schema.Target) {
+	var engines []placement.Target
+	for _, t := range targets {
+		ct := &Target{Target: t, ID: coord.TargetID(t.Name), Hash: rendezvous.Hash(t.Name)}
+		c.targets[ct.ID] = ct
+		if t.Kind == schema.TargetKind_TARGET_KIND_ENGINE {
+			engines = append(engines, placement.Target{
+				ID: ct.ID, Base: t.Base, Hall: t.Hall, Batch: int(t.Batch), Leaving: t.Leaving,
+			})
+			continue
+		}
+		if s := c.services[t.Service]; s != nil {
+			s.Targets = append(s.Targets, ct)
+		}
+	}
+	c.Engines = placement.NewMap(engines)
+}
+
+func (c *Catalog) addAdapters(b *schema.Bundle) {
+	for _, m := range b.Bases {
+		c.bases[m.Name] = &Adapter{Name: m.Name, Base: m.Name, Halls: c.Engines.HallMask(nil)}
+	}
+	for _, a := range b.Adapters {
+		c.adapters[a.Name] = &Adapter{
+			Name: a.Name, Base: a.Base, Versions: a.Versions, Rank: c.ranks[a.Priority],
+			Halls: c.Engines.HallMask(a.Halls), RateLimit: a.RateLimit,
+		}
+	}
+}
+
+// Resolve finds what a model name stands for: adapter@version, or the name of a
+// base model.
+func (c *Catalog) Resolve(model string) (Model, ErrorKind) {
+	name, version, ok := strings.Cut(model, "@")
+	if !ok {
+		if b := c.bases[name]; b != nil {
+			return b.model(""), OK
+		}
+		if c.adapters[name] != nil {
+			return Model{}, NoVersion
+		}
+		return Model{}, UnknownAdapter
+	}
+	a := c.adapters[name]
+	if a == nil {
+		return Model{}, UnknownAdapter
+	}
+	for _, v := range a.Versions {
+		if v == version {
+			return a.model(v), OK
+		}
+	}
+	return Model{}, UnknownVersion
+}
+
+func (a *Adapter) model(version string) Model {
+	ref := coord.Adapter{Name: a.Name, Version: version}
+	return Model{
+		Adapter: ref, Base: a.Base, Key: rendezvous.Hash(ref.String()),
+		Halls: a.Halls, Rank: a.Rank, RateLimit: a.RateLimit,
+	}
+}
+
+// ParseName reads an adapter's name at an engine back into the adapter. ok is
+// false for a name that the bundle does not hold.
+func (c *Catalog) ParseName(name string) (coord.Adapter, bool) {
+	m, kind := c.Resolve(name)
+	return m.Adapter, kind == OK
+}
+
+// Service returns a plain service, or nil.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Target returns a target, or nil.
+func (c *Catalog) Target(id coord.TargetID) *Target { return c.targets[id] }
+
+// Targets returns all targets by id. The map is the catalog's own.
+func (c *Catalog) Targets() map[coord.TargetID]*Target { return c.targets }
+
+// Models calls f for every name that Resolve accepts.
+func (c *Catalog) Models(f func(name string)) {
+	for name := range c.bases {
+		f(name)
+	}
+	for name, a := range c.adapters {
+		for _, v := range a.Versions {
+			f(name + "@" + v)
+		}
+	}
+}
+
+// Counts returns how many adapters and targets there are.
+func (c *Catalog) Counts() (adapters, targets int) { return len(c.adapters), len(c.targets) }
--- /dev/null
+++ b/internal/confsync/confsync.go
@@ -0,0 +1,448 @@
+// Package confsync keeps the bundle and the VM list current. Both only move up
+// in version.
+//
+// Few VMs read the platform: two watchers in each hall. What a watcher learns it
+// tells at once to the VMs of its hall and to one VM of each other hall; besides,
+// every VM compares versions with another one, chosen at random, each second.
+// The side that is behind fetches from the side that is ahead. When the platform
+// cannot be read, a version that any VM has seen still spreads to all. Other VMs
+// read the platform rarely, at random times, in case they are cut off from every
+// watcher. docs/design/configuration.md weighs this against polling.
+package confsync
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/confver"
+	"github.com/junctionfold/junctionfold/internal/bundle"
+	"github.com/junctionfold/junctionfold/internal/platform"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// Peers is what confsync needs of the other VMs.
+type Peers interface {
+	Call(ctx context.Context, vm coord.VMID, c *schema.Call) (*schema.Reply, error)
+	CallAddress(ctx context.Context, address string, c *schema.Call) (*schema.Reply, error)
+}
+
+// Roster is what confsync needs of the membership view.
+type Roster interface {
+	// Others returns the other listed VMs.
+	Others() []coord.VMID
+	// Watcher reports whether this VM reads the platform for its hall.
+	Watcher() bool
+	// TellFirst returns the VMs to tell of a new version at once.
+	TellFirst() []coord.VMID
+}
+
+// Config holds what a Sync works with.
+type Config struct {
+	Platform interface {
+		platform.ConfigService
+		platform.VMLister
+	}
+	Peers    Peers
+	Trust    bundle.Trust
+	Seeds    []string
+	ListPoll time.Duration
+	Watch    time.Duration
+	Seed     uint64
+	Log      log.Interface
+	// OnBundle is called with each bundle that comes into force.
+	OnBundle func(m *schema.Manifest, b *schema.Bundle)
+	// OnList is called with each newer VM list.
+	OnList func(l *schema.VMList)
+	// OnRefused is called for each manifest that was not accepted.
+	OnRefused func(err error)
+	// Beat returns this VM's heartbeat.
+	Beat func() *schema.Heartbeat
+}
+
+// Sync holds the newest bundle and list of one VM. Lock order: fetch, then mu.
+// Neither is held while a callback or a peer is called, but for fetch, which
+// makes fetches of bundles one at a time.
+type Sync struct {
+	cfg    Config
+	roster Roster
+
+	fetch sync.Mutex
+
+	mu       sync.Mutex
+	gate     confver.Gate
+	manifest *schema.SignedManifest
+	chunks   bundle.Chunks
+	list     *schema.VMList
+	rng      *rand.Rand
+	pulls    chan coord.VMID
+}
+
+// pullQueue bounds the pulls that wait; a lost one is made up by the next
+// comparison.
+const pullQueue = 16
+
+// New returns a Sync that holds nothing.
+func New(cfg Config, roster Roster) *Sync {
+	return &Sync{
+		cfg: cfg, roster: roster, chunks: bundle.Chunks{}, list: &schema.VMList{},
+		rng:   rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		pulls: make(chan coord.VMID, pullQueue),
+	}
+}
+
+// Versions returns the versions in force.
+func (s *Sync) Versions() (bundleVersion, listVersion uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.InForce(), s.list.GetVersion()
+}
+
+// Manifest returns the newest signed manifest, or nil.
+func (s *Sync) Manifest() *schema.SignedManifest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.manifest
+}
+
+// Chunk returns a chunk of the bundle in force.
+func (s *Sync) Chunk(hash []byte) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.chunks[hex.EncodeToString(hash)]
+	return data, ok
+}
+
+// List returns the newest VM list.
+func (s *Sync) List() *schema.VMList {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list
+}
+
+// Run keeps both current until the context ends.
+func (s *Sync) Run(ctx context.Context) {
+	s.start(ctx)
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){s.watchLoop, s.listLoop, s.compareLoop, s.pullLoop} {
+		wg.Go(func() { loop(ctx) })
+	}
+	wg.Wait()
+}
+
+// startAsk bounds how many peers a starting VM asks before it reads the
+// platform, which may be stale.
+const startAsk = 5
+
+func (s *Sync) start(ctx context.Context) {
+	s.readList(ctx)
+	for _, seed := range s.cfg.Seeds {
+		s.listFromSeed(ctx, seed)
+	}
+	others := s.roster.Others()
+	s.shuffle(others)
+	for _, vm := range others[:min(startAsk, len(others))] {
+		s.pull(ctx, vm)
+	}
+}
+
+func (s *Sync) shuffle(ids []coord.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+}
+
+// jitter returns a random time between d and 2d.
+func (s *Sync) jitter(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return d + time.Duration(s.rng.Int64N(int64(d)))
+}
+
+// Pauses of the loops.
+const (
+	// idleRead is the least time between two reads of the platform by a VM
+	// that is not a watcher.
+	idleRead = 20 * time.Second
+	// retryRead is the least time between two tries while nothing is in force
+	// or the platform cannot be read.
+	retryRead = time.Second
+	// compareEvery is the time between two comparisons with a random VM.
+	compareEvery = time.Second
+	// peerTimeout bounds one call to a peer.
+	peerTimeout = 3 * time.Second
+)
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// watchLoop reads the manifest: by a waiting watch when this VM is a watcher,
+// else now and then.
+func (s *Sync) watchLoop(ctx context.Context) {
+	revision := uint64(0)
+	for ctx.Err() == nil {
+		value, err := s.readManifest(ctx, revision)
+		if err != nil {
+			s.cfg.Log.WithError(err).Debug("manifest_unreadable")
+			sleep(ctx, s.jitter(retryRead))
+			continue
+		}
+		revision = value.Revision
+		s.takeValue(ctx, value)
+		if in, _ := s.Versions(); !s.roster.Watcher() && in > 0 {
+			sleep(ctx, s.jitter(idleRead))
+		}
+	}
+}
+
+func (s *Sync) readManifest(ctx context.Context, revision uint64) (platform.Value, error) {
+	if s.roster.Watcher() && revision > 0 {
+		return s.cfg.Platform.Watch(ctx, bundle.ManifestKey, revision, s.cfg.Watch)
+	}
+	return s.cfg.Platform.Get(ctx, bundle.ManifestKey)
+}
+
+func (s *Sync) takeValue(ctx context.Context, value platform.Value) {
+	signed := &schema.SignedManifest{}
+	if err := proto.Unmarshal(value.Data, signed); err != nil {
+		s.cfg.OnRefused(errors.Wrap(err, "decode signed manifest"))
+		return
+	}
+	if err := s.adopt(ctx, signed, s.chunkFromPlatform); err != nil {
+		s.cfg.OnRefused(err)
+	}
+}
+
+func (s *Sync) chunkFromPlatform(ctx context.Context, hash []byte) ([]byte, error) {
+	v, err := s.cfg.Platform.Get(ctx, bundle.ChunkKey(hash))
+	return v.Data, err
+}
+
+// adopt verifies a manifest, fetches what it lacks and puts it in force. A
+// manifest that is not newer is not an error.
+func (s *Sync) adopt(ctx context.Context, signed *schema.SignedManifest, get chunkSource) error {
+	s.fetch.Lock()
+	defer s.fetch.Unlock()
+	m, err := bundle.ReadManifest(signed)
+	if err != nil {
+		return err
+	}
+	if in, _ := s.Versions(); m.Version <= in {
+		return s.checkSame(m.Version, in, signed)
+	}
+	if err := s.cfg.Trust.Verify(signed); err != nil {
+		return errors.Wrapf(err, "bundle %d", m.Version)
+	}
+	chunks, err := s.gather(ctx, m, get)
+	if err != nil {
+		return errors.Wrapf(err, "bundle %d", m.Version)
+	}
+	b, err := bundle.Join(m, chunks.Get)
+	if err != nil {
+		return errors.Wrapf(err, "bundle %d", m.Version)
+	}
+	s.mu.Lock()
+	s.gate.Accept(m.Version)
+	s.manifest, s.chunks = signed, chunks
+	s.mu.Unlock()
+	s.cfg.OnBundle(m, b)
+	s.tell(ctx)
+	return nil
+}
+
+// checkSame reports two different bundles that were given the same version.
+func (s *Sync) checkSame(version, inForce uint64, signed *schema.SignedManifest) error {
+	if version != inForce || bytes.Equal(signed.Manifest, s.Manifest().GetManifest()) {
+		return nil
+	}
+	return errors.Newf("bundle %d: another bundle with this version is in force", version)
+}
+
+// chunkSource fetches a chunk by its hash.
+type chunkSource func(ctx context.Context, hash []byte) ([]byte, error)
+
+// gather returns the chunks of a manifest, fetching those that are not held.
+func (s *Sync) gather(ctx context.Context, m *schema.Manifest, get chunkSource) (bundle.Chunks, error) {
+	out := bundle.Chunks{}
+	for _, hash := range m.Chunks {
+		data, ok := s.Chunk(hash)
+		if !ok {
+			var err error
+			if data, err = s.fetchChunk(ctx, hash, get); err != nil {
+				return nil, err
+			}
+		}
+		out[hex.EncodeToString(hash)] = data
+	}
+	return out, nil
+}
+
+// fetchChunk asks the given source, and then the platform.
+func (s *Sync) fetchChunk(ctx context.Context, hash []byte, get chunkSource) ([]byte, error) {
+	data, err := get(ctx, hash)
+	if err == nil && bundle.CheckChunk(hash, data) == nil {
+		return data, nil
+	}
+	data, err = s.chunkFromPlatform(ctx, hash)
+	if err != nil {
+		return nil, err
+	}
+	return data, bundle.CheckChunk(hash, data)
+}
+
+// tell sends the new versions to those who should know at once.
+func (s *Sync) tell(ctx context.Context) {
+	for _, vm := range s.roster.TellFirst() {
+		go s.compare(ctx, vm)
+	}
+}
+
+// compare exchanges versions with a VM.
+func (s *Sync) compare(ctx context.Context, vm coord.VMID) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := s.cfg.Peers.Call(ctx, vm, &schema.Call{Body: &schema.Call_Heartbeat{Heartbeat: s.cfg.Beat()}})
+	if err != nil {
+		return
+	}
+	s.Heard(vm, reply.BundleVersion, reply.ListVersion)
+}
+
+// Heard takes the versions that another VM named and catches up if behind.
+func (s *Sync) Heard(vm coord.VMID, bundleVersion, listVersion uint64) {
+	s.mu.Lock()
+	behind := bundleVersion > s.gate.InForce() || listVersion > s.list.GetVersion()
+	s.mu.Unlock()
+	if !behind {
+		return
+	}
+	select {
+	case s.pulls <- vm:
+	default:
+	}
+}
+
+func (s *Sync) pullLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case vm := <-s.pulls:
+			s.pull(ctx, vm)
+		}
+	}
+}
+
+// pull fetches from a VM what it has newer.
+func (s *Sync) pull(ctx context.Context, vm coord.VMID) {
+	s.PullList(ctx, vm)
+	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := s.cfg.Peers.Call(callCtx, vm, &schema.Call{Body: &schema.Call_Manifest{Manifest: &schema.ManifestRequest{}}})
+	if err != nil || reply.GetManifest() == nil {
+		return
+	}
+	if err := s.adopt(ctx, reply.GetManifest(), s.chunkFromVM(vm)); err != nil {
+		s.cfg.OnRefused(err)
+	}
+}
+
+func (s *Sync) chunkFromVM(vm coord.VMID) chunkSource {
+	return func(ctx context.Context, hash []byte) ([]byte, error) {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		reply, err := s.cfg.Peers.Call(ctx, vm, &schema.Call{Body: &schema.Call_Chunk{Chunk: &schema.ChunkRequest{Hash: hash}}})
+		if err != nil {
+			return nil, err
+		}
+		return reply.GetChunk().GetData(), nil
+	}
+}
+
+// PullList fetches a VM's list if it is newer.
+func (s *Sync) PullList(ctx context.Context, vm coord.VMID) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := s.cfg.Peers.Call(ctx, vm, listCall())
+	if err == nil {
+		s.takeList(ctx, reply.GetList())
+	}
+}
+
+func listCall() *schema.Call {
+	return &schema.Call{Body: &schema.Call_List{List: &schema.ListRequest{}}}
+}
+
+func (s *Sync) listFromSeed(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := s.cfg.Peers.CallAddress(ctx, address, listCall())
+	if err == nil {
+		s.takeList(ctx, reply.GetList())
+	}
+}
+
+// takeList puts a list in force if it is newer.
+func (s *Sync) takeList(ctx context.Context, l *schema.VMList) {
+	s.mu.Lock()
+	newer := l.GetVersion() > s.list.GetVersion()
+	if newer {
+		s.list = l
+	}
+	s.mu.Unlock()
+	if newer {
+		s.cfg.OnList(l)
+		s.tell(ctx)
+	}
+}
+
+func (s *Sync) readList(ctx context.Context) {
+	l, err := s.cfg.Platform.List(ctx)
+	if err != nil {
+		s.cfg.Log.WithError(err).Debug("vm_list_unreadable")
+		return
+	}
+	s.takeList(ctx, l)
+}
+
+// listLoop reads the VM list: often as a watcher, else now and then.
+func (s *Sync) listLoop(ctx context.Context) {
+	for {
+		pause := s.cfg.ListPoll
+		if _, version := s.Versions(); version > 0 && !s.roster.Watcher() {
+			pause = s.jitter(idleRead)
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+		s.readList(ctx)
+	}
+}
+
+// compareLoop compares versions with a random VM.
+func (s *Sync) compareLoop(ctx context.Context) {
+	for sleep(ctx, compareEvery) {
+		others := s.roster.Others()
+		if len(others) == 0 {
+			continue
+		}
+		s.shuffle(others)
+		s.compare(ctx, others[0])
+	}
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/internal/router"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// job is a request ready to run.
+type job struct {
+	forward *schema.Forward
+	// key is the placement key, for what answers tell of the adapter.
+	key        uint64
+	idempotent bool
+	pick       func(avoid []coord.TargetID) (router.Route, bool)
+	// executor runs an attempt on a route.
+	executor func(router.Route) forward.Executor
+}
+
+// maxAttempts bounds the attempts of one request, rounds the passes over the
+// candidates: a target whose owner is being replaced is tried again.
+const (
+	maxAttempts = 8
+	roundPause  = 200 * time.Millisecond
+)
+
+// run tries the job until it is answered or given up. Once part of the answer
+// has gone to the caller there is no other attempt.
+func (c *call) run(ctx context.Context, j *job, sink *answerSink) *schema.Failure {
+	c.door.cfg.Retries.First()
+	var avoid []coord.TargetID
+	var last *schema.Failure
+	for n := uint32(1); n <= maxAttempts; n++ {
+		route, ok := j.pick(avoid)
+		if !ok && len(avoid) > 0 && passing(last) && pause(ctx, roundPause) {
+			avoid = avoid[:0]
+			route, ok = j.pick(avoid)
+		}
+		if !ok {
+			return noTarget(last)
+		}
+		last = c.attempt(ctx, j, route, n, sink)
+		if last == nil || sink.committed || !c.mayRetry(ctx, j, last) {
+			return last
+		}
+		avoid = append(avoid, route.Target)
+	}
+	return last
+}
+
+// noTarget is the failure of a request that no candidate is left for.
+func noTarget(last *schema.Failure) *schema.Failure {
+	if last != nil {
+		return last
+	}
+	return refusal(forward.CodeNoTarget, http.StatusServiceUnavailable, time.Second, "no target may serve the request now")
+}
+
+// passing reports whether a failure goes away by itself within moments.
+func passing(f *schema.Failure) bool {
+	if f == nil {
+		return false
+	}
+	switch f.Code {
+	case forward.CodeOwnerStarting, forward.CodeNotOwner, forward.CodeUnreachable:
+		return true
+	}
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (c *call) attempt(ctx context.Context, j *job, route router.Route, n uint32, sink *answerSink) *schema.Failure {
+	f := j.forward
+	f.Attempt = n
+	f.Target = string(route.Target)
+	deadline, _ := ctx.Deadline()
+	f.TimeoutMs = time.Until(deadline).Milliseconds()
+	if f.TimeoutMs <= 0 {
+		return refusal(forward.CodeTimeout, http.StatusGatewayTimeout, 0, "the deadline passed before an attempt")
+	}
+	result := j.executor(route).Execute(ctx, f, sink)
+	c.door.cfg.Router.Heard(j.key, result.Hint)
+	c.noteTarget(route, result.Failure)
+	if result.Failure != nil {
+		c.log.WithField("target", f.Target).WithField("owner", string(route.Owner)).WithField("attempt", n).
+			WithField("code", result.Failure.Code).Debug("attempt_failed")
+	}
+	return result.Failure
+}
+
+// noteTarget counts what speaks for or against the target itself.
+func (c *call) noteTarget(route router.Route, f *schema.Failure) {
+	served := f == nil
+	if !served && !blames(f.Code) {
+		return
+	}
+	if c.door.cfg.Router.Ended(route.Target, served) {
+		c.log.WithField("target", string(route.Target)).Warn("target_ejected")
+	}
+}
+
+// blames reports whether a failure speaks against the target.
+func blames(code string) bool {
+	switch code {
+	case forward.CodeTargetDown, forward.CodeCut, forward.CodeWrongAdapter, forward.CodeUnreachable, "adapter_load_failed":
+		return true
+	}
+	return false
+}
+
+// mayRetry reports whether another attempt is allowed and useful.
+func (c *call) mayRetry(ctx context.Context, j *job, f *schema.Failure) bool {
+	if ctx.Err() != nil || !useful(f.Code) {
+		return false
+	}
+	if f.Outcome != schema.Outcome_OUTCOME_NOT_RUN && !j.idempotent {
+		return false
+	}
+	if !c.door.cfg.Retries.Retry() {
+		return false
+	}
+	c.door.cfg.Metrics.Retries.Add(1)
+	return true
+}
+
+// useful reports whether another target may answer what this one did not.
+func useful(code string) bool {
+	switch code {
+	case forward.CodeUnknownModel, forward.CodeTimeout, forward.CodeCancelled, forward.CodeBadRequest, forward.CodeWrongAdapter:
+		return false
+	}
+	return true
+}
+
+// finish ends the call after run: nothing is left to say, or the error is
+// answered, or the connection is aborted.
+func (c *call) finish(f *schema.Failure, sink *answerSink) {
+	if f == nil {
+		return
+	}
+	if !sink.committed {
+		c.fail(f)
+		return
+	}
+	c.door.cfg.Metrics.Aborted.Add(1)
+	c.door.cfg.Metrics.Refusals.Add(f.Code, 1)
+	if f.Code == forward.CodeCrossed {
+		c.door.cfg.Metrics.Crossed.Add(1)
+	}
+	c.log.WithField("code", f.Code).WithField("detail", f.Message).Warn("answer_aborted")
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/findings/findings.go
@@ -0,0 +1,95 @@
+// Package findings collects what is wrong with a file or an input, each with
+// its place, so that all of it is reported at once.
+package findings
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Place says where a finding is. Empty parts are left out when printed.
+type Place struct {
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"`
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+}
+
+// WithKey returns p narrowed to a key on a line.
+func (p Place) WithKey(key string, line int) Place {
+	p.Key = key
+	if line > 0 {
+		p.Line = line
+	}
+	return p
+}
+
+// String gives file:line: [section] key.
+func (p Place) String() string {
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, ":%d", p.Line)
+	}
+	if p.Section != "" {
+		fmt.Fprintf(&b, ": [%s]", p.Section)
+	}
+	if p.Key != "" {
+		fmt.Fprintf(&b, " %s", p.Key)
+	}
+	return b.String()
+}
+
+// Finding is one thing that is wrong.
+type Finding struct {
+	Place Place  `json:"place"`
+	Text  string `json:"text"`
+}
+
+// String gives the place and the text on one line.
+func (f Finding) String() string { return f.Place.String() + ": " + f.Text }
+
+// List collects findings.
+type List struct {
+	items []Finding
+}
+
+// Add appends a finding.
+func (l *List) Add(p Place, format string, args ...any) {
+	l.items = append(l.items, Finding{Place: p, Text: fmt.Sprintf(format, args...)})
+}
+
+// Items returns the findings in order of file and line.
+func (l *List) Items() []Finding {
+	sort.SliceStable(l.items, func(i, j int) bool {
+		a, b := l.items[i].Place, l.items[j].Place
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		return a.Line < b.Line
+	})
+	return l.items
+}
+
+// Err returns nil when nothing was found, else an *Error.
+func (l *List) Err() error {
+	if len(l.items) == 0 {
+		return nil
+	}
+	return &Error{Findings: l.Items()}
+}
+
+// Error is a set of findings as one error.
+type Error struct {
+	Findings []Finding
+}
+
+// Error gives one finding a line.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Findings))
+	for i, f := range e.Findings {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,78 @@
+// Package forward is the contract between the front door and whatever runs an
+// attempt: the owner in the same process, an owner on another VM, or a plain
+// service.
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// Sink takes an answer. Head comes first and once, then any number of Data. An
+// error from the sink means that the caller has gone.
+type Sink interface {
+	Head(status int, headers []*schema.Header) error
+	Data(part []byte) error
+}
+
+// Result ends an attempt. The answer is whole only when Failure is nil.
+type Result struct {
+	Failure *schema.Failure
+	Hint    *schema.LoadHint
+}
+
+// Executor runs one attempt and writes its answer to the sink.
+type Executor interface {
+	Execute(ctx context.Context, f *schema.Forward, sink Sink) Result
+}
+
+// Stable codes of failures that callers and tests rely on.
+const (
+	CodeNotOwner        = "not_owner"
+	CodeOwnerStarting   = "owner_starting"
+	CodeUnknownTarget   = "unknown_target"
+	CodeUnknownModel    = "model_not_found"
+	CodeTargetLeaving   = "target_leaving"
+	CodeUnreachable     = "owner_unreachable"
+	CodeTargetDown      = "target_unreachable"
+	CodeTargetRefused   = "target_refused"
+	CodeCut             = "answer_cut"
+	CodeCrossed         = "answer_crossed"
+	CodeWrongAdapter    = "wrong_adapter_answered"
+	CodeTimeout         = "deadline_exceeded"
+	CodeCancelled       = "caller_gone"
+	CodeNoTarget        = "no_target"
+	CodeBadRequest      = "bad_request"
+	CodeTooLarge        = "body_too_large"
+	CodeOverloaded      = "overloaded"
+	CodeNotReady        = "not_ready"
+	CodeRateLimited     = "rate_limited"
+	CodeKeyReused       = "idempotency_key_reused"
+	CodeOutcomeUnknown  = "outcome_unknown"
+	CodeRecordsFull     = "outcome_records_full"
+	CodeUnknownService  = "service_not_found"
+	CodeVersionRequired = "version_required"
+)
+
+// HTTP statuses that failures map to are given by the maker of the failure.
+
+// Fail makes a failed Result.
+func Fail(code string, status int, outcome schema.Outcome, retry time.Duration, message string) Result {
+	return Result{Failure: &schema.Failure{
+		Code: code, Status: int32(status), Outcome: outcome,
+		RetryAfterMs: retry.Milliseconds(), Message: message,
+	}}
+}
+
+// Header returns the first header of a name, or "". Names are compared as
+// written: both ends use the canonical form of net/http.
+func Header(headers []*schema.Header, name string) string {
+	for _, h := range headers {
+		if h.Name == name {
+			return h.Value
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,313 @@
+// Package node puts one VM together: the front door, the owner of targets, the
+// sessions with other VMs, and what keeps bundle, list and records current.
+package node
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/membership"
+	"github.com/junctionfold/junctionfold/coord/outcome"
+	"github.com/junctionfold/junctionfold/coord/ownership"
+	"github.com/junctionfold/junctionfold/internal/audit"
+	"github.com/junctionfold/junctionfold/internal/bundle"
+	"github.com/junctionfold/junctionfold/internal/catalog"
+	"github.com/junctionfold/junctionfold/internal/confsync"
+	"github.com/junctionfold/junctionfold/internal/entry"
+	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/internal/limits"
+	"github.com/junctionfold/junctionfold/internal/metrics"
+	"github.com/junctionfold/junctionfold/internal/owner"
+	"github.com/junctionfold/junctionfold/internal/peer"
+	"github.com/junctionfold/junctionfold/internal/platform"
+	"github.com/junctionfold/junctionfold/internal/records"
+	"github.com/junctionfold/junctionfold/internal/router"
+	"github.com/junctionfold/junctionfold/internal/turns"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// Node is one VM.
+type Node struct {
+	settings    *schema.Settings
+	log         log.Interface
+	incarnation uint64
+	now         func() time.Time
+
+	metrics *metrics.Set
+	audit   *audit.Trail
+	view    *view
+	mesh    *peer.Mesh
+	sync    *confsync.Sync
+	records *records.Store
+	turns   *turns.Turns
+	owner   *owner.Owner
+	router  *router.Router
+	limits  *limits.Limiter
+	retries *limits.RetryBudget
+	door    *entry.Door
+
+	doorListener, peerListener, opsListener net.Listener
+
+	catalog  atomic.Pointer[catalog.Catalog]
+	draining atomic.Bool
+	// beating keeps one heartbeat to each monitor under way at most.
+	beating sync.Map
+}
+
+// Defaults until a bundle says otherwise.
+const (
+	firstLoadRate  = 1.0
+	firstRetention = 10 * time.Minute
+	firstBytes     = 16 << 20
+	firstRetries   = 0.1
+	dialTimeout    = 2 * time.Second
+)
+
+// New opens the listeners and puts the parts together.
+func New(s *schema.Settings, l log.Interface) (*Node, error) {
+	n := &Node{
+		settings: s, log: l, now: time.Now, incarnation: uint64(time.Now().UnixNano()),
+		metrics: metrics.New(), limits: limits.New(), retries: limits.NewRetryBudget(firstRetries),
+	}
+	self := coord.VMID(s.Vm.Id)
+	n.audit = audit.New(s.Vm.Id, l)
+	n.view = newView(self, s.Vm.Hall, time.Duration(s.Peer.HeartbeatMs)*time.Millisecond, n.now)
+	n.router = router.New(n.now)
+	if err := n.connect(self); err != nil {
+		return nil, err
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.publishGauges()
+	return n, nil
+}
+
+// connect builds what talks to others.
+func (n *Node) connect(self coord.VMID) error {
+	s := n.settings
+	tlsConfig, err := peer.TLSFromSettings(s.Peer)
+	if err != nil {
+		return err
+	}
+	trust, err := bundle.NewTrust(s.Trust)
+	if err != nil {
+		return err
+	}
+	n.mesh = peer.New(peer.Config{
+		Self: self, Hall: s.Vm.Hall, Incarnation: n.incarnation, TLS: tlsConfig, DialTimeout: dialTimeout,
+	}, (*peerHandler)(n), n.view.address)
+	transport := newTransport()
+	n.sync = confsync.New(confsync.Config{
+		Platform: platform.NewClient(s.Platform.ConfigUrl, s.Platform.VmListUrl, transport, func() { n.metrics.ServiceReads.Add(1) }),
+		Peers:    n.mesh, Trust: trust, Seeds: s.Platform.Seeds, Seed: n.incarnation, Log: n.log,
+		ListPoll: time.Duration(s.Platform.VmListPollMs) * time.Millisecond,
+		Watch:    time.Duration(s.Platform.WatchMs) * time.Millisecond,
+		OnBundle: n.onBundle, OnList: n.onList, OnRefused: n.onRefused, Beat: n.heartbeat,
+	}, n.view)
+	n.records = records.New(records.Config{
+		Self: self, Incarnation: n.incarnation, Peers: n.mesh, Lists: n.sync, Now: n.now,
+		Limits: outcome.Config{Retention: firstRetention, MaxBytes: firstBytes},
+	})
+	n.turns = &turns.Turns{
+		Self: self, Local: turns.NewGiver(firstLoadRate, n.now), Share: turns.NewGiver(firstLoadRate, n.now),
+		Peers: n.mesh, Giver: n.giver,
+	}
+	n.owner = owner.New(owner.Config{
+		Self: self, Tie: tieOf(s.Vm.Id), Transport: transport, OrderToken: s.Platform.OrderToken,
+		Turns: n.turns, Releases: n, Log: n.log, Audit: n.audit, Metrics: n.metrics, Now: n.now,
+	})
+	n.door = entry.New(entry.Config{
+		Settings: s.Door, Router: n.router, Records: n.records, Limits: n.limits, Retries: n.retries,
+		Owner: n.executor, Transport: transport, Alive: n.view.alive, Ready: n.Ready,
+		Log: n.log, Metrics: n.metrics, Now: n.now,
+	})
+	return nil
+}
+
+// maxIdlePerTarget keeps connections to targets open between requests.
+const maxIdlePerTarget = 256
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerTarget,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+// tieOf makes fencing numbers of different VMs differ.
+func tieOf(id string) uint16 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return uint16(h.Sum32())
+}
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{n.settings.Door.Listen, &n.doorListener},
+		{n.settings.Peer.Listen, &n.peerListener},
+		{n.settings.Operator.Listen, &n.opsListener},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			n.closeListeners()
+			return errors.Wrapf(err, "listen on %s", l.address)
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.doorListener, n.peerListener, n.opsListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Addresses returns where callers, peers and operators connect.
+func (n *Node) Addresses() (door, peers, ops string) {
+	return n.doorListener.Addr().String(), n.peerListener.Addr().String(), n.opsListener.Addr().String()
+}
+
+// Ready reports whether the balancer may send requests.
+func (n *Node) Ready() bool { return !n.draining.Load() && n.catalog.Load() != nil }
+
+// executor returns what runs attempts at a VM.
+func (n *Node) executor(vm coord.VMID) forward.Executor {
+	if string(vm) == n.settings.Vm.Id {
+		return n.owner
+	}
+	return n.mesh.Remote(vm)
+}
+
+// giver returns the VM that gives load turns.
+func (n *Node) giver() coord.VMID {
+	return ownership.NewChooser(n.view.members()).Singleton(turns.Duty)
+}
+
+func (n *Node) heartbeat() *schema.Heartbeat {
+	b, l := n.sync.Versions()
+	return &schema.Heartbeat{
+		Vm: n.settings.Vm.Id, Incarnation: n.incarnation, Leaving: n.view.isLeaving(),
+		BundleVersion: b, ListVersion: l,
+	}
+}
+
+func (n *Node) onBundle(m *schema.Manifest, b *schema.Bundle) {
+	c := catalog.New(m.Version, b)
+	old := n.catalog.Swap(c)
+	n.metrics.BundleVersion.Set(int64(m.Version))
+	n.records.SetLimits(outcome.Config{
+		Retention: time.Duration(b.Limits.GetOutcomeRetentionMs()) * time.Millisecond,
+		MaxBytes:  int(b.Limits.GetOutcomeBytes()),
+	})
+	n.retries.SetShare(b.Limits.GetRetryShare())
+	n.turns.Local.SetRate(b.Limits.GetLoadsPerSecond())
+	n.audit.Note(n.now(), audit.Change{
+		Actor: m.Author, Subject: "bundle", Old: versionText(old),
+		New: strconv.FormatUint(m.Version, 10), Comment: m.Comment,
+	})
+	n.view.markDirty()
+}
+
+func versionText(c *catalog.Catalog) string {
+	if c == nil {
+		return "none"
+	}
+	return strconv.FormatUint(c.Version, 10)
+}
+
+func (n *Node) onList(l *schema.VMList) {
+	n.metrics.ListVersion.Set(int64(l.Version))
+	n.log.WithField("version", l.Version).WithField("vms", len(l.Vms)).Info("vm_list_changed")
+	n.view.applyList(l)
+	n.records.ListChanged(n.view.members())
+}
+
+func (n *Node) onRefused(err error) {
+	n.metrics.BundlesRefused.Add(1)
+	n.log.WithError(err).Warn("bundle_refused")
+}
+
+// refresh carries a changed view to the parts that decide from it.
+func (n *Node) refresh() {
+	c := n.catalog.Load()
+	if c == nil {
+		return
+	}
+	members := n.view.members()
+	chooser := ownership.NewChooser(members)
+	n.limits.SetVMs(countLive(members))
+	n.turns.Share.SetRate(c.Limits.GetLoadsPerSecond() / float64(max(countLive(members), 1)))
+	n.router.SetView(router.View{Catalog: c, Chooser: chooser, Hall: n.settings.Vm.Hall})
+	n.owner.Apply(owner.View{
+		Catalog: c, Chooser: chooser, Peers: peersOf(members, coord.VMID(n.settings.Vm.Id)),
+		Leaving: n.view.isLeaving(),
+	})
+}
+
+// AskRelease asks another VM whether it has let go of targets.
+func (n *Node) AskRelease(ctx context.Context, vm coord.VMID, claims []*schema.Claim) ([]string, error) {
+	reply, err := n.mesh.Call(ctx, vm, &schema.Call{Body: &schema.Call_Release{
+		Release: &schema.ReleaseRequest{Vm: n.settings.Vm.Id, Claims: claims},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetRelease().GetReleased(), nil
+}
+
+// Status returns what the VM tells operators.
+func (n *Node) Status() *schema.Status {
+	b, l := n.sync.Versions()
+	out := &schema.Status{
+		Vm: n.settings.Vm.Id, Hall: n.settings.Vm.Hall, Ready: n.Ready(),
+		BundleVersion: b, ListVersion: l, Targets: n.owner.Status(),
+	}
+	for _, m := range n.view.members() {
+		out.Peers = append(out.Peers, peerStatus(m))
+	}
+	return out
+}
+
+func peerStatus(m *membership.Member) *schema.PeerStatus {
+	return &schema.PeerStatus{Vm: string(m.ID), Hall: m.Hall, State: m.State.String()}
+}
+
+func (n *Node) publishGauges() {
+	n.metrics.Gauge("open_requests", func() int64 { return int64(n.door.Open()) })
+	n.metrics.Gauge("peer_sessions", func() int64 { return int64(n.mesh.Sessions()) })
+	n.metrics.Gauge("peer_bytes_in_total", func() int64 { in, _ := n.mesh.Bytes(); return in })
+	n.metrics.Gauge("peer_bytes_out_total", func() int64 { _, out := n.mesh.Bytes(); return out })
+	n.metrics.Gauge("outcome_records", func() int64 { c, _, _ := n.records.Stats(); return int64(c) })
+	n.metrics.Gauge("outcome_bytes", func() int64 { _, b, _ := n.records.Stats(); return int64(b) })
+	n.metrics.Gauge("outcome_settled", func() int64 {
+		if _, _, settled := n.records.Stats(); settled {
+			return 1
+		}
+		return 0
+	})
+}
+
+// RecordsSettled reports whether this VM has the outcome records of all others.
+func (n *Node) RecordsSettled() bool {
+	_, _, settled := n.records.Stats()
+	return settled
+}
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/membership"
+	"github.com/junctionfold/junctionfold/coord/ownership"
+	"github.com/junctionfold/junctionfold/coord/rendezvous"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// view is the membership view of one VM behind a lock. It implements
+// confsync.Roster. Lock order: view.mu is taken alone.
+type view struct {
+	self coord.VMID
+	hall string
+	now  func() time.Time
+
+	mu      sync.Mutex
+	tracker *membership.Tracker
+	leaving bool
+	// dirty is signalled when the view has changed.
+	dirty chan struct{}
+}
+
+func newView(self coord.VMID, hall string, heartbeat time.Duration, now func() time.Time) *view {
+	return &view{
+		self: self, hall: hall, now: now,
+		tracker: membership.New(membership.Config{
+			Self: self, SuspectAfter: suspectBeats * heartbeat, Monitors: monitors,
+		}),
+		dirty: make(chan struct{}, 1),
+	}
+}
+
+// monitors is how many VMs watch each VM's heartbeats; suspectBeats is how many
+// beats may be missing.
+const (
+	monitors     = 3
+	suspectBeats = 3
+)
+
+func (v *view) markDirty() {
+	select {
+	case v.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// applyList takes a published list and returns its members.
+func (v *view) applyList(l *schema.VMList) {
+	listed := make([]membership.Listed, 0, len(l.Vms))
+	for _, vm := range l.Vms {
+		listed = append(listed, membership.Listed{
+			ID: coord.VMID(vm.Id), Hall: vm.Hall, Address: vm.Address,
+			Leaving: vm.State == schema.VMState_VM_STATE_LEAVING,
+		})
+	}
+	v.mu.Lock()
+	v.tracker.ApplyList(v.now(), l.Version, listed)
+	v.mu.Unlock()
+	v.markDirty()
+}
+
+// heard takes a sign of life; it returns false when nothing changed.
+func (v *view) heard(h *schema.Heartbeat) bool {
+	v.mu.Lock()
+	changed := v.tracker.Heard(v.now(), coord.VMID(h.Vm), h.Incarnation, h.Leaving)
+	v.mu.Unlock()
+	if changed {
+		v.markDirty()
+	}
+	return changed
+}
+
+func (v *view) suspected(id coord.VMID, incarnation uint64) bool {
+	v.mu.Lock()
+	changed := v.tracker.Suspected(id, incarnation)
+	v.mu.Unlock()
+	if changed {
+		v.markDirty()
+	}
+	return changed
+}
+
+// tick returns the VMs that have just become suspect, as copies.
+func (v *view) tick() []membership.Member {
+	v.mu.Lock()
+	var out []membership.Member
+	for _, m := range v.tracker.Tick(v.now()) {
+		out = append(out, *m)
+	}
+	v.mu.Unlock()
+	if len(out) > 0 {
+		v.markDirty()
+	}
+	return out
+}
+
+func (v *view) setLeaving() {
+	v.mu.Lock()
+	v.leaving = true
+	v.mu.Unlock()
+	v.markDirty()
+}
+
+func (v *view) isLeaving() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leaving
+}
+
+// members returns copies of the listed VMs, this one leaving when it is.
+func (v *view) members() []*membership.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]*membership.Member, 0, len(v.tracker.Members()))
+	for _, m := range v.tracker.Members() {
+		c := *m
+		if c.ID == v.self && v.leaving {
+			c.State = membership.Leaving
+		}
+		out = append(out, &c)
+	}
+	return out
+}
+
+// address returns a VM's peer address, or "".
+func (v *view) address(id coord.VMID) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if m := v.tracker.Member(id); m != nil {
+		return m.Address
+	}
+	return ""
+}
+
+// alive reports whether a VM's process of that incarnation may still act.
+func (v *view) alive(id coord.VMID, incarnation uint64) bool {
+	if id == v.self {
+		return true
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	m := v.tracker.Member(id)
+	return m != nil && m.State != membership.Suspect && m.Incarnation <= incarnation
+}
+
+func (v *view) myMonitors() []coord.VMID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.MonitorsOf(v.self)
+}
+
+// Others returns the other listed VMs.
+func (v *view) Others() []coord.VMID {
+	return ids(v.members(), func(m *membership.Member) bool { return m.ID != v.self })
+}
+
+func ids(members []*membership.Member, keep func(*membership.Member) bool) []coord.VMID {
+	var out []coord.VMID
+	for _, m := range members {
+		if keep(m) {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// watchersPerHall is how many VMs of a hall read the platform.
+const watchersPerHall = 2
+
+// Watcher reports whether this VM reads the platform for its hall.
+func (v *view) Watcher() bool {
+	for _, id := range watchers(v.members(), v.hall, watchersPerHall) {
+		if id == v.self {
+			return true
+		}
+	}
+	return false
+}
+
+// watchers returns the first n VMs of a hall that read the platform.
+func watchers(members []*membership.Member, hall string, n int) []coord.VMID {
+	var in []*membership.Member
+	var hashes []uint64
+	for _, m := range members {
+		if m.Hall == hall && m.State == membership.Live {
+			in = append(in, m)
+			hashes = append(hashes, rendezvous.Hash(string(m.ID)))
+		}
+	}
+	best := make([]int, n)
+	count := rendezvous.Top(hashes, rendezvous.Hash(hall), best)
+	out := make([]coord.VMID, 0, count)
+	for _, i := range best[:count] {
+		out = append(out, in[i].ID)
+	}
+	return out
+}
+
+// TellFirst returns the VMs that a watcher tells of a new version: those of its
+// hall, and the first watcher of each other hall.
+func (v *view) TellFirst() []coord.VMID {
+	if !v.Watcher() {
+		return nil
+	}
+	members := v.members()
+	out := ids(members, func(m *membership.Member) bool { return m.Hall == v.hall && m.ID != v.self })
+	seen := map[string]bool{v.hall: true}
+	for _, m := range members {
+		if !seen[m.Hall] {
+			seen[m.Hall] = true
+			out = append(out, watchers(members, m.Hall, 1)...)
+		}
+	}
+	return out
+}
+
+// peersOf returns the other VMs that may have owned a target.
+func peersOf(members []*membership.Member, self coord.VMID) []ownership.Peer {
+	var out []ownership.Peer
+	for _, m := range members {
+		if m.ID != self {
+			out = append(out, ownership.Peer{ID: m.ID, Incarnation: m.Incarnation})
+		}
+	}
+	return out
+}
+
+func countLive(members []*membership.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.State == membership.Live {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/owner/execute.go
@@ -0,0 +1,167 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/attempt"
+	"github.com/junctionfold/junctionfold/coord/dispatch"
+	"github.com/junctionfold/junctionfold/internal/catalog"
+	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/internal/metrics"
+	"github.com/junctionfold/junctionfold/internal/target"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// executions is how often a request is given to the target: again once when the
+// target says that the adapter is not there.
+const executions = 2
+
+// startingRetry is when a caller may come back to an owner that is taking over.
+const startingRetry = 250 * time.Millisecond
+
+func (u *unit) execute(ctx context.Context, f *schema.Forward, sink forward.Sink) forward.Result {
+	var r forward.Result
+	for range executions {
+		r = u.executeOnce(ctx, f, sink)
+		if r.Failure == nil || r.Failure.Code != target.EngineNotLoaded {
+			break
+		}
+		u.doubt()
+	}
+	r.Hint = u.hint(f)
+	return r
+}
+
+func (u *unit) executeOnce(ctx context.Context, f *schema.Forward, sink forward.Sink) forward.Result {
+	ref := coord.Adapter{Name: f.Adapter, Version: f.AdapterVersion}
+	handle, signal, refusal := u.submit(ctx, ref, f)
+	if refusal != nil {
+		return *refusal
+	}
+	began := u.now()
+	act, ok := u.await(ctx, handle, signal)
+	if !ok {
+		return forward.Fail(forward.CodeTimeout, http.StatusGatewayTimeout,
+			schema.Outcome_OUTCOME_NOT_RUN, 0, "the deadline passed, or the caller left, in the queue")
+	}
+	if act.Kind == dispatch.ActRefuse {
+		return refuse(act.Cause.String(), act.RetryAfter, "the target cannot take the request")
+	}
+	u.noteStall(u.now().Sub(began))
+	return u.run(ctx, f, ref, act, sink)
+}
+
+func (u *unit) noteStall(d time.Duration) {
+	if d < time.Millisecond {
+		return
+	}
+	u.owner.cfg.Metrics.Stalled.Add(1)
+	metrics.AddMillis(u.owner.cfg.Metrics.StallMillis, d)
+}
+
+// submit checks the request against the bundle in force and queues it.
+func (u *unit) submit(ctx context.Context, ref coord.Adapter, f *schema.Forward) (uint64, chan dispatch.Action, *forward.Result) {
+	deadline, _ := ctx.Deadline()
+	u.mu.Lock()
+	model, refusal := u.admit(ref, f)
+	if refusal != nil {
+		u.mu.Unlock()
+		return 0, nil, refusal
+	}
+	u.nextID++
+	handle := u.nextID
+	signal := make(chan dispatch.Action, 1)
+	u.waiters[handle] = signal
+	acts := u.dispatch.Submit(u.now(), dispatch.Request{
+		Handle: handle, Adapter: ref, Rank: model.Rank, Deadline: deadline,
+	})
+	u.mu.Unlock()
+	u.runDispatch(acts)
+	return handle, signal, nil
+}
+
+// admit refuses what this VM may not or cannot send. u.mu is held.
+func (u *unit) admit(ref coord.Adapter, f *schema.Forward) (catalog.Model, *forward.Result) {
+	if !u.machine.MayStart() || u.dispatch == nil {
+		r := refuse(forward.CodeOwnerStarting, startingRetry, "ownership of the target is "+u.machine.Phase().String())
+		return catalog.Model{}, &r
+	}
+	if u.leaving {
+		r := refuse(forward.CodeTargetLeaving, 0, "the target is leaving")
+		return catalog.Model{}, &r
+	}
+	model, kind := u.catalog.Resolve(ref.String())
+	if kind != catalog.OK || model.Base != u.spec.Base {
+		r := forward.Fail(forward.CodeUnknownModel, http.StatusNotFound,
+			schema.Outcome_OUTCOME_NOT_RUN, 0, "the bundle in force does not hold "+ref.String()+" for this target")
+		return catalog.Model{}, &r
+	}
+	return model, nil
+}
+
+// await waits for the dispatcher's word. When the caller goes first, the request
+// is withdrawn; if it has just been started, it is ended unsent.
+func (u *unit) await(ctx context.Context, handle uint64, signal chan dispatch.Action) (dispatch.Action, bool) {
+	select {
+	case act := <-signal:
+		return act, true
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	delete(u.waiters, handle)
+	acts := u.dispatch.Cancel(u.now(), handle)
+	acts = append(acts, u.dispatch.Finished(u.now(), handle)...)
+	u.mu.Unlock()
+	u.runDispatch(acts)
+	return dispatch.Action{}, false
+}
+
+// run sends a started request.
+func (u *unit) run(ctx context.Context, f *schema.Forward, ref coord.Adapter, act dispatch.Action, sink forward.Sink) forward.Result {
+	att := &attempt.Attempt{}
+	u.mu.Lock()
+	ok := u.machine.MayStart()
+	if ok {
+		u.machine.Started()
+	}
+	engine, fence := u.engine, u.machine.Fence()
+	u.mu.Unlock()
+	if !ok {
+		u.finished(act.Handle, false)
+		return refuse(forward.CodeNotOwner, 0, "the target went to another owner")
+	}
+	r := engine.Run(ctx, target.Run{
+		Forward: f, Name: act.Name, Model: ref.String(), Fence: fence, Attempt: att,
+	}, sink)
+	u.finished(act.Handle, true)
+	if r.Failure != nil && r.Failure.Code == target.EngineStaleFence {
+		u.orderFailed(fence, &target.StaleFence{})
+	}
+	return r
+}
+
+func (u *unit) finished(handle uint64, counted bool) {
+	u.mu.Lock()
+	if counted {
+		u.machine.Ended()
+	}
+	acts := u.dispatch.Finished(u.now(), handle)
+	u.mu.Unlock()
+	u.runDispatch(acts)
+}
+
+// hint tells the sender how loaded the target is.
+func (u *unit) hint(f *schema.Forward) *schema.LoadHint {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	h := &schema.LoadHint{Target: string(u.id), Batch: uint32(u.spec.Batch), Leaving: u.leaving}
+	if u.dispatch != nil {
+		h.Running, h.Queued = uint32(u.dispatch.Running()), uint32(u.dispatch.Queued())
+		same := u.dispatch.SameAdapter(coord.Adapter{Name: f.Adapter, Version: f.AdapterVersion})
+		h.SameAdapter = uint32(same)
+	}
+	return h
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,226 @@
+// Package owner runs the targets that this VM owns. It drives the ownership and
+// dispatch state machines of the coordination library: it feeds them the
+// targets' answers and the time, and carries out their actions.
+//
+// Lock order: Owner.mu, then unit.mu. Actions run after both are let go. Orders
+// and reads of targets run on a worker pool; a request runs on the goroutine
+// that brought it, so that a long stream holds no worker that a short order
+// needs (docs/DECISIONS.md, "Pools and streams").
+package owner
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/apex/log"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/ownership"
+	"github.com/junctionfold/junctionfold/internal/audit"
+	"github.com/junctionfold/junctionfold/internal/catalog"
+	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/internal/metrics"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// Turns gives load turns at the weight store.
+type Turns interface {
+	// Acquire waits for a turn. When it is granted, done must be called once
+	// the load has ended; otherwise the load may be asked for again after
+	// retry.
+	Acquire(ctx context.Context, target coord.TargetID, value float64) (done func(), granted bool, retry time.Duration)
+}
+
+// Releases asks other VMs whether they have let go of targets.
+type Releases interface {
+	// AskRelease returns the claimed targets that vm uses no more.
+	AskRelease(ctx context.Context, vm coord.VMID, claims []*schema.Claim) ([]string, error)
+}
+
+// Config holds what an Owner works with.
+type Config struct {
+	Self       coord.VMID
+	Tie        uint16
+	Transport  http.RoundTripper
+	OrderToken string
+	Turns      Turns
+	Releases   Releases
+	Log        log.Interface
+	Audit      *audit.Trail
+	Metrics    *metrics.Set
+	// Now is the clock.
+	Now func() time.Time
+}
+
+// orderWorkers bounds the orders and reads that run at once. A load holds its
+// worker until it is resident, and a target has at most one.
+const orderWorkers = 256
+
+// Owner is the owner of some targets.
+type Owner struct {
+	cfg  Config
+	pool pond.Pool
+
+	mu      sync.Mutex
+	units   map[coord.TargetID]*unit
+	catalog *catalog.Catalog
+	peers   []ownership.Peer
+}
+
+// New returns an Owner of nothing.
+func New(cfg Config) *Owner {
+	return &Owner{cfg: cfg, pool: pond.NewPool(orderWorkers), units: map[coord.TargetID]*unit{}}
+}
+
+// View is what ownership is decided from.
+type View struct {
+	Catalog *catalog.Catalog
+	Chooser *ownership.Chooser
+	// Peers are the other VMs of the published list.
+	Peers []ownership.Peer
+	// Leaving says that this VM hands everything over.
+	Leaving bool
+}
+
+// Apply takes a new view.
+func (o *Owner) Apply(v View) {
+	o.mu.Lock()
+	o.catalog = v.Catalog
+	o.peers = v.Peers
+	o.dropGone(v.Catalog)
+	type change struct {
+		u      *unit
+		wanted bool
+	}
+	var changes []change
+	for id, t := range v.Catalog.Targets() {
+		if t.Kind != schema.TargetKind_TARGET_KIND_ENGINE {
+			continue
+		}
+		wanted := !v.Leaving && v.Chooser.Owner(t.Hash, t.Hall) == o.cfg.Self
+		u := o.units[id]
+		if u == nil && wanted {
+			u = newUnit(o, t, v.Catalog)
+			o.units[id] = u
+		}
+		if u != nil {
+			changes = append(changes, change{u, wanted})
+		}
+	}
+	o.mu.Unlock()
+	for _, c := range changes {
+		c.u.want(c.wanted, v)
+	}
+}
+
+// dropGone stops the units of targets that the bundle no longer holds.
+func (o *Owner) dropGone(c *catalog.Catalog) {
+	for id, u := range o.units {
+		if c.Target(id) == nil {
+			delete(o.units, id)
+			go u.want(false, View{Catalog: c, Peers: o.peers})
+		}
+	}
+}
+
+func (o *Owner) unit(id coord.TargetID) *unit {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.units[id]
+}
+
+func (o *Owner) otherPeers() []ownership.Peer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.peers
+}
+
+func (o *Owner) snapshot() []*unit {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]*unit, 0, len(o.units))
+	for _, u := range o.units {
+		out = append(out, u)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
+	return out
+}
+
+// tickEvery is the time between two ticks, pollTicks how many ticks lie between
+// two reads of a target's state.
+const (
+	tickEvery = 100 * time.Millisecond
+	pollTicks = 10
+)
+
+// Run drives the units until the context ends.
+func (o *Owner) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.tick(n%pollTicks == 0)
+		}
+	}
+}
+
+func (o *Owner) tick(poll bool) {
+	peers := o.otherPeers()
+	for _, u := range o.snapshot() {
+		u.tick(peers, poll)
+	}
+}
+
+// Execute runs an attempt on a target that this VM owns.
+func (o *Owner) Execute(ctx context.Context, f *schema.Forward, sink forward.Sink) forward.Result {
+	u := o.unit(coord.TargetID(f.Target))
+	if u == nil {
+		return refuse(forward.CodeNotOwner, 0, "this VM does not own the target")
+	}
+	return u.execute(ctx, f, sink)
+}
+
+// refuse is the result of an attempt that this VM did not send.
+func refuse(code string, retry time.Duration, message string) forward.Result {
+	return forward.Fail(code, http.StatusServiceUnavailable, schema.Outcome_OUTCOME_NOT_RUN, retry, message)
+}
+
+// Release answers another VM's claims with the targets that are let go.
+func (o *Owner) Release(claims []*schema.Claim) []string {
+	var released []string
+	for _, c := range claims {
+		u := o.unit(coord.TargetID(c.Target))
+		if u == nil || u.release(c.Fence) {
+			released = append(released, c.Target)
+		}
+	}
+	return released
+}
+
+// Running returns how many requests run or wait at owned targets.
+func (o *Owner) Running() int {
+	n := 0
+	for _, u := range o.snapshot() {
+		n += u.busy()
+	}
+	return n
+}
+
+// Status returns the state of each owned target.
+func (o *Owner) Status() []*schema.TargetStatus {
+	var out []*schema.TargetStatus
+	for _, u := range o.snapshot() {
+		out = append(out, u.status())
+	}
+	return out
+}
+
+// Close waits for orders that run.
+func (o *Owner) Close() { o.pool.StopAndWait() }
--- /dev/null
+++ b/internal/peer/mesh.go
@@ -0,0 +1,378 @@
+// Package peer keeps the sessions between VMs: TLS below, yamux for many
+// streams on one connection, protobuf frames on each stream.
+//
+// A session is opened on first need and serves both directions. Its first
+// stream carries a Hello each way and then heartbeats. Every other stream
+// carries one Forward with its answer, or one Call with its Reply.
+//
+// Failure cases: a dial or stream that fails before the first write is reported
+// as ErrNotSent, so that the request may go elsewhere; after it, nothing is
+// known. Answer frames are checked for request id, attempt and sequence; one
+// that does not fit ends the answer as crossed.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// ErrNotSent marks failures before anything can have reached the other VM.
+var ErrNotSent = errors.New("nothing was sent")
+
+// Handler serves what other VMs ask.
+type Handler interface {
+	// ServeForward runs an attempt and writes its answer.
+	ServeForward(ctx context.Context, from coord.VMID, f *schema.Forward, w *AnswerWriter)
+	// ServeCall answers a call.
+	ServeCall(ctx context.Context, from coord.VMID, c *schema.Call) *schema.Reply
+	// Heard takes a heartbeat or a hello.
+	Heard(h *schema.Heartbeat)
+}
+
+// Config holds the settings of a Mesh.
+type Config struct {
+	Self        coord.VMID
+	Hall        string
+	Incarnation uint64
+	// TLS is nil when TLS is off.
+	TLS *tls.Config
+	// DialTimeout bounds the making of a session.
+	DialTimeout time.Duration
+}
+
+// Mesh is the sessions of one VM. Lock order: Mesh.mu is taken alone.
+type Mesh struct {
+	cfg     Config
+	handler Handler
+	resolve func(coord.VMID) string
+
+	mu       sync.Mutex
+	sessions map[coord.VMID]*session
+	dialing  map[coord.VMID]chan struct{}
+	// all holds every open session, also the spare one of a double dial.
+	all    map[*session]struct{}
+	closed bool
+
+	bytesIn, bytesOut atomic.Int64
+}
+
+// session is one connection to a VM.
+type session struct {
+	vm      coord.VMID
+	mux     *yamux.Session
+	control *yamux.Stream
+	beat    sync.Mutex
+}
+
+// New returns a Mesh. resolve gives the peer address of a VM, or "".
+func New(cfg Config, handler Handler, resolve func(coord.VMID) string) *Mesh {
+	return &Mesh{
+		cfg: cfg, handler: handler, resolve: resolve,
+		sessions: map[coord.VMID]*session{},
+		dialing:  map[coord.VMID]chan struct{}{},
+		all:      map[*session]struct{}{},
+	}
+}
+
+// Bytes returns the bytes read and written on all sessions, TLS included.
+func (m *Mesh) Bytes() (in, out int64) { return m.bytesIn.Load(), m.bytesOut.Load() }
+
+// Sessions returns how many sessions are open.
+func (m *Mesh) Sessions() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.all)
+}
+
+// Serve accepts sessions until the listener is closed.
+func (m *Mesh) Serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go m.accept(conn)
+	}
+}
+
+func (m *Mesh) accept(conn net.Conn) {
+	s, err := m.handshake(conn, "")
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	m.keep(s)
+}
+
+// Close ends all sessions.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	open := make([]*session, 0, len(m.all))
+	for s := range m.all {
+		open = append(open, s)
+	}
+	m.mu.Unlock()
+	for _, s := range open {
+		_ = s.mux.Close()
+	}
+}
+
+// yamuxConfig keeps the session's own keep-alive off: heartbeats do its work.
+func yamuxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false
+	c.LogOutput = io.Discard
+	c.StreamOpenTimeout = streamOpenTimeout
+	c.ConnectionWriteTimeout = writeTimeout
+	return c
+}
+
+const (
+	streamOpenTimeout = 5 * time.Second
+	writeTimeout      = 5 * time.Second
+)
+
+// handshake makes a session of a connection. want is the VM dialled, or "" when
+// the connection was accepted.
+func (m *Mesh) handshake(conn net.Conn, want coord.VMID) (*session, error) {
+	_ = conn.SetDeadline(time.Now().Add(m.cfg.DialTimeout))
+	dialled := want != ""
+	secured, err := m.secure(&countingConn{Conn: conn, in: &m.bytesIn, out: &m.bytesOut}, dialled)
+	if err != nil {
+		return nil, err
+	}
+	s := &session{vm: want}
+	if dialled {
+		s.mux, err = yamux.Client(secured, yamuxConfig())
+	} else {
+		s.mux, err = yamux.Server(secured, yamuxConfig())
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "start session")
+	}
+	if err := m.hello(s, secured, dialled); err != nil {
+		_ = s.mux.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return s, nil
+}
+
+func (m *Mesh) secure(conn net.Conn, dialled bool) (net.Conn, error) {
+	if m.cfg.TLS == nil {
+		return conn, nil
+	}
+	var t *tls.Conn
+	if dialled {
+		t = tls.Client(conn, m.cfg.TLS)
+	} else {
+		t = tls.Server(conn, m.cfg.TLS)
+	}
+	if err := t.Handshake(); err != nil {
+		return nil, errors.Wrap(err, "TLS with peer")
+	}
+	return t, nil
+}
+
+// hello exchanges identities on the control stream and starts its reader.
+func (m *Mesh) hello(s *session, conn net.Conn, dialled bool) error {
+	stream, err := openControl(s.mux, dialled)
+	if err != nil {
+		return errors.Wrap(err, "open control stream")
+	}
+	mine := &schema.Hello{Vm: string(m.cfg.Self), Hall: m.cfg.Hall, Incarnation: m.cfg.Incarnation}
+	if err := writeFrame(stream, &schema.Frame{Kind: &schema.Frame_Hello{Hello: mine}}); err != nil {
+		return errors.Wrap(err, "send hello")
+	}
+	frames := newFrameReader(stream)
+	first, err := frames.read()
+	if err != nil {
+		return errors.Wrap(err, "read hello")
+	}
+	theirs := first.GetHello()
+	if err := checkHello(theirs, conn, s.vm); err != nil {
+		return err
+	}
+	s.vm = coord.VMID(theirs.Vm)
+	s.control = stream
+	m.handler.Heard(&schema.Heartbeat{Vm: theirs.Vm, Incarnation: theirs.Incarnation})
+	go m.readControl(s, frames)
+	return nil
+}
+
+func openControl(mux *yamux.Session, dialled bool) (*yamux.Stream, error) {
+	if dialled {
+		return mux.OpenStream()
+	}
+	return mux.AcceptStream()
+}
+
+// checkHello holds what a peer says of itself against its certificate and
+// against the VM that was dialled.
+func checkHello(h *schema.Hello, conn net.Conn, want coord.VMID) error {
+	if h == nil || h.Vm == "" {
+		return errors.New("peer sent no hello")
+	}
+	if want != "" && want != AnyVM && string(want) != h.Vm {
+		return errors.Newf("dialled %s, reached %s", want, h.Vm)
+	}
+	t, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	certs := t.ConnectionState().PeerCertificates
+	if len(certs) == 0 || certs[0].VerifyHostname(h.Vm) != nil {
+		return errors.Newf("peer says it is %s; its certificate does not", h.Vm)
+	}
+	return nil
+}
+
+// readControl takes heartbeats until the session ends.
+func (m *Mesh) readControl(s *session, frames *frameReader) {
+	for {
+		f, err := frames.read()
+		if err != nil {
+			_ = s.mux.Close()
+			return
+		}
+		if h := f.GetHeartbeat(); h != nil && h.Vm == string(s.vm) {
+			m.handler.Heard(h)
+		}
+	}
+}
+
+// keep registers a session and serves its streams until it ends.
+func (m *Mesh) keep(s *session) {
+	m.mu.Lock()
+	if m.closed {
+		m.mu.Unlock()
+		_ = s.mux.Close()
+		return
+	}
+	m.all[s] = struct{}{}
+	if m.sessions[s.vm] == nil {
+		m.sessions[s.vm] = s
+	}
+	m.mu.Unlock()
+	go m.serveSession(s)
+}
+
+func (m *Mesh) serveSession(s *session) {
+	for {
+		stream, err := s.mux.AcceptStream()
+		if err != nil {
+			break
+		}
+		go m.serveStream(s, stream)
+	}
+	m.mu.Lock()
+	delete(m.all, s)
+	if m.sessions[s.vm] == s {
+		delete(m.sessions, s.vm)
+	}
+	m.mu.Unlock()
+}
+
+// get returns a session to a VM, dialling when there is none. Callers that need
+// the same VM at once share one dial.
+func (m *Mesh) get(ctx context.Context, vm coord.VMID) (*session, error) {
+	for {
+		m.mu.Lock()
+		if s := m.sessions[vm]; s != nil {
+			m.mu.Unlock()
+			return s, nil
+		}
+		wait, busy := m.dialing[vm]
+		if !busy {
+			wait = make(chan struct{})
+			m.dialing[vm] = wait
+		}
+		m.mu.Unlock()
+		if !busy {
+			return m.dial(ctx, vm, wait)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		if s := m.existing(vm); s == nil {
+			return nil, errors.Newf("no session to %s", vm)
+		}
+	}
+}
+
+func (m *Mesh) existing(vm coord.VMID) *session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sessions[vm]
+}
+
+func (m *Mesh) dial(ctx context.Context, vm coord.VMID, done chan struct{}) (*session, error) {
+	defer func() {
+		m.mu.Lock()
+		delete(m.dialing, vm)
+		m.mu.Unlock()
+		close(done)
+	}()
+	address := m.resolve(vm)
+	if address == "" {
+		return nil, errors.Newf("no address of %s", vm)
+	}
+	s, err := m.dialAddress(ctx, address, vm)
+	if err != nil {
+		return nil, err
+	}
+	m.keep(s)
+	return s, nil
+}
+
+func (m *Mesh) dialAddress(ctx context.Context, address string, vm coord.VMID) (*session, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", vm)
+	}
+	s, err := m.handshake(conn, vm)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Connect makes sure that there is a session to a VM.
+func (m *Mesh) Connect(ctx context.Context, vm coord.VMID) error {
+	_, err := m.get(ctx, vm)
+	return err
+}
+
+// Beat sends a heartbeat to a VM.
+func (m *Mesh) Beat(ctx context.Context, vm coord.VMID, h *schema.Heartbeat) error {
+	s, err := m.get(ctx, vm)
+	if err != nil {
+		return err
+	}
+	s.beat.Lock()
+	defer s.beat.Unlock()
+	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := writeFrame(s.control, &schema.Frame{Kind: &schema.Frame_Heartbeat{Heartbeat: h}}); err != nil {
+		_ = s.mux.Close()
+		return errors.Wrapf(err, "heartbeat to %s", vm)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,166 @@
+// Package platform reads what the platform publishes: the configuration
+// service's values and the list of VMs. Nothing is ever written there.
+package platform
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-resty/resty/v2"
+
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// ErrNotFound means that a key has no value.
+var ErrNotFound = errors.New("no such key")
+
+// Value is a value of the configuration service with its revision.
+type Value struct {
+	Data     []byte
+	Revision uint64
+}
+
+// ConfigService is a configuration service that can be read and watched. Every
+// call counts against the platform's limit; a waiting watch is one call.
+type ConfigService interface {
+	// Get returns the value of a key.
+	Get(ctx context.Context, key string) (Value, error)
+	// Watch returns the value of a key once its revision is not after. It
+	// returns the same revision when nothing changed for wait.
+	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error)
+}
+
+// VMLister is the platform's list of VMs.
+type VMLister interface {
+	// List returns the newest list that the platform shows.
+	List(ctx context.Context) (*schema.VMList, error)
+}
+
+// Paths, parameters and headers of the services.
+const (
+	ValuePath      = "/v1/values/"
+	VMsPath        = "/v1/vms"
+	AfterParam     = "after"
+	WaitParam      = "wait_ms"
+	RevisionHeader = "X-Revision"
+)
+
+// MaxValueBytes is the service's limit of a value.
+const MaxValueBytes = 1 << 20
+
+// Client reads both services over HTTP.
+type Client struct {
+	config *resty.Client
+	list   *resty.Client
+	// Reads is called for each call made.
+	reads func()
+}
+
+// readTimeout bounds a call that does not wait for a change.
+const readTimeout = 2 * time.Second
+
+// NewClient returns a Client of the services at two base URLs. reads is called
+// for each call made.
+func NewClient(configURL, listURL string, transport http.RoundTripper, reads func()) *Client {
+	return &Client{
+		config: resty.New().SetBaseURL(configURL).SetTransport(transport).SetResponseBodyLimit(MaxValueBytes),
+		list:   resty.New().SetBaseURL(listURL).SetTransport(transport).SetResponseBodyLimit(maxListBytes),
+		reads:  reads,
+	}
+}
+
+// maxListBytes bounds the VM list.
+const maxListBytes = 8 << 20
+
+// Get returns the value of a key.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return c.read(c.config.R().SetContext(ctx), key)
+}
+
+// Watch returns the value of a key once it has changed, or after wait.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	req := c.config.R().SetContext(ctx).
+		SetQueryParam(AfterParam, strconv.FormatUint(after, 10)).
+		SetQueryParam(WaitParam, strconv.FormatInt(wait.Milliseconds(), 10))
+	return c.read(req, key)
+}
+
+func (c *Client) read(req *resty.Request, key string) (Value, error) {
+	c.reads()
+	resp, err := req.Get(ValuePath + key)
+	if err != nil {
+		return Value{}, errors.Wrapf(err, "read %s", key)
+	}
+	if resp.StatusCode() == http.StatusNotFound {
+		return Value{}, errors.Wrapf(ErrNotFound, "read %s", key)
+	}
+	if resp.IsError() {
+		return Value{}, errors.Newf("read %s: status %d", key, resp.StatusCode())
+	}
+	revision, err := strconv.ParseUint(resp.Header().Get(RevisionHeader), 10, 64)
+	if err != nil {
+		return Value{}, errors.Newf("read %s: no revision", key)
+	}
+	return Value{Data: resp.Body(), Revision: revision}, nil
+}
+
+// List returns the published VM list.
+func (c *Client) List(ctx context.Context) (*schema.VMList, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	c.reads()
+	out := &vmList{}
+	resp, err := c.list.R().SetContext(ctx).SetResult(out).Get(VMsPath)
+	if err != nil {
+		return nil, errors.Wrap(err, "read VM list")
+	}
+	if resp.IsError() {
+		return nil, errors.Newf("read VM list: status %d", resp.StatusCode())
+	}
+	return out.message()
+}
+
+// vmList is the list as the platform publishes it.
+type vmList struct {
+	Version uint64   `json:"version"`
+	VMs     []vmLine `json:"vms"`
+}
+
+type vmLine struct {
+	ID      string `json:"id"`
+	Hall    string `json:"hall"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+}
+
+// States of a VM in the published list.
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+)
+
+func (l *vmList) message() (*schema.VMList, error) {
+	if l.Version == 0 {
+		return nil, errors.New("VM list has no version")
+	}
+	out := &schema.VMList{Version: l.Version}
+	for _, v := range l.VMs {
+		state := schema.VMState_VM_STATE_LIVE
+		switch v.State {
+		case stateLive:
+		case stateLeaving:
+			state = schema.VMState_VM_STATE_LEAVING
+		default:
+			return nil, errors.Newf("VM %q is in state %q, which is neither live nor leaving", v.ID, v.State)
+		}
+		out.Vms = append(out.Vms, &schema.VM{Id: v.ID, Hall: v.Hall, Address: v.Address, State: state})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,215 @@
+// Package settings reads a daemon's settings file and checks it whole.
+package settings
+
+import (
+	_ "embed"
+	"net/netip"
+	"net/url"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/junctionfold/junctionfold/internal/bundle"
+	"github.com/junctionfold/junctionfold/internal/findings"
+	"github.com/junctionfold/junctionfold/internal/inifile"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// Example is an annotated settings file that Parse accepts.
+//
+//go:embed example.ini
+var Example string
+
+// Load reads a settings file. The error is a *findings.Error when the file
+// could be read but is wrong.
+func Load(file string) (*schema.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse reads settings from data and fills in defaults. file is named in
+// findings.
+func Parse(file string, data []byte) (*schema.Settings, error) {
+	fs := &findings.List{}
+	p := &parser{file: file, fs: fs, out: Defaults(), places: map[string]findings.Place{}}
+	p.read(inifile.Parse(file, data, fs))
+	p.check()
+	return p.out, fs.Err()
+}
+
+// Defaults returns the settings that hold where a file says nothing.
+func Defaults() *schema.Settings {
+	return &schema.Settings{
+		Vm: &schema.VMSettings{},
+		Door: &schema.DoorSettings{
+			MaxBodyBytes: 4 << 20, MaxRequestMs: 300_000, MaxOpenRequests: 4096, DrainMs: 5000,
+		},
+		Peer:     &schema.PeerSettings{HeartbeatMs: 500},
+		Operator: &schema.OperatorSettings{Listen: "127.0.0.1:9480"},
+		Platform: &schema.PlatformSettings{VmListPollMs: 1000, WatchMs: 30_000},
+		Trust:    &schema.BundleTrust{Required: 1},
+		Log:      &schema.LogSettings{Level: "info"},
+	}
+}
+
+type parser struct {
+	file   string
+	fs     *findings.List
+	out    *schema.Settings
+	places map[string]findings.Place
+}
+
+func (p *parser) read(sections []inifile.Section) {
+	m := p.out.ProtoReflect()
+	fields := m.Descriptor().Fields()
+	seen := map[string]int{}
+	for i := range sections {
+		s := &sections[i]
+		f := fields.ByName(protoreflect.Name(s.Kind))
+		if f == nil || s.Label != "" {
+			p.fs.Add(s.Place, "unknown section%s", inifile.Suggest(s.Kind, sectionNames(fields)))
+			continue
+		}
+		if before := seen[s.Kind]; before > 0 {
+			p.fs.Add(s.Place, "stands already on line %d", before)
+			continue
+		}
+		seen[s.Kind] = s.Place.Line
+		inifile.Decode(s, m.Mutable(f).Message(), p.fs)
+		p.remember(s)
+	}
+}
+
+func sectionNames(fields protoreflect.FieldDescriptors) []string {
+	var out []string
+	for i := range fields.Len() {
+		out = append(out, string(fields.Get(i).Name()))
+	}
+	return out
+}
+
+func (p *parser) remember(s *inifile.Section) {
+	for _, k := range s.Keys {
+		p.places[s.Kind+"."+k.Name] = s.Place.WithKey(k.Name, k.Line)
+	}
+}
+
+// place returns where a key stands, or where it would have to.
+func (p *parser) place(section, key string) findings.Place {
+	if at, ok := p.places[section+"."+key]; ok {
+		return at
+	}
+	return findings.Place{File: p.file, Section: section, Key: key}
+}
+
+func (p *parser) check() {
+	s := p.out
+	p.required("vm", "id", s.Vm.Id)
+	p.required("vm", "hall", s.Vm.Hall)
+	p.address("door", "listen", s.Door.Listen)
+	p.address("peer", "listen", s.Peer.Listen)
+	p.address("operator", "listen", s.Operator.Listen)
+	p.required("operator", "token", s.Operator.Token)
+	p.baseURL("platform", "config_url", s.Platform.ConfigUrl)
+	p.baseURL("platform", "vm_list_url", s.Platform.VmListUrl)
+	for _, seed := range s.Platform.Seeds {
+		p.address("platform", "seeds", seed)
+	}
+	p.ranges()
+	p.peerKeys()
+	p.trust()
+	p.level()
+}
+
+func (p *parser) required(section, key, value string) {
+	if value == "" {
+		p.fs.Add(p.place(section, key), "is required")
+	}
+}
+
+// address checks an IP number with a port; names are not looked up.
+func (p *parser) address(section, key, value string) {
+	if value == "" {
+		p.fs.Add(p.place(section, key), "is required")
+		return
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		p.fs.Add(p.place(section, key), "%q is not an IP number with a port, such as 10.0.0.4:9400", value)
+	}
+}
+
+func (p *parser) baseURL(section, key, value string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		p.fs.Add(p.place(section, key), "%q is not a URL such as http://10.0.0.9:8500", value)
+		return
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		p.fs.Add(p.place(section, key), "%q names a host; an IP number is needed", value)
+	}
+}
+
+// span is the range that a number must lie in.
+type span struct {
+	section, key string
+	value        int64
+	low, high    int64
+}
+
+func (p *parser) ranges() {
+	s := p.out
+	for _, r := range []span{
+		{"door", "max_body_bytes", s.Door.MaxBodyBytes, 1 << 10, 64 << 20},
+		{"door", "max_request_ms", s.Door.MaxRequestMs, 100, 3_600_000},
+		{"door", "max_open_requests", s.Door.MaxOpenRequests, 1, 1 << 20},
+		{"door", "drain_ms", s.Door.DrainMs, 0, 600_000},
+		{"peer", "heartbeat_ms", s.Peer.HeartbeatMs, 50, 10_000},
+		{"platform", "vm_list_poll_ms", s.Platform.VmListPollMs, 50, 60_000},
+		{"platform", "watch_ms", s.Platform.WatchMs, 100, 600_000},
+	} {
+		if r.value < r.low || r.value > r.high {
+			p.fs.Add(p.place(r.section, r.key), "%d is not between %d and %d", r.value, r.low, r.high)
+		}
+	}
+}
+
+func (p *parser) peerKeys() {
+	s := p.out.Peer
+	if !s.InsecureLoopback {
+		p.required("peer", "cert_file", s.CertFile)
+		p.required("peer", "key_file", s.KeyFile)
+		p.required("peer", "ca_file", s.CaFile)
+		return
+	}
+	at, err := netip.ParseAddrPort(s.Listen)
+	if err == nil && !at.Addr().IsLoopback() {
+		p.fs.Add(p.place("peer", "insecure_loopback"), "TLS can be off only when [peer] listen is a loopback address")
+	}
+}
+
+func (p *parser) trust() {
+	t := p.out.Trust
+	if len(t.PublicKeys) == 0 {
+		p.fs.Add(p.place("trust", "public_keys"), "is required")
+	}
+	for _, k := range t.PublicKeys {
+		if _, _, err := bundle.ParsePublicKey(k); err != nil {
+			p.fs.Add(p.place("trust", "public_keys"), "%v", err)
+		}
+	}
+	if t.Required < 1 || int(t.Required) > max(len(t.PublicKeys), 1) {
+		p.fs.Add(p.place("trust", "required"), "%d is not between 1 and the number of public_keys (%d)", t.Required, len(t.PublicKeys))
+	}
+}
+
+func (p *parser) level() {
+	switch p.out.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		p.fs.Add(p.place("log", "level"), "%q is none of debug, info, warn, error", p.out.Log.Level)
+	}
+}
--- /dev/null
+++ b/internal/target/service.go
@@ -0,0 +1,102 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/junctionfold/junctionfold/coord/attempt"
+	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// Service is the client of one instance of a plain service.
+type Service struct {
+	base   string
+	client *http.Client
+}
+
+// NewService returns the client of the instance at an address. Redirects go to
+// the caller as they are.
+func NewService(address string, transport http.RoundTripper) *Service {
+	return &Service{base: "http://" + address, client: &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// copyBuffer is the size of the parts that an answer is passed on in, in bytes.
+const copyBuffer = 16 << 10
+
+// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Content-Length": true,
+}
+
+// PassableHeaders returns the headers that go on to the next hop.
+func PassableHeaders(h http.Header) []*schema.Header {
+	out := make([]*schema.Header, 0, len(h))
+	for name, values := range h {
+		if hopHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, &schema.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// Run sends the call once and copies the answer to the sink.
+func (s *Service) Run(ctx context.Context, f *schema.Forward, a *attempt.Attempt, sink forward.Sink) forward.Result {
+	req, err := http.NewRequestWithContext(traced(ctx, a), f.Method, s.base+f.Path, onceOnly(f.Body))
+	if err != nil {
+		return forward.Fail(forward.CodeBadRequest, http.StatusBadRequest, schema.Outcome_OUTCOME_NOT_RUN, 0, err.Error())
+	}
+	req.ContentLength = int64(len(f.Body))
+	for _, h := range f.Headers {
+		req.Header.Add(h.Name, h.Value)
+	}
+	req.Header.Set(RequestIDKey, f.RequestId)
+	resp, err := s.client.Do(req)
+	if err != nil {
+		a.Broken()
+		return Broken(ctx, a, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(NotRunHeader) == "true" && resp.StatusCode >= http.StatusInternalServerError {
+		a.Refused()
+		return forward.Fail(forward.CodeTargetRefused, http.StatusServiceUnavailable, schema.Outcome_OUTCOME_NOT_RUN, 0, "the service did not run the call")
+	}
+	a.Started()
+	return copyAnswer(ctx, resp, a, sink)
+}
+
+func copyAnswer(ctx context.Context, resp *http.Response, a *attempt.Attempt, sink forward.Sink) forward.Result {
+	if err := sink.Head(resp.StatusCode, PassableHeaders(resp.Header)); err != nil {
+		a.Broken()
+		return CallerGone(err)
+	}
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if sinkErr := sink.Data(buf[:n]); sinkErr != nil {
+				a.Broken()
+				return CallerGone(sinkErr)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			a.Finished()
+			return forward.Result{}
+		}
+		if err != nil {
+			a.Broken()
+			return Broken(ctx, a, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/turns/turns.go
@@ -0,0 +1,181 @@
+// Package turns shares the weight store between the owners of a fleet. One VM,
+// the same for all who have the same view, gives turns; when it cannot be
+// reached, each VM falls back to its static share of the rate. A wrong choice
+// costs time only: the loads slow each other.
+//
+// Lock order: Giver.mu is taken alone.
+package turns
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/loadturn"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// Duty is the rendezvous key of the giver.
+const Duty = "load-turns"
+
+// Limits of a turn.
+const (
+	// askTimeout is how long an ask waits at the giver.
+	askTimeout = 2 * time.Second
+	// serveTimeout is how long the giver lets an ask wait: less, so that a grant
+	// still reaches the asker.
+	serveTimeout = 1500 * time.Millisecond
+	// holdTimeout is the longest that a turn lasts.
+	holdTimeout = 5 * time.Second
+	// deniedRetry is when an ask that was not granted may come again.
+	deniedRetry = 100 * time.Millisecond
+)
+
+// Giver gives turns to whoever asks this VM.
+type Giver struct {
+	now func() time.Time
+
+	mu     sync.Mutex
+	give   *loadturn.Giver
+	next   uint64
+	wakers map[uint64]chan struct{}
+	timer  *time.Timer
+}
+
+// NewGiver returns a Giver for a weight store that allows perSecond loads, one
+// at a time.
+func NewGiver(perSecond float64, now func() time.Time) *Giver {
+	return &Giver{
+		now: now, wakers: map[uint64]chan struct{}{},
+		give: loadturn.New(loadturn.Config{PerSecond: perSecond, Concurrent: 1, Hold: holdTimeout}),
+	}
+}
+
+// SetRate takes the rate of a new bundle.
+func (g *Giver) SetRate(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.give.SetRate(perSecond)
+}
+
+// Ask waits for a turn.
+func (g *Giver) Ask(ctx context.Context, value float64) (turn uint64, granted bool) {
+	g.mu.Lock()
+	g.next++
+	id := g.next
+	waker := make(chan struct{})
+	g.wakers[id] = waker
+	g.wake(g.give.Ask(g.now(), loadturn.Ask{ID: id, Value: value}))
+	g.mu.Unlock()
+	select {
+	case <-waker:
+		return id, true
+	case <-ctx.Done():
+		g.Done(id)
+		return 0, false
+	}
+}
+
+// Done gives a turn back, or withdraws an ask.
+func (g *Giver) Done(id uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.wakers, id)
+	g.wake(g.give.Cancel(g.now(), id))
+}
+
+// wake tells the granted askers, and sets the timer for the next grant. g.mu is
+// held.
+func (g *Giver) wake(granted []uint64) {
+	for _, id := range granted {
+		if w := g.wakers[id]; w != nil {
+			close(w)
+			delete(g.wakers, id)
+		}
+	}
+	if len(g.wakers) == 0 {
+		return
+	}
+	wait := max(g.give.Next().Sub(g.now()), time.Millisecond)
+	if g.timer == nil {
+		g.timer = time.AfterFunc(wait, g.tick)
+		return
+	}
+	g.timer.Reset(wait)
+}
+
+func (g *Giver) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wake(g.give.Tick(g.now()))
+}
+
+// Caller asks other VMs.
+type Caller interface {
+	Call(ctx context.Context, vm coord.VMID, c *schema.Call) (*schema.Reply, error)
+}
+
+// Turns asks the giver for turns. It implements owner.Turns.
+type Turns struct {
+	// Self is this VM, Local its own giver.
+	Self  coord.VMID
+	Local *Giver
+	// Share gives turns at this VM's static share when the giver is lost.
+	Share *Giver
+	Peers Caller
+	// Giver returns the VM that gives turns now.
+	Giver func() coord.VMID
+}
+
+// Acquire waits for a turn.
+func (t *Turns) Acquire(ctx context.Context, target coord.TargetID, value float64) (done func(), granted bool, retry time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	vm := t.Giver()
+	if vm == t.Self || vm == "" {
+		return acquireFrom(ctx, t.Local, value)
+	}
+	reply, err := t.Peers.Call(ctx, vm, &schema.Call{Body: &schema.Call_Turn{Turn: &schema.TurnRequest{
+		Vm: string(t.Self), Target: string(target), Value: value, TimeoutMs: serveTimeout.Milliseconds(),
+	}}})
+	if err != nil && ctx.Err() == nil {
+		return acquireFrom(ctx, t.Share, value)
+	}
+	if err != nil || !reply.GetTurn().GetGranted() {
+		return nil, false, deniedRetry
+	}
+	turn := reply.GetTurn().GetTurn()
+	return func() { t.giveBack(vm, turn) }, true, 0
+}
+
+func acquireFrom(ctx context.Context, g *Giver, value float64) (done func(), granted bool, retry time.Duration) {
+	turn, ok := g.Ask(ctx, value)
+	if !ok {
+		return nil, false, deniedRetry
+	}
+	return func() { g.Done(turn) }, true, 0
+}
+
+func (t *Turns) giveBack(vm coord.VMID, turn uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	_, _ = t.Peers.Call(ctx, vm, &schema.Call{Body: &schema.Call_TurnDone{TurnDone: &schema.TurnDone{Turn: turn}}})
+}
+
+// Serve answers another VM's call about turns. It returns nil for other calls.
+func (t *Turns) Serve(ctx context.Context, c *schema.Call) *schema.Reply {
+	switch body := c.Body.(type) {
+	case *schema.Call_Turn:
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(body.Turn.TimeoutMs)*time.Millisecond)
+		defer cancel()
+		turn, ok := t.Local.Ask(ctx, body.Turn.Value)
+		return &schema.Reply{Body: &schema.Reply_Turn{Turn: &schema.TurnReply{
+			Granted: ok, Turn: turn, RetryAfterMs: deniedRetry.Milliseconds(),
+		}}}
+	case *schema.Call_TurnDone:
+		t.Local.Done(body.TurnDone.Turn)
+		return &schema.Reply{Body: &schema.Reply_Empty{Empty: &schema.Empty{}}}
+	}
+	return nil
+}
