--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-resty/resty/v2"
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/junctionfold/junctionfold/internal/ops"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// tokenVariable is the environment variable with the operators' token.
+const tokenVariable = "JUNCTIONFOLD_TOKEN"
+
+// askTimeout bounds one question to a VM.
+const askTimeout = 10 * time.Second
+
+// vmFlags say which VM a command asks.
+type vmFlags struct {
+	address string
+	token   string
+}
+
+func (f *vmFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.address, "vm", "http://127.0.0.1:9480", "URL of the VM's operators' interface")
+	cmd.Flags().StringVar(&f.token, "token", os.Getenv(tokenVariable), "operators' token; or set "+tokenVariable)
+}
+
+// ask gets a message from the VM and returns its JSON too.
+func (f *vmFlags) ask(ctx context.Context, path string, query map[string]string, into proto.Message) ([]byte, error) {
+	resp, err := resty.New().SetTimeout(askTimeout).R().SetContext(ctx).
+		SetAuthToken(f.token).SetQueryParams(query).Get(strings.TrimSuffix(f.address, "/") + path)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask the VM")
+	}
+	if resp.IsError() {
+		return nil, errors.Newf("the VM answered %s: %s", resp.Status(), strings.TrimSpace(resp.String()))
+	}
+	return resp.Body(), errors.Wrap(protojson.Unmarshal(resp.Body(), into), "read the VM's answer")
+}
+
+// vmCommand makes a command that asks a VM and prints the answer.
+func vmCommand(use, short string, args cobra.PositionalArgs, path string, query func([]string) map[string]string,
+	into proto.Message, print func(io.Writer) error) *cobra.Command {
+	var f vmFlags
+	cmd := &cobra.Command{Use: use, Short: short, Args: args}
+	f.add(cmd)
+	asJSON := jsonFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		raw, err := f.ask(cmd.Context(), path, query(args), into)
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), string(raw))
+			return err
+		}
+		return print(cmd.OutOrStdout())
+	}
+	return cmd
+}
+
+func noQuery([]string) map[string]string { return nil }
+
+func statusCommand() *cobra.Command {
+	s := &schema.Status{}
+	return vmCommand("status", "Show what a VM is doing", cobra.NoArgs, ops.StatusPath, noQuery, s,
+		func(w io.Writer) error { return printStatus(w, s) })
+}
+
+func table(w io.Writer, header string, rows func(*tabwriter.Writer)) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, header)
+	rows(t)
+	return t.Flush()
+}
+
+func printStatus(w io.Writer, s *schema.Status) error {
+	if _, err := fmt.Fprintf(w, "vm %s in %s, ready %t, bundle %d, VM list %d\n\n", s.Vm, s.Hall, s.Ready, s.BundleVersion, s.ListVersion); err != nil {
+		return err
+	}
+	err := table(w, "PEER\tHALL\tSTATE", func(t *tabwriter.Writer) {
+		for _, p := range s.Peers {
+			fmt.Fprintf(t, "%s\t%s\t%s\n", p.Vm, p.Hall, p.State)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	return table(w, "TARGET\tSTATE\tFENCE\tRUNNING\tQUEUED\tHELD BY\tRESIDENT", func(t *tabwriter.Writer) {
+		for _, o := range s.Targets {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%s\t%s\n", o.Target, o.State, o.Fence, o.Running, o.Queued,
+				strings.Join(o.Holds, ","), strings.Join(o.Resident, ","))
+		}
+	})
+}
+
+func explainCommand() *cobra.Command {
+	e := &schema.Explanation{}
+	return vmCommand("explain MODEL", "Show why a model's request goes where it goes", cobra.ExactArgs(1), ops.ExplainPath,
+		func(args []string) map[string]string { return map[string]string{"model": args[0]} }, e,
+		func(w io.Writer) error { return printExplanation(w, e) })
+}
+
+func printExplanation(w io.Writer, e *schema.Explanation) error {
+	if _, err := fmt.Fprintf(w, "%s goes to %s\n\n", e.Model, e.Chosen); err != nil {
+		return err
+	}
+	return table(w, "TARGET\tHALL\tOWNER\tPLACE\tSCORE\tREMOVED BY", func(t *tabwriter.Writer) {
+		for _, c := range e.Candidates {
+			place, score := "-", "-"
+			if c.RemovedBy == "" {
+				place, score = fmt.Sprint(c.Rank), fmt.Sprintf("%.2f", c.Score)
+			}
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", c.Target, c.Hall, c.Owner, place, score, c.RemovedBy)
+		}
+	})
+}
+
+func auditCommand() *cobra.Command {
+	a := &schema.AuditTrail{}
+	return vmCommand("audit", "Show the changes that a VM has seen", cobra.NoArgs, ops.AuditPath, noQuery, a,
+		func(w io.Writer) error { return printAudit(w, a) })
+}
+
+func printAudit(w io.Writer, a *schema.AuditTrail) error {
+	return table(w, "TIME\tVM\tACTOR\tSUBJECT\tOLD\tNEW\tCOMMENT", func(t *tabwriter.Writer) {
+		for _, e := range a.Events {
+			at := time.UnixMilli(e.UnixMs).UTC().Format("2006-01-02T15:04:05.000Z")
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", at, e.Vm, e.Actor, e.Subject, e.Old, e.New, e.Comment)
+		}
+	})
+}
