--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 package dispatch
 
 import (
+	"strings"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
@@ -292,11 +293,18 @@
 	return d.settle(now)
 }
 
-// Reconcile compares the slots with what the target reports, after a restart or
-// an answer that does not fit. held says whether an earlier owner may still use
-// names that this owner does not know.
-func (d *Dispatcher) Reconcile(now time.Time, names []string, held bool) []Action {
-	d.slots.Reconcile(now, names, held)
+// Reconcile compares the slots with what the target reports, after an answer
+// that does not fit what this owner believes. held says whether an earlier owner
+// may still use what it finds.
+func (d *Dispatcher) Reconcile(now time.Time, names []string, parse func(string) (coord.Adapter, bool), held bool) []Action {
+	own := func(name string) (coord.Adapter, bool) {
+		bare, mine := strings.CutSuffix(name, d.cfg.NameSuffix)
+		if !mine {
+			return coord.Adapter{}, false
+		}
+		return parse(bare)
+	}
+	d.slots.Reconcile(now, names, own, held)
 	return d.settle(now)
 }
 
--- a/coord/outcome/holders.go
+++ b/coord/outcome/holders.go
@@ -78,64 +78,111 @@
 // History remembers which HolderSets have been in force, so that a holder can
 // tell for which keys it may have missed records.
 //
-// A VM that starts, or that meets a new list, asks every other listed VM for
-// the records that it should hold. A settled VM has had all their answers since
-// its last change.
+// Records can be missed in two ways. A process that starts anew has lost what the
+// VM held; it is whole again once it has the records of all others. A VM that
+// becomes a holder of a key by a change of the list lacks what was recorded
+// before; it asks the earlier holders. Only the answers of whole VMs count.
 type History struct {
 	self      coord.VMID
 	retention time.Duration
+	started   time.Time
 	sets      []dated
-	settled   bool
-	// answered are the settled VMs that have given their records since the
-	// last change.
-	answered map[coord.VMID]bool
+	whole     bool
+	// answered is what each VM said that has given its records since the last
+	// change.
+	answered map[coord.VMID]Giver
+	// born are the processes that were fresh when this one found the whole
+	// fleet to be so.
+	born map[coord.VMID]uint64
+}
+
+// Giver is what a VM says of itself when it gives its records.
+type Giver struct {
+	// Life is the incarnation of its process.
+	Life uint64
+	// Whole says that it has lost no records, or has got them back.
+	Whole bool
+	// Certifies says that it found the whole fleet fresh, the asker's process
+	// among it.
+	Certifies bool
 }
 
 type dated struct {
 	since time.Time
 	set   *HolderSet
-	// present says that this VM was there, with its memory, while the set was
-	// in force.
+	// present says that this process was there while the set was in force.
 	present bool
 }
 
-// NewHistory returns the History of a VM that has just started.
-func NewHistory(self coord.VMID, retention time.Duration) *History {
-	return &History{self: self, retention: retention}
+// NewHistory returns the History of a VM whose process started at now.
+func NewHistory(self coord.VMID, retention time.Duration, now time.Time) *History {
+	return &History{self: self, retention: retention, started: now, answered: map[coord.VMID]Giver{}}
 }
 
 // Changed notes that set is in force from now on, and forgets the sets that
-// were superseded more than a retention ago. The VM must ask anew.
+// were superseded more than a retention ago. The VM must ask the others anew.
 func (h *History) Changed(now time.Time, set *HolderSet) {
-	present := len(h.sets) > 0
-	if !present {
+	if len(h.sets) == 0 {
 		// What was recorded before this process started went to this set too.
-		h.sets = append(h.sets, dated{since: now, set: set})
+		h.sets = append(h.sets, dated{since: h.started, set: set})
 	}
 	h.sets = append(h.sets, dated{since: now, set: set, present: true})
 	for len(h.sets) > 1 && now.Sub(h.sets[1].since) >= h.retention {
 		h.sets = h.sets[1:]
 	}
-	h.settled = false
-	h.answered = map[coord.VMID]bool{}
+	h.answered = map[coord.VMID]Giver{}
 }
 
 // SetRetention takes a new retention. When it grows, sets that are forgotten
 // already do not come back.
 func (h *History) SetRetention(d time.Duration) { h.retention = d }
 
-// Answered notes that vm has given its records; settled is its own state.
-func (h *History) Answered(vm coord.VMID, settled bool) {
-	if settled {
-		h.answered[vm] = true
+// MayAsk reports whether the other VMs may be asked for records: not before the
+// votes of this VM's earlier process have lost their force.
+func (h *History) MayAsk(now time.Time) bool { return now.Sub(h.started) > VoteLife }
+
+// Answered notes that vm has given its records.
+func (h *History) Answered(vm coord.VMID, g Giver) {
+	h.answered[vm] = g
+	h.whole = h.whole || g.Certifies
+}
+
+// AllAnswered notes that every other listed VM has answered since the last
+// change. A fresh process is whole then if all of them were. If none was, the
+// fleet has started as a whole: no run can have been granted since, so there is
+// nothing to recover, and the same holds for each of the processes that answered.
+// If some were whole and some not, as after two crashes at once, this process is
+// not whole before a retention has passed.
+func (h *History) AllAnswered() {
+	count := 0
+	for _, g := range h.answered {
+		if g.Whole {
+			count++
+		}
+	}
+	if count == 0 && !h.whole {
+		h.born = map[coord.VMID]uint64{}
+		for vm, g := range h.answered {
+			h.born[vm] = g.Life
+		}
+	}
+	if count == len(h.answered) || count == 0 {
+		h.whole = true
 	}
 }
 
-// Settle notes that every other listed VM has given its records.
-func (h *History) Settle() { h.settled = true }
+// Certifies reports whether vm's process was fresh when this one found the whole
+// fleet to be so.
+func (h *History) Certifies(vm coord.VMID, life uint64) bool {
+	born, ok := h.born[vm]
+	return ok && born == life
+}
 
-// Settled reports whether nothing is left to ask.
-func (h *History) Settled() bool { return h.settled }
+// Whole reports whether this process has the records that the VM held before it
+// started, as far as they are younger than the retention.
+func (h *History) Whole(now time.Time) bool {
+	return h.whole || now.Sub(h.started) >= h.retention
+}
 
 // Current returns the set in force, or nil.
 func (h *History) Current() *HolderSet {
@@ -147,7 +194,7 @@
 
 // Certain reports whether this VM can have missed no record of the key that is
 // younger than the retention. It must be a holder now; for every set that was in
-// force in that time, it was there as a holder itself, or it has the records of
+// force in that time it was there as a holder itself, or it has the records of
 // two of the set's holders. A record stands at two of three, so two of them
 // cannot both lack it.
 func (h *History) Certain(now time.Time, key string) bool {
@@ -155,10 +202,7 @@
 		return false
 	}
 	for i := range h.sets {
-		if h.superseded(now, i) {
-			continue
-		}
-		if !h.covers(h.sets[i], key) {
+		if !h.superseded(now, i) && !h.covers(now, h.sets[i], key) {
 			return false
 		}
 	}
@@ -169,8 +213,8 @@
 	return i+1 < len(h.sets) && now.Sub(h.sets[i+1].since) >= h.retention
 }
 
-func (h *History) covers(d dated, key string) bool {
-	if h.settled {
+func (h *History) covers(now time.Time, d dated, key string) bool {
+	if !d.present && h.Whole(now) {
 		return true
 	}
 	holders := d.set.Holders(key)
@@ -179,7 +223,7 @@
 	}
 	have := 0
 	for _, id := range holders {
-		if id != h.self && h.answered[id] {
+		if id != h.self && h.answered[id].Whole {
 			have++
 		}
 	}
--- a/coord/outcome/outcome.go
+++ b/coord/outcome/outcome.go
@@ -61,6 +61,11 @@
 	// large to keep.
 	Answer []byte
 	Since  time.Time
+
+	// rivals are open runs of the same key that other holders recorded. At
+	// most one run of a key can have been granted, but a holder that copies
+	// from two others cannot tell which, so it forgets none before its end.
+	rivals []Record
 }
 
 // Verdict is a holder's answer to Begin.
@@ -120,7 +125,7 @@
 func (t *Table) Bytes() int { return t.bytes }
 
 func (r *Record) size() int {
-	return recordOverhead + len(r.Key) + len(r.Run) + len(r.Fingerprint) + len(r.Answer)
+	return recordOverhead*(1+len(r.rivals)) + len(r.Key) + len(r.Run) + len(r.Fingerprint) + len(r.Answer)
 }
 
 // Begin records that run is about to run key.
@@ -130,17 +135,17 @@
 	if old == nil {
 		return t.insert(now, &Record{Key: key, Run: run, Fingerprint: fingerprint, Status: Open})
 	}
-	if !bytes.Equal(old.Fingerprint, fingerprint) {
+	if old.Status != NotRun && !bytes.Equal(old.Fingerprint, fingerprint) {
 		return Mismatch, old
 	}
 	switch {
-	case old.Status == NotRun:
-		t.remove(old)
-		return t.insert(now, &Record{Key: key, Run: run, Fingerprint: fingerprint, Status: Open})
-	case old.Run == run:
-		return Granted, old
 	case old.Status == Done:
 		return Repeat, old
+	case old.Status == NotRun && old.Run != run:
+		t.remove(old)
+		return t.insert(now, &Record{Key: key, Run: run, Fingerprint: fingerprint, Status: Open})
+	case old.Status == Open && old.Run == run && len(old.rivals) == 0:
+		return Granted, old // the same try asks again
 	}
 	return Busy, old
 }
@@ -165,50 +170,112 @@
 	delete(t.records, r.Key)
 }
 
-// Finish stores the outcome of run. The outcome of another run is ignored. An
-// answer that does not fit is left out; the record still says that key ran.
-// The retention starts anew, so that an answer is kept for its full time.
+// Finish stores the outcome of run. The outcome of a run that is not recorded is
+// ignored. An answer that does not fit is left out; the record still says that
+// key ran. The retention starts anew, so that an answer is kept for its full
+// time.
 func (t *Table) Finish(now time.Time, key, run string, status Status, answer []byte) {
 	r := t.records[key]
-	if r == nil || r.Run != run || r.Status != Open {
+	if r == nil {
+		t.bury(now, key, run, status)
 		return
 	}
 	t.remove(r)
-	r.Status = status
+	switch {
+	case r.Status == NotRun && status == NotRun:
+		r = &Record{Key: key, Run: run, Status: NotRun}
+	case r.Run == run && r.Status == Open:
+		r = r.finish(status, answer)
+	case status == Done && r.hasRival(run):
+		r = &Record{Key: key, Run: run, Fingerprint: r.Fingerprint, Status: Done, Answer: answer}
+	default:
+		r.dropRival(run)
+		t.put(r)
+		return
+	}
 	r.Since = now
-	if t.bytes+r.size()+len(answer) <= t.cfg.MaxBytes {
-		r.Answer = answer
+	if t.bytes+r.size() > t.cfg.MaxBytes {
+		r.Answer = nil
 	}
 	t.put(r)
 }
 
-// Copy takes a record from another holder. A finished record replaces an open
-// one; nothing replaces a finished one.
+// bury notes a run that was given up before this holder heard of it, so that its
+// Begin, when it arrives late, is not granted.
+func (t *Table) bury(now time.Time, key, run string, status Status) {
+	if status == NotRun {
+		_, _ = t.insert(now, &Record{Key: key, Run: run, Status: NotRun})
+	}
+}
+
+// finish ends the record's own run. When it did not run, a rival that may have
+// takes its place.
+func (r *Record) finish(status Status, answer []byte) *Record {
+	if status == NotRun && len(r.rivals) > 0 {
+		next := r.rivals[0]
+		next.rivals = r.rivals[1:]
+		return &next
+	}
+	r.Status, r.Answer = status, answer
+	if status == Done {
+		r.rivals = nil
+	}
+	return r
+}
+
+func (r *Record) hasRival(run string) bool {
+	for _, o := range r.rivals {
+		if o.Run == run {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Record) dropRival(run string) {
+	kept := r.rivals[:0]
+	for _, o := range r.rivals {
+		if o.Run != run {
+			kept = append(kept, o)
+		}
+	}
+	r.rivals = kept
+}
+
+// Copy takes a record from another holder. A finished run replaces open ones;
+// nothing replaces it. A run that was not made leaves no trace. Two open runs
+// are both kept.
 func (t *Table) Copy(now time.Time, r Record) {
-	old := t.records[r.Key]
-	if old != nil && (old.Status != Open || r.Status == Open) {
+	if now.Sub(r.Since) >= t.cfg.Retention || r.Status == NotRun {
 		return
 	}
-	if now.Sub(r.Since) >= t.cfg.Retention {
+	old := t.records[r.Key]
+	if old != nil && (old.Status == Done || old.Run == r.Run && r.Status == Open || old.hasRival(r.Run) && r.Status == Open) {
 		return
 	}
 	if old != nil {
 		t.remove(old)
 	}
-	copied := r
-	if t.bytes+copied.size() > t.cfg.MaxBytes {
-		copied.Answer = nil
+	r.rivals = nil
+	if old != nil && old.Status == Open && r.Status == Open {
+		r.rivals = append([]Record{{Key: old.Key, Run: old.Run, Fingerprint: old.Fingerprint, Status: Open, Since: old.Since}}, old.rivals...)
 	}
-	t.put(&copied)
+	if t.bytes+r.size() > t.cfg.MaxBytes {
+		r.Answer = nil
+	}
+	t.put(&r)
 }
 
 // Find returns the record of a key, or nil.
 func (t *Table) Find(key string) *Record { return t.records[key] }
 
-// Each calls f for every record.
+// Each calls f for every run that is recorded, rivals included.
 func (t *Table) Each(f func(*Record)) {
 	for _, r := range t.records {
 		f(r)
+		for i := range r.rivals {
+			f(&r.rivals[i])
+		}
 	}
 }
 
--- a/coord/outcome/quorum.go
+++ b/coord/outcome/quorum.go
@@ -1,5 +1,7 @@
 package outcome
 
+import "time"
+
 // Decision is what the VM that serves the caller does next.
 type Decision int
 
@@ -31,8 +33,16 @@
 	Record *Record
 }
 
+// VoteLife is how long a vote counts after its Begin was sent. A holder that
+// starts anew asks the others for records only once this time has passed since
+// its start: by then each run that was granted with a vote of its earlier process
+// stands at another holder. Only the time that passes at each of the two counts,
+// so a clock that is wrong does no harm, and a pause makes a vote too old.
+const VoteLife = time.Second
+
 // Quorum collects the answers to one Begin.
 type Quorum struct {
+	sent    time.Time
 	holders int
 	granted int
 	open    int
@@ -44,13 +54,19 @@
 	clash   bool
 }
 
-// NewQuorum returns a Quorum over that many holders. A fleet of fewer than
+// NewQuorum returns a Quorum over that many holders, whose Begins are sent now. A
+// fleet of fewer than
 // Holders VMs has fewer; all of them are needed then.
-func NewQuorum(holders int) *Quorum { return &Quorum{holders: holders} }
+func NewQuorum(now time.Time, holders int) *Quorum {
+	return &Quorum{sent: now, holders: holders}
+}
 
 // Voted takes a holder's answer.
-func (q *Quorum) Voted(v Vote) Decision {
+func (q *Quorum) Voted(now time.Time, v Vote) Decision {
 	q.heard++
+	if now.Sub(q.sent) > VoteLife {
+		v.Certain = false
+	}
 	switch v.Verdict {
 	case Mismatch:
 		q.clash = true
--- a/coord/ownership/ownership.go
+++ b/coord/ownership/ownership.go
@@ -11,7 +11,7 @@
 //     harmless.
 //   - What a new owner finds resident is held: it may not be evicted until each
 //     VM that can have owned the target before has released it. A VM releases
-//     by saying so, by starting anew (its process holds nothing), or by being
+//     by saying so, which one that has started anew does at once, or by being
 //     dropped from the list (it no longer runs).
 //   - At a target that ignores fencing numbers, the new owner does not use what
 //     it found either, and loads under names of its own, so that a late unload
@@ -101,12 +101,6 @@
 	Resident []string
 }
 
-// Peer is another VM that may have owned the target.
-type Peer struct {
-	ID          coord.VMID
-	Incarnation uint64
-}
-
 // retryPause is the least time between two tries of the same step.
 const retryPause = 250 * time.Millisecond
 
@@ -118,7 +112,7 @@
 	fence    uint64
 	floor    uint64
 	wanted   bool
-	holds    map[coord.VMID]uint64
+	holds    map[coord.VMID]bool
 	resident []string
 	running  int
 	nextTry  time.Time
@@ -130,7 +124,7 @@
 // New returns a Machine for a VM that does not own the target. tie tells this
 // VM's fencing numbers from others made in the same millisecond.
 func New(self coord.VMID, tie uint16) *Machine {
-	return &Machine{self: self, tie: tie, holds: map[coord.VMID]uint64{}}
+	return &Machine{self: self, tie: tie, holds: map[coord.VMID]bool{}}
 }
 
 // Phase returns the step reached.
@@ -151,7 +145,7 @@
 
 // Want says whether the current view makes this VM the owner, and which other
 // VMs of the list can have owned the target before.
-func (m *Machine) Want(now time.Time, wanted bool, others []Peer) []Action {
+func (m *Machine) Want(now time.Time, wanted bool, others []coord.VMID) []Action {
 	acts := m.dropReleased(others)
 	m.wanted = wanted
 	if wanted && m.phase == Idle {
@@ -163,32 +157,35 @@
 	return acts
 }
 
-func (m *Machine) startReading(now time.Time, others []Peer) []Action {
+func (m *Machine) startReading(now time.Time, others []coord.VMID) []Action {
 	m.phase = Reading
 	m.nextTry = now.Add(retryPause)
-	m.holds = make(map[coord.VMID]uint64, len(others))
-	for _, p := range others {
-		if p.ID != m.self {
-			m.holds[p.ID] = p.Incarnation
+	// A release that answers an ask of an earlier tenure must not count in
+	// this one: until the new claim there is no number to match.
+	m.floor = max(m.floor, m.fence)
+	m.fence = 0
+	m.holds = make(map[coord.VMID]bool, len(others))
+	for _, id := range others {
+		if id != m.self {
+			m.holds[id] = true
 		}
 	}
 	return []Action{{Kind: ActRead}}
 }
 
-// dropReleased ends the holds of VMs that the list dropped or that have started
-// anew. A VM that was never heard has incarnation zero: its first word proves
-// nothing about an earlier process, so only a known one can be superseded.
-func (m *Machine) dropReleased(others []Peer) []Action {
+// dropReleased ends the holds of VMs that the list dropped. A newer incarnation
+// alone ends none: this VM may have known an incarnation older than the one that
+// used the target.
+func (m *Machine) dropReleased(others []coord.VMID) []Action {
 	if len(m.holds) == 0 {
 		return nil
 	}
-	listed := make(map[coord.VMID]uint64, len(others))
-	for _, p := range others {
-		listed[p.ID] = p.Incarnation
+	listed := make(map[coord.VMID]bool, len(others))
+	for _, id := range others {
+		listed[id] = true
 	}
-	for id, held := range m.holds {
-		inc, ok := listed[id]
-		if !ok || (held != 0 && inc > held) {
+	for id := range m.holds {
+		if !listed[id] {
 			delete(m.holds, id)
 		}
 	}
@@ -232,7 +229,7 @@
 	}
 	m.phase = Claiming
 	m.nextTry = now.Add(retryPause)
-	m.fence = NextFence(now, max(r.Fence, m.floor, m.fence), m.tie)
+	m.fence = NextFence(now, max(r.Fence, m.floor), m.tie)
 	m.resident = r.Resident
 	return []Action{{Kind: ActClaim, Fence: m.fence}}
 }
@@ -290,10 +287,20 @@
 // contestMemory is the tenure after which earlier contests are forgotten.
 const contestMemory = 30 * time.Second
 
+// Rebooted takes the news that the target has started anew and has forgotten its
+// fencing number. The VM claims it afresh before it uses what it finds.
+func (m *Machine) Rebooted(now time.Time) []Action {
+	if m.phase != Serving {
+		return nil
+	}
+	m.nextTry = now
+	return m.stepDown()
+}
+
 // Released takes vm's word that it uses the target no more under any number
 // below fence.
 func (m *Machine) Released(vm coord.VMID, fence uint64) []Action {
-	if fence != m.fence || len(m.holds) == 0 {
+	if m.phase != Serving || fence != m.fence || len(m.holds) == 0 {
 		return nil
 	}
 	delete(m.holds, vm)
@@ -329,7 +336,7 @@
 }
 
 // Tick repeats steps that have had no answer.
-func (m *Machine) Tick(now time.Time, others []Peer) []Action {
+func (m *Machine) Tick(now time.Time, others []coord.VMID) []Action {
 	if now.Before(m.nextTry) {
 		return nil
 	}
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -37,6 +37,9 @@
 	// Foreign means that this owner does not run requests on the name.
 	Foreign bool
 
+	// stranger marks a name that appeared under another owner's number while
+	// this one served.
+	stranger bool
 	since    time.Time
 	heat     float64
 	heatTime time.Time
@@ -200,16 +203,19 @@
 }
 
 // ReleaseHolds frees what was inherited: no earlier owner can use it any more.
+// What Reconcile found under another owner's name stays held.
 func (t *Table) ReleaseHolds() {
 	for _, s := range t.slots {
-		s.Held = false
+		s.Held = s.Held && s.stranger
 	}
 }
 
 // Reconcile makes the slots agree with the target's report: slots that it does
-// not list are dropped, and names that this owner does not know are added as
-// foreign, so that their slots are not taken for free. A load under way stays.
-func (t *Table) Reconcile(now time.Time, names []string, held bool) {
+// not list are dropped, and names that the table lacks are added, so that their
+// slots are not taken for free. A load under way stays. own reads the names that
+// this owner would give; held says whether an earlier owner may still use them.
+// Any other name belongs to someone else and is held for good.
+func (t *Table) Reconcile(now time.Time, names []string, own func(string) (coord.Adapter, bool), held bool) {
 	have := make(map[string]bool, len(names))
 	for _, n := range names {
 		have[n] = true
@@ -224,7 +230,10 @@
 	t.slots = kept
 	for _, n := range names {
 		if have[n] {
-			t.slots = append(t.slots, &Slot{Name: n, State: Resident, Held: held, Foreign: true, since: now})
+			a, mine := own(n)
+			t.slots = append(t.slots, &Slot{
+				Adapter: a, Name: n, State: Resident, Held: held || !mine, Foreign: !mine, stranger: !mine, since: now,
+			})
 		}
 	}
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -67,7 +67,7 @@
 		return false
 	}
 	switch f.Code {
-	case forward.CodeOwnerStarting, forward.CodeNotOwner, forward.CodeUnreachable:
+	case forward.CodeOwnerStarting, forward.CodeNotOwner, forward.CodeUnreachable, forward.CodeOwnerStopped:
 		return true
 	}
 	return false
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -32,7 +32,7 @@
 const (
 	CodeNotOwner        = "not_owner"
 	CodeOwnerStarting   = "owner_starting"
-	CodeUnknownTarget   = "unknown_target"
+	CodeOwnerStopped    = "owner_stopped"
 	CodeUnknownModel    = "model_not_found"
 	CodeTargetLeaving   = "target_leaving"
 	CodeUnreachable     = "owner_unreachable"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,7 @@
 		Peers: n.mesh, Giver: n.giver,
 	}
 	n.owner = owner.New(owner.Config{
-		Self: self, Tie: tieOf(s.Vm.Id), Transport: transport, OrderToken: s.Platform.OrderToken,
+		Self: self, Incarnation: n.incarnation, Tie: tieOf(s.Vm.Id), Transport: transport, OrderToken: s.Platform.OrderToken,
 		Turns: n.turns, Releases: n, Log: n.log, Audit: n.audit, Metrics: n.metrics, Now: n.now,
 	})
 	n.door = entry.New(entry.Config{
@@ -258,7 +258,7 @@
 	n.turns.Share.SetRate(c.Limits.GetLoadsPerSecond() / float64(max(countLive(members), 1)))
 	n.router.SetView(router.View{Catalog: c, Chooser: chooser, Hall: n.settings.Vm.Hall})
 	n.owner.Apply(owner.View{
-		Catalog: c, Chooser: chooser, Peers: peersOf(members, coord.VMID(n.settings.Vm.Id)),
+		Catalog: c, Chooser: chooser, Peers: n.view.Others(),
 		Leaving: n.view.isLeaving(),
 	})
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -6,7 +6,6 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/membership"
-	"github.com/junctionfold/junctionfold/coord/ownership"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/schema"
 )
@@ -219,17 +218,6 @@
 	return out
 }
 
-// peersOf returns the other VMs that may have owned a target.
-func peersOf(members []*membership.Member, self coord.VMID) []ownership.Peer {
-	var out []ownership.Peer
-	for _, m := range members {
-		if m.ID != self {
-			out = append(out, ownership.Peer{ID: m.ID, Incarnation: m.Incarnation})
-		}
-	}
-	return out
-}
-
 func countLive(members []*membership.Member) int {
 	n := 0
 	for _, m := range members {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,15 +43,17 @@
 
 // Config holds what an Owner works with.
 type Config struct {
-	Self       coord.VMID
-	Tie        uint16
-	Transport  http.RoundTripper
-	OrderToken string
-	Turns      Turns
-	Releases   Releases
-	Log        log.Interface
-	Audit      *audit.Trail
-	Metrics    *metrics.Set
+	Self coord.VMID
+	// Incarnation of this process.
+	Incarnation uint64
+	Tie         uint16
+	Transport   http.RoundTripper
+	OrderToken  string
+	Turns       Turns
+	Releases    Releases
+	Log         log.Interface
+	Audit       *audit.Trail
+	Metrics     *metrics.Set
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -68,7 +70,7 @@
 	mu      sync.Mutex
 	units   map[coord.TargetID]*unit
 	catalog *catalog.Catalog
-	peers   []ownership.Peer
+	peers   []coord.VMID
 }
 
 // New returns an Owner of nothing.
@@ -81,7 +83,7 @@
 	Catalog *catalog.Catalog
 	Chooser *ownership.Chooser
 	// Peers are the other VMs of the published list.
-	Peers []ownership.Peer
+	Peers []coord.VMID
 	// Leaving says that this VM hands everything over.
 	Leaving bool
 }
@@ -133,7 +135,7 @@
 	return o.units[id]
 }
 
-func (o *Owner) otherPeers() []ownership.Peer {
+func (o *Owner) otherPeers() []coord.VMID {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.peers
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -84,7 +84,7 @@
 	u.leaving = u.leaving || t.Leaving
 }
 
-func (u *unit) tick(peers []ownership.Peer, poll bool) {
+func (u *unit) tick(peers []coord.VMID, poll bool) {
 	u.mu.Lock()
 	own := u.machine.Tick(u.now(), peers)
 	var acts []dispatch.Action
@@ -236,7 +236,7 @@
 func (u *unit) dispatchConfig(fence uint64) dispatch.Config {
 	suffix := ""
 	if !u.fences() {
-		suffix = "~" + strconv.FormatUint(fence, 36)
+		suffix = u.nameSuffix(fence)
 	}
 	return dispatch.Config{
 		Residency: residency.Config{
@@ -248,6 +248,12 @@
 	}
 }
 
+// nameSuffix tells the names of this tenure from all others, also from those of
+// an earlier process of this VM that claimed in the same millisecond.
+func (u *unit) nameSuffix(fence uint64) string {
+	return "~" + strconv.FormatUint(fence, 36) + "." + strconv.FormatUint(u.owner.cfg.Incarnation, 36)
+}
+
 func (u *unit) releaseHolds() {
 	u.mu.Lock()
 	var acts []dispatch.Action
@@ -283,26 +289,42 @@
 		u.log().WithError(err).Debug("target_unreadable")
 		return
 	}
+	if u.noteBoot(d, state.BootID) {
+		return
+	}
 	u.feed(d, func(now time.Time) []dispatch.Action { return u.takeState(now, d, state) })
 }
 
-// takeState takes a restart or a leave of the target to heart. A report lags:
-// only one of a new boot, or one asked for after the target itself said that
-// something is not as this VM believes, may empty slots. u.mu is held.
+// takeState takes a leave or a doubt of the target to heart. A report lags: only
+// one that was asked for after the target itself said that something is not as
+// this VM believes may empty slots. u.mu is held.
 func (u *unit) takeState(now time.Time, d *dispatch.Dispatcher, state *target.State) []dispatch.Action {
 	u.leaving = state.Leaving || u.spec.Leaving
-	restarted := u.boot != "" && state.BootID != u.boot
 	doubted := u.doubted
-	u.boot = state.BootID
 	u.doubted = false
-	if restarted {
-		u.log().WithField("boot", state.BootID).Warn("target_restarted")
-	}
-	if !restarted && !doubted {
+	if !doubted {
 		return nil
 	}
 	held := len(u.machine.Holds()) > 0
-	return d.Reconcile(now, state.Resident, held)
+	return d.Reconcile(now, state.Resident, u.catalog.ParseName, held)
+}
+
+// noteBoot claims a target anew that has restarted: it holds no adapter and has
+// forgotten this VM's number.
+func (u *unit) noteBoot(d *dispatch.Dispatcher, boot string) (restarted bool) {
+	u.mu.Lock()
+	var acts []ownership.Action
+	if u.dispatch == d && u.boot != "" && boot != u.boot {
+		restarted = true
+		u.boot = ""
+		acts = u.machine.Rebooted(u.now())
+	}
+	u.mu.Unlock()
+	if restarted {
+		u.log().WithField("boot", boot).Warn("target_restarted")
+	}
+	u.runOwnership(acts)
+	return restarted
 }
 
 func (u *unit) runDispatch(acts []dispatch.Action) {
--- a/internal/records/guard.go
+++ b/internal/records/guard.go
@@ -89,7 +89,7 @@
 	for _, vm := range run.holders {
 		go func() { votes <- s.ask(ctx, vm, run) }()
 	}
-	q := outcome.NewQuorum(len(run.holders))
+	q := outcome.NewQuorum(s.cfg.Now(), len(run.holders))
 	var ahead coord.VMID
 	for range run.holders {
 		v := <-votes
@@ -99,7 +99,7 @@
 		if v.silent {
 			q.Silent()
 		} else {
-			q.Voted(v.vote)
+			q.Voted(s.cfg.Now(), v.vote)
 		}
 	}
 	return q, ahead
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -57,7 +57,7 @@
 func New(cfg Config) *Store {
 	return &Store{
 		cfg: cfg, table: outcome.NewTable(cfg.Limits),
-		history: outcome.NewHistory(cfg.Self, cfg.Limits.Retention),
+		history: outcome.NewHistory(cfg.Self, cfg.Limits.Retention, cfg.Now()),
 		asked:   map[coord.VMID]bool{},
 	}
 }
@@ -89,16 +89,17 @@
 
 func (s *Store) settleIfAll() {
 	if len(s.asked) == len(s.others) {
-		s.history.Settle()
+		s.history.AllAnswered()
 	}
 }
 
 // Stats returns how many records are held, their size, and whether the store is
-// settled.
+// settled: it is whole and has asked every other VM since the last change.
 func (s *Store) Stats() (count, bytes int, settled bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Len(), s.table.Bytes(), s.history.Settled()
+	settled = s.epoch > 0 && s.history.Whole(s.cfg.Now()) && len(s.asked) == len(s.others)
+	return s.table.Len(), s.table.Bytes(), settled
 }
 
 // syncEvery is the time between two rounds of asking for records.
@@ -123,6 +124,10 @@
 func (s *Store) syncOnce(ctx context.Context) {
 	s.mu.Lock()
 	epoch := s.epoch
+	if !s.history.MayAsk(s.cfg.Now()) {
+		s.mu.Unlock()
+		return
+	}
 	var ask []coord.VMID
 	for _, vm := range s.others {
 		if !s.asked[vm] {
@@ -138,11 +143,11 @@
 }
 
 // holderTimeout bounds one call to a holder.
-const holderTimeout = time.Second
+const holderTimeout = outcome.VoteLife
 
 func (s *Store) syncWith(ctx context.Context, vm coord.VMID, epoch int) {
 	reply, err := s.call(ctx, vm, &schema.Call{Body: &schema.Call_RecordSync{
-		RecordSync: &schema.RecordSync{Vm: string(s.cfg.Self)},
+		RecordSync: &schema.RecordSync{Vm: string(s.cfg.Self), Incarnation: s.cfg.Incarnation},
 	}})
 	if err != nil {
 		return
@@ -156,7 +161,8 @@
 		return
 	}
 	s.asked[vm] = true
-	s.history.Answered(vm, reply.GetRecords().GetSettled())
+	dump := reply.GetRecords()
+	s.history.Answered(vm, outcome.Giver{Life: dump.GetIncarnation(), Whole: dump.GetWhole(), Certifies: dump.GetCertifies()})
 	s.settleIfAll()
 }
 
@@ -226,7 +232,7 @@
 		if refusal := s.matchLists(ctx, from, c); refusal != nil {
 			return refusal
 		}
-		return &schema.Reply{Body: &schema.Reply_Records{Records: s.dump(coord.VMID(body.RecordSync.Vm))}}
+		return &schema.Reply{Body: &schema.Reply_Records{Records: s.dump(body.RecordSync)}}
 	}
 	return nil
 }
@@ -285,16 +291,19 @@
 	s.table.Finish(s.cfg.Now(), f.Key, f.RunId, status, encodeAnswer(f.Answer))
 }
 
-// dump returns the records that vm should hold too.
-func (s *Store) dump(vm coord.VMID) *schema.RecordDump {
+// dump returns the records that the asking VM should hold too.
+func (s *Store) dump(asker *schema.RecordSync) *schema.RecordDump {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := &schema.RecordDump{Settled: s.history.Settled()}
+	now, vm := s.cfg.Now(), coord.VMID(asker.Vm)
+	out := &schema.RecordDump{
+		Whole: s.history.Whole(now), Incarnation: s.cfg.Incarnation,
+		Certifies: s.history.Certifies(vm, asker.Incarnation),
+	}
 	set := s.history.Current()
 	if set == nil {
 		return out
 	}
-	now := s.cfg.Now()
 	s.table.Each(func(r *outcome.Record) {
 		for _, holder := range set.Holders(r.Key) {
 			if holder == vm {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -83,6 +83,7 @@
 
 func (e *Engine) reset() {
 	e.boot = uuid.NewString()
+	e.fence = 0
 	e.resident = map[string]string{}
 	e.running = map[string]int{}
 	e.streams = map[string]*stream{}
