Keep serving through restarts, crashes and cuts of the fleet

Cause: end-to-end faults over real sockets showed what the models do not: a rolling restart refused 12 of 439 requests, and in a partition callers hung up to their deadline on adapters that no load could bring.

Change: (1) a VM that lets a target go names what its last requests use, so the new owner holds only those names and not everything; (2) a request whose adapter is not resident while every slot is held is refused at once and tried elsewhere; (3) a request that an owner sends on before its target had work with it does not use the budget of retries: that budget bounds load on targets, and a re-route adds none.

Ruled out: a longer drain (the refusals came from the new owner's holds and from the empty budget, not from the door).

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -30,6 +30,9 @@
 	CauseDeadline
 	CauseLoadFailed
 	CauseStopped
+	// CauseHeld means that the adapter is not resident and every slot is held
+	// for an earlier owner.
+	CauseHeld
 )
 
 // String gives the cause as the stable code that callers see.
@@ -43,6 +46,8 @@
 		return "adapter_load_failed"
 	case CauseStopped:
 		return "owner_stopped"
+	case CauseHeld:
+		return "slots_held"
 	}
 	return "unknown"
 }
@@ -193,6 +198,9 @@
 	if d.queued >= d.cfg.QueueLimit {
 		return d.refuseNow(r.Handle, CauseQueueFull, d.queueTime())
 	}
+	if !d.ready(r.Adapter) && d.slots.Blocked() {
+		return d.refuseNow(r.Handle, CauseHeld, heldRetry)
+	}
 	if wait := d.expectedWait(now, r); now.Add(wait).After(r.Deadline) {
 		return d.refuseNow(r.Handle, CauseDeadline, wait)
 	}
@@ -200,6 +208,9 @@
 	return d.settle(now)
 }
 
+// heldRetry is when a hold may have ended.
+const heldRetry = 2 * time.Second
+
 func (d *Dispatcher) refuseNow(handle uint64, c Cause, retry time.Duration) []Action {
 	return []Action{{Kind: ActRefuse, Handle: handle, Cause: c, RetryAfter: retry}}
 }
@@ -284,12 +295,13 @@
 // Inherit starts the target from what it reports as resident.
 func (d *Dispatcher) Inherit(now time.Time, names []string, parse func(string) (coord.Adapter, bool), usable bool) []Action {
 	d.slots.Inherit(now, names, parse, usable)
-	return d.settle(now)
+	return nil
 }
 
-// ReleaseHolds frees the inherited adapters for eviction.
-func (d *Dispatcher) ReleaseHolds(now time.Time) []Action {
-	d.slots.ReleaseHolds()
+// SetHolds says what earlier owners may still use: everything that was found, or
+// the given names.
+func (d *Dispatcher) SetHolds(now time.Time, all bool, names []string) []Action {
+	d.slots.SetHolds(all, names)
 	return d.settle(now)
 }
 
@@ -336,6 +348,7 @@
 func (d *Dispatcher) settle(now time.Time) []Action {
 	d.acts = nil
 	d.expire(now)
+	d.refuseBlocked()
 	for len(d.running) < d.cfg.Batch && d.startNext(now) {
 	}
 	d.planLoad(now)
@@ -352,6 +365,19 @@
 	}
 }
 
+// refuseBlocked gives up the waiting requests that no load can serve, so that
+// they can be tried elsewhere at once.
+func (d *Dispatcher) refuseBlocked() {
+	if d.phase == loading || !d.slots.Blocked() {
+		return
+	}
+	for a := range d.waiting {
+		if !d.ready(a) {
+			d.acts = append(d.acts, d.refuseAll(a, CauseHeld, heldRetry)...)
+		}
+	}
+}
+
 // ready reports whether requests of a can start without a load.
 func (d *Dispatcher) ready(a coord.Adapter) bool {
 	return a.IsBase() || d.slots.IsResident(a)
--- a/coord/dispatch/load.go
+++ b/coord/dispatch/load.go
@@ -134,20 +134,20 @@
 	d.fails[a]++
 	var refused []Action
 	if d.fails[a] >= d.cfg.LoadTries {
-		refused = d.refuseAll(a)
+		refused = d.refuseAll(a, CauseLoadFailed, d.loadAvg)
 		delete(d.fails, a)
 	}
 	return append(refused, d.endLoad(now, a)...)
 }
 
-func (d *Dispatcher) refuseAll(a coord.Adapter) []Action {
+func (d *Dispatcher) refuseAll(a coord.Adapter, c Cause, retry time.Duration) []Action {
 	q := d.waiting[a]
 	if q == nil {
 		return nil
 	}
 	var acts []Action
 	for _, r := range q.items {
-		acts = append(acts, Action{Kind: ActRefuse, Handle: r.Handle, Cause: CauseLoadFailed, RetryAfter: d.loadAvg})
+		acts = append(acts, Action{Kind: ActRefuse, Handle: r.Handle, Cause: c, RetryAfter: retry})
 	}
 	d.queued -= q.len()
 	delete(d.waiting, a)
--- a/coord/fleet_test.go
+++ b/coord/fleet_test.go
@@ -181,8 +181,8 @@
 		f.askRelease(i, a)
 	case ownership.ActServe:
 		f.serve(i, a)
-	case ownership.ActReleaseHolds:
-		f.dispatched(i, v.dispatch.ReleaseHolds(f.now))
+	case ownership.ActSetHolds:
+		f.dispatched(i, v.dispatch.SetHolds(f.now, a.All && f.broken != noHolds, a.Names))
 	case ownership.ActStop:
 		if v.dispatch != nil {
 			f.dispatched(i, v.dispatch.Stop(f.now))
@@ -213,9 +213,14 @@
 			}
 			released, acts := other.machine.AskedToRelease(f.now, a.Fence)
 			f.own(j, acts)
-			if released || f.broken == falseRelease {
-				f.reply(i, life, "released", func() { f.own(i, v.machine.Released(a.VM, a.Fence)) })
+			if !released && f.broken != falseRelease {
+				return
+			}
+			var inUse []string
+			if other.dispatch != nil && f.broken != falseRelease {
+				inUse = other.dispatch.Slots().InUse()
 			}
+			f.reply(i, life, "released", func() { f.own(i, v.machine.Released(a.VM, a.Fence, inUse)) })
 		}, func() {})
 	}
 }
@@ -233,11 +238,7 @@
 		Batch:     4, QueueLimit: 8, LoadTime: time.Millisecond, ServiceTime: time.Millisecond,
 		AgeStep: time.Second, LoadTries: 3, NameSuffix: suffix,
 	})
-	acts := v.dispatch.Inherit(f.now, a.Resident, parseName, usable)
-	if !a.HoldsLeft || f.broken == noHolds {
-		acts = append(acts, v.dispatch.ReleaseHolds(f.now)...)
-	}
-	f.dispatched(i, acts)
+	f.dispatched(i, v.dispatch.Inherit(f.now, a.Resident, parseName, usable))
 }
 
 func parseName(name string) (coord.Adapter, bool) {
--- a/coord/ownership/ownership.go
+++ b/coord/ownership/ownership.go
@@ -11,8 +11,9 @@
 //     harmless.
 //   - What a new owner finds resident is held: it may not be evicted until each
 //     VM that can have owned the target before has released it. A VM releases
-//     by saying so, which one that has started anew does at once, or by being
-//     dropped from the list (it no longer runs).
+//     by saying which names its last requests still use, which is none for one
+//     that has started anew, or by being dropped from the list (it no longer
+//     runs).
 //   - At a target that ignores fencing numbers, the new owner does not use what
 //     it found either, and loads under names of its own, so that a late unload
 //     by an earlier owner cannot name its adapters.
@@ -75,22 +76,24 @@
 	ActClaim
 	// ActAskRelease asks VM whether it has let go of the target under Fence.
 	ActAskRelease
-	// ActServe starts the dispatcher from Resident; HoldsLeft says whether
-	// evictions must wait.
+	// ActServe starts the dispatcher from Resident, all of it held. An
+	// ActSetHolds follows.
 	ActServe
-	// ActReleaseHolds allows evictions of what was found.
-	ActReleaseHolds
+	// ActSetHolds says what may not be evicted: everything that was found when
+	// All is set, else Names.
+	ActSetHolds
 	// ActStop ends new work on the target.
 	ActStop
 )
 
 // Action is one thing to do. Which fields are set depends on Kind.
 type Action struct {
-	Kind      ActionKind
-	Fence     uint64
-	VM        coord.VMID
-	Resident  []string
-	HoldsLeft bool
+	Kind     ActionKind
+	Fence    uint64
+	VM       coord.VMID
+	Resident []string
+	All      bool
+	Names    []string
 }
 
 // Report is what a target tells of itself.
@@ -104,6 +107,13 @@
 // retryPause is the least time between two tries of the same step.
 const retryPause = 250 * time.Millisecond
 
+// hold is what another VM may still use: everything, until it has answered, then
+// the names that it gave.
+type hold struct {
+	answered bool
+	names    []string
+}
+
 // Machine is one VM's view of who owns one target.
 type Machine struct {
 	self     coord.VMID
@@ -112,7 +122,7 @@
 	fence    uint64
 	floor    uint64
 	wanted   bool
-	holds    map[coord.VMID]bool
+	holds    map[coord.VMID]*hold
 	resident []string
 	running  int
 	nextTry  time.Time
@@ -124,7 +134,7 @@
 // New returns a Machine for a VM that does not own the target. tie tells this
 // VM's fencing numbers from others made in the same millisecond.
 func New(self coord.VMID, tie uint16) *Machine {
-	return &Machine{self: self, tie: tie, holds: map[coord.VMID]bool{}}
+	return &Machine{self: self, tie: tie, holds: map[coord.VMID]*hold{}}
 }
 
 // Phase returns the step reached.
@@ -164,10 +174,10 @@
 	// this one: until the new claim there is no number to match.
 	m.floor = max(m.floor, m.fence)
 	m.fence = 0
-	m.holds = make(map[coord.VMID]bool, len(others))
+	m.holds = make(map[coord.VMID]*hold, len(others))
 	for _, id := range others {
 		if id != m.self {
-			m.holds[id] = true
+			m.holds[id] = &hold{}
 		}
 	}
 	return []Action{{Kind: ActRead}}
@@ -189,14 +199,21 @@
 			delete(m.holds, id)
 		}
 	}
-	return m.afterRelease()
+	return m.setHolds()
 }
 
-func (m *Machine) afterRelease() []Action {
-	if m.phase != Serving || len(m.holds) > 0 {
+// setHolds says what the remaining holds cover.
+func (m *Machine) setHolds() []Action {
+	if m.phase != Serving {
 		return nil
 	}
-	return []Action{{Kind: ActReleaseHolds}}
+	a := Action{Kind: ActSetHolds}
+	for _, id := range m.Holds() {
+		h := m.holds[id]
+		a.All = a.All || !h.answered
+		a.Names = append(a.Names, h.names...)
+	}
+	return []Action{a}
 }
 
 func (m *Machine) stepDown() []Action {
@@ -245,7 +262,8 @@
 	m.servingSince = now
 	m.nextTry = now.Add(retryPause)
 	m.resident = r.Resident
-	acts := []Action{{Kind: ActServe, Fence: m.fence, Resident: r.Resident, HoldsLeft: len(m.holds) > 0}}
+	acts := []Action{{Kind: ActServe, Fence: m.fence, Resident: r.Resident}}
+	acts = append(acts, m.setHolds()...)
 	return append(acts, m.askReleases()...)
 }
 
@@ -297,26 +315,32 @@
 	return m.stepDown()
 }
 
-// Released takes vm's word that it uses the target no more under any number
-// below fence.
-func (m *Machine) Released(vm coord.VMID, fence uint64) []Action {
-	if m.phase != Serving || fence != m.fence || len(m.holds) == 0 {
+// Released takes vm's word that it starts no request under a number below fence,
+// and which names its running ones still use.
+func (m *Machine) Released(vm coord.VMID, fence uint64, inUse []string) []Action {
+	h := m.holds[vm]
+	if m.phase != Serving || fence != m.fence || h == nil {
 		return nil
 	}
-	delete(m.holds, vm)
-	return m.afterRelease()
+	h.answered = true
+	h.names = inUse
+	if len(inUse) == 0 {
+		delete(m.holds, vm)
+	}
+	return m.setHolds()
 }
 
-// AskedToRelease takes another VM's claim under fence. It returns true when
-// this VM has let go: it will use no number below fence from now on and none of
-// its requests runs on the target. Otherwise the other VM asks again later.
+// AskedToRelease takes another VM's claim under fence. It returns true when this
+// VM starts no request under a number below fence from now on; the caller then
+// answers with the names that running requests use. Otherwise this VM takes
+// itself for the owner under a higher number, and gives no answer.
 func (m *Machine) AskedToRelease(now time.Time, fence uint64) (released bool, acts []Action) {
 	m.floor = max(m.floor, fence)
 	active := m.phase == Reading || m.phase == Claiming || m.phase == Serving
 	if active && m.fence < fence {
 		acts = m.yield(now)
 	}
-	return m.phase == Idle, acts
+	return m.phase == Idle || m.phase == Draining, acts
 }
 
 // MayStart reports whether a request may be sent under the current number. The
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
@@ -40,9 +41,11 @@
 	// stranger marks a name that appeared under another owner's number while
 	// this one served.
 	stranger bool
-	since    time.Time
-	heat     float64
-	heatTime time.Time
+	// inherited marks what the target held when this owner took over.
+	inherited bool
+	since     time.Time
+	heat      float64
+	heatTime  time.Time
 }
 
 // Config holds the fixed settings of a Table.
@@ -71,6 +74,17 @@
 // Free returns how many slots are empty.
 func (t *Table) Free() int { return t.cfg.Slots - len(t.slots) }
 
+// Blocked reports whether every slot is held, so that nothing can be loaded
+// until a hold ends.
+func (t *Table) Blocked() bool {
+	for _, s := range t.slots {
+		if !s.Held {
+			return false
+		}
+	}
+	return t.Free() <= 0
+}
+
 // Find returns the slot of an adapter that this owner may use, or nil.
 func (t *Table) Find(a coord.Adapter) *Slot {
 	for _, s := range t.slots {
@@ -190,24 +204,35 @@
 }
 
 // Inherit takes over what the target reports as resident. Everything is held
-// until ReleaseHolds. When usable is false the names count as foreign: this
+// until SetHolds. When usable is false the names count as foreign: this
 // owner may not run requests on them.
 func (t *Table) Inherit(now time.Time, names []string, parse func(string) (coord.Adapter, bool), usable bool) {
 	t.slots = t.slots[:0]
 	for _, n := range names {
 		a, known := parse(n)
-		s := &Slot{Adapter: a, Name: n, State: Resident, Held: true, since: now}
+		s := &Slot{Adapter: a, Name: n, State: Resident, Held: true, inherited: true, since: now}
 		s.Foreign = !usable || !known
 		t.slots = append(t.slots, s)
 	}
 }
 
-// ReleaseHolds frees what was inherited: no earlier owner can use it any more.
-// What Reconcile found under another owner's name stays held.
-func (t *Table) ReleaseHolds() {
+// SetHolds says what earlier owners may still use: everything that was found, or
+// the given names. What Reconcile found under another owner's name stays held.
+func (t *Table) SetHolds(all bool, names []string) {
 	for _, s := range t.slots {
-		s.Held = s.Held && s.stranger
+		s.Held = s.stranger || (s.inherited && (all || slices.Contains(names, s.Name)))
+	}
+}
+
+// InUse returns the names that running requests use.
+func (t *Table) InUse() []string {
+	var out []string
+	for _, s := range t.slots {
+		if s.Pins > 0 {
+			out = append(out, s.Name)
+		}
 	}
+	return out
 }
 
 // Reconcile makes the slots agree with the target's report: slots that it does
@@ -232,7 +257,7 @@
 		if have[n] {
 			a, mine := own(n)
 			t.slots = append(t.slots, &Slot{
-				Adapter: a, Name: n, State: Resident, Held: held || !mine, Foreign: !mine, stranger: !mine, since: now,
+				Adapter: a, Name: n, State: Resident, Held: held || !mine, Foreign: !mine, stranger: !mine, inherited: held, since: now,
 			})
 		}
 	}
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -37,6 +37,8 @@
 	DrainMs int64
 	// Change alters the example bundle before it is published.
 	Change func(*schema.Bundle)
+	// Dial returns how a VM reaches others; nil for TCP.
+	Dial func(vm string) node.Dial
 }
 
 func (o *Options) fill() {
@@ -253,7 +255,11 @@
 
 // open makes the VM's node; later ones listen where the first did.
 func (vm *VM) open(c *Cluster) error {
-	n, err := node.New(vm.Settings, logging.New(c.opts.Log, c.opts.Level, vm.ID))
+	var dial node.Dial
+	if c.opts.Dial != nil {
+		dial = c.opts.Dial(vm.ID)
+	}
+	n, err := node.NewWithDial(vm.Settings, logging.New(c.opts.Log, c.opts.Level, vm.ID), dial)
 	if err != nil {
 		return err
 	}
@@ -279,6 +285,12 @@
 	return vm.err
 }
 
+// Kill ends the VM at once, as a crash would.
+func (vm *VM) Kill() {
+	vm.Node.Kill()
+	<-vm.done
+}
+
 // Restart starts a stopped VM anew, at the same addresses.
 func (c *Cluster) Restart(vm *VM) error {
 	if err := vm.open(c); err != nil {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -61,13 +61,24 @@
 	return refusal(forward.CodeNoTarget, http.StatusServiceUnavailable, time.Second, "no target may serve the request now")
 }
 
+// rerouted reports whether an owner sent the request on before its target had any
+// work with it. Such an attempt adds nothing to the targets' load, so it does not
+// count against the budget of retries.
+func rerouted(code string) bool {
+	switch code {
+	case forward.CodeOwnerStarting, forward.CodeNotOwner, forward.CodeOwnerStopped, forward.CodeTargetLeaving, forward.CodeSlotsHeld:
+		return true
+	}
+	return false
+}
+
 // passing reports whether a failure goes away by itself within moments.
 func passing(f *schema.Failure) bool {
 	if f == nil {
 		return false
 	}
 	switch f.Code {
-	case forward.CodeOwnerStarting, forward.CodeNotOwner, forward.CodeUnreachable, forward.CodeOwnerStopped:
+	case forward.CodeOwnerStarting, forward.CodeNotOwner, forward.CodeUnreachable, forward.CodeOwnerStopped, forward.CodeSlotsHeld:
 		return true
 	}
 	return false
@@ -131,7 +142,7 @@
 	if f.Outcome != schema.Outcome_OUTCOME_NOT_RUN && !j.idempotent {
 		return false
 	}
-	if !c.door.cfg.Retries.Retry() {
+	if !rerouted(f.Code) && !c.door.cfg.Retries.Retry() {
 		return false
 	}
 	c.door.cfg.Metrics.Retries.Add(1)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -32,6 +32,7 @@
 const (
 	CodeNotOwner        = "not_owner"
 	CodeOwnerStarting   = "owner_starting"
+	CodeSlotsHeld       = "slots_held"
 	CodeOwnerStopped    = "owner_stopped"
 	CodeUnknownModel    = "model_not_found"
 	CodeTargetLeaving   = "target_leaving"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,8 @@
 
 	catalog  atomic.Pointer[catalog.Catalog]
 	draining atomic.Bool
+	killed   chan struct{}
+	killOnce sync.Once
 	// beating keeps one heartbeat to each monitor under way at most.
 	beating sync.Map
 }
@@ -73,17 +75,24 @@
 	dialTimeout    = 2 * time.Second
 )
 
+// Dial opens a connection to another VM's peer listener.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // New opens the listeners and puts the parts together.
-func New(s *schema.Settings, l log.Interface) (*Node, error) {
+func New(s *schema.Settings, l log.Interface) (*Node, error) { return NewWithDial(s, l, nil) }
+
+// NewWithDial is New with another way to reach other VMs; nil means TCP.
+func NewWithDial(s *schema.Settings, l log.Interface, dial Dial) (*Node, error) {
 	n := &Node{
 		settings: s, log: l, now: time.Now, incarnation: uint64(time.Now().UnixNano()),
+		killed:  make(chan struct{}),
 		metrics: metrics.New(), limits: limits.New(), retries: limits.NewRetryBudget(firstRetries),
 	}
 	self := coord.VMID(s.Vm.Id)
 	n.audit = audit.New(s.Vm.Id, l)
 	n.view = newView(self, s.Vm.Hall, time.Duration(s.Peer.HeartbeatMs)*time.Millisecond, n.now)
 	n.router = router.New(n.now)
-	if err := n.connect(self); err != nil {
+	if err := n.connect(self, dial); err != nil {
 		return nil, err
 	}
 	if err := n.listen(); err != nil {
@@ -94,7 +103,7 @@
 }
 
 // connect builds what talks to others.
-func (n *Node) connect(self coord.VMID) error {
+func (n *Node) connect(self coord.VMID, dial Dial) error {
 	s := n.settings
 	tlsConfig, err := peer.TLSFromSettings(s.Peer)
 	if err != nil {
@@ -105,7 +114,7 @@
 		return err
 	}
 	n.mesh = peer.New(peer.Config{
-		Self: self, Hall: s.Vm.Hall, Incarnation: n.incarnation, TLS: tlsConfig, DialTimeout: dialTimeout,
+		Self: self, Hall: s.Vm.Hall, Incarnation: n.incarnation, TLS: tlsConfig, DialTimeout: dialTimeout, Dial: dial,
 	}, (*peerHandler)(n), n.view.address)
 	transport := newTransport()
 	n.sync = confsync.New(confsync.Config{
@@ -264,7 +273,7 @@
 }
 
 // AskRelease asks another VM whether it has let go of targets.
-func (n *Node) AskRelease(ctx context.Context, vm coord.VMID, claims []*schema.Claim) ([]string, error) {
+func (n *Node) AskRelease(ctx context.Context, vm coord.VMID, claims []*schema.Claim) ([]*schema.Released, error) {
 	reply, err := n.mesh.Call(ctx, vm, &schema.Call{Body: &schema.Call_Release{
 		Release: &schema.ReleaseRequest{Vm: n.settings.Vm.Id, Claims: claims},
 	}})
@@ -311,3 +320,6 @@
 	_, _, settled := n.records.Stats()
 	return settled
 }
+
+// BundlesRefused returns how many bundles this VM did not accept.
+func (n *Node) BundlesRefused() int64 { return n.metrics.BundlesRefused.Value() }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -52,6 +52,7 @@
 	select {
 	case <-ctx.Done():
 		n.drain(door)
+	case <-n.killed:
 	case err = <-failed:
 	}
 	stop()
@@ -68,11 +69,8 @@
 	}
 }
 
-// Kill ends the VM at once, as a crash does. For tests.
-func (n *Node) Kill() {
-	n.closeListeners()
-	n.mesh.Close()
-}
+// Kill ends Run at once and drains nothing, as a crash would.
+func (n *Node) Kill() { n.killOnce.Do(func() { close(n.killed) }) }
 
 func (n *Node) closeAll(door, operators *http.Server) {
 	_ = door.Close()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -37,8 +37,8 @@
 
 // Releases asks other VMs whether they have let go of targets.
 type Releases interface {
-	// AskRelease returns the claimed targets that vm uses no more.
-	AskRelease(ctx context.Context, vm coord.VMID, claims []*schema.Claim) ([]string, error)
+	// AskRelease returns the claimed targets that vm has let go of.
+	AskRelease(ctx context.Context, vm coord.VMID, claims []*schema.Claim) ([]*schema.Released, error)
 }
 
 // Config holds what an Owner works with.
@@ -195,15 +195,19 @@
 }
 
 // Release answers another VM's claims with the targets that are let go.
-func (o *Owner) Release(claims []*schema.Claim) []string {
-	var released []string
+func (o *Owner) Release(claims []*schema.Claim) []*schema.Released {
+	var out []*schema.Released
 	for _, c := range claims {
 		u := o.unit(coord.TargetID(c.Target))
-		if u == nil || u.release(c.Fence) {
-			released = append(released, c.Target)
+		if u == nil {
+			out = append(out, &schema.Released{Target: c.Target})
+			continue
+		}
+		if released, inUse := u.release(c.Fence); released {
+			out = append(out, &schema.Released{Target: c.Target, InUse: inUse})
 		}
 	}
-	return released
+	return out
 }
 
 // Running returns how many requests run or wait at owned targets.
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -100,13 +100,17 @@
 	}
 }
 
-// release answers another VM's claim.
-func (u *unit) release(fence uint64) bool {
+// release answers another VM's claim: whether this VM has let go, and the names
+// that its last requests still use.
+func (u *unit) release(fence uint64) (released bool, inUse []string) {
 	u.mu.Lock()
 	released, acts := u.machine.AskedToRelease(u.now(), fence)
+	if u.dispatch != nil {
+		inUse = u.dispatch.Slots().InUse()
+	}
 	u.mu.Unlock()
 	u.runOwnership(acts)
-	return released
+	return released, inUse
 }
 
 func (u *unit) runOwnership(acts []ownership.Action) {
@@ -125,8 +129,8 @@
 		u.owner.pool.Submit(func() { u.askRelease(a.VM, a.Fence) })
 	case ownership.ActServe:
 		u.serve(a)
-	case ownership.ActReleaseHolds:
-		u.releaseHolds()
+	case ownership.ActSetHolds:
+		u.setHolds(a)
 	case ownership.ActStop:
 		u.stop()
 	}
@@ -192,7 +196,7 @@
 		return
 	}
 	u.mu.Lock()
-	acts := u.machine.Released(vm, fence)
+	acts := u.machine.Released(vm, fence, released[0].InUse)
 	u.mu.Unlock()
 	u.runOwnership(acts)
 }
@@ -205,9 +209,6 @@
 	u.mu.Lock()
 	u.dispatch = dispatch.New(u.dispatchConfig(a.Fence))
 	acts := u.dispatch.Inherit(u.now(), a.Resident, u.catalog.ParseName, u.fences())
-	if !a.HoldsLeft {
-		acts = append(acts, u.dispatch.ReleaseHolds(u.now())...)
-	}
 	took := u.now().Sub(u.tookAt)
 	u.mu.Unlock()
 	u.owner.cfg.Metrics.Takeovers.Add(1)
@@ -254,11 +255,11 @@
 	return "~" + strconv.FormatUint(fence, 36) + "." + strconv.FormatUint(u.owner.cfg.Incarnation, 36)
 }
 
-func (u *unit) releaseHolds() {
+func (u *unit) setHolds(a ownership.Action) {
 	u.mu.Lock()
 	var acts []dispatch.Action
 	if u.dispatch != nil {
-		acts = u.dispatch.ReleaseHolds(u.now())
+		acts = u.dispatch.SetHolds(u.now(), a.All, a.Names)
 	}
 	u.mu.Unlock()
 	u.runDispatch(acts)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -49,6 +49,8 @@
 	TLS *tls.Config
 	// DialTimeout bounds the making of a session.
 	DialTimeout time.Duration
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Mesh is the sessions of one VM. Lock order: Mesh.mu is taken alone.
@@ -77,6 +79,9 @@
 
 // New returns a Mesh. resolve gives the peer address of a VM, or "".
 func New(cfg Config, handler Handler, resolve func(coord.VMID) string) *Mesh {
+	if cfg.Dial == nil {
+		cfg.Dial = dialTCP
+	}
 	return &Mesh{
 		cfg: cfg, handler: handler, resolve: resolve,
 		sessions: map[coord.VMID]*session{},
@@ -85,6 +90,11 @@
 	}
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // Bytes returns the bytes read and written on all sessions, TLS included.
 func (m *Mesh) Bytes() (in, out int64) { return m.bytesIn.Load(), m.bytesOut.Load() }
 
@@ -342,8 +352,7 @@
 func (m *Mesh) dialAddress(ctx context.Context, address string, vm coord.VMID) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout)
 	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := m.cfg.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", vm)
 	}
