--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -121,6 +121,21 @@
 	NameSuffix string
 }
 
+// DefaultConfig returns the settings that the daemon runs with. Slots, Batch,
+// QueueLimit and NameSuffix come from the bundle and the tenure. How each was
+// chosen is told in docs/design/load-decisions.md.
+func DefaultConfig() Config {
+	return Config{
+		Residency:   residency.Config{MinResident: 2 * time.Second, HeatHalfLife: 30 * time.Second},
+		QueueLimit:  128,
+		LoadTime:    time.Second,
+		ServiceTime: 500 * time.Millisecond,
+		AgeStep:     2 * time.Second,
+		LoadTries:   3,
+		KeepFactor:  0.25,
+	}
+}
+
 // phase is the step that the single load of a target has reached.
 type phase int
 
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -12,7 +12,6 @@
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/dispatch"
 	"github.com/junctionfold/junctionfold/coord/ownership"
-	"github.com/junctionfold/junctionfold/coord/residency"
 	"github.com/junctionfold/junctionfold/internal/audit"
 	"github.com/junctionfold/junctionfold/internal/catalog"
 	"github.com/junctionfold/junctionfold/internal/metrics"
@@ -223,30 +222,15 @@
 // fences reports whether the target refuses old fencing numbers.
 func (u *unit) fences() bool { return u.spec.Fencing == schema.Fencing_FENCING_REFUSES }
 
-// Settings of a target's dispatcher that the bundle does not set.
-const (
-	minResident     = 2 * time.Second
-	heatHalfLife    = 30 * time.Second
-	firstLoadTime   = time.Second
-	firstServiceFor = 500 * time.Millisecond
-	ageStep         = 2 * time.Second
-	loadTries       = 3
-	keepFactor      = 0.25
-)
-
 func (u *unit) dispatchConfig(fence uint64) dispatch.Config {
-	suffix := ""
+	cfg := dispatch.DefaultConfig()
+	cfg.Residency.Slots = int(u.spec.Slots)
+	cfg.Batch = int(u.spec.Batch)
+	cfg.QueueLimit = int(u.catalog.Limits.QueuePerTarget)
 	if !u.fences() {
-		suffix = u.nameSuffix(fence)
-	}
-	return dispatch.Config{
-		Residency: residency.Config{
-			Slots: int(u.spec.Slots), MinResident: minResident, HeatHalfLife: heatHalfLife,
-		},
-		Batch: int(u.spec.Batch), QueueLimit: int(u.catalog.Limits.QueuePerTarget),
-		LoadTime: firstLoadTime, ServiceTime: firstServiceFor, AgeStep: ageStep,
-		LoadTries: loadTries, KeepFactor: keepFactor, NameSuffix: suffix,
+		cfg.NameSuffix = u.nameSuffix(fence)
 	}
+	return cfg
 }
 
 // nameSuffix tells the names of this tenure from all others, also from those of
