Refuse requests whose load is too far off; remember who was pushed out

Cause: at saturation requests waited out their deadline for a load and were refused only then: mean stall 7.0 s, p99 29 s, with 11% refused late. Refusing them on arrival costs no goodput, since loads are what is short.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -33,6 +33,8 @@
 	// CauseHeld means that the adapter is not resident and every slot is held
 	// for an earlier owner.
 	CauseHeld
+	// CauseLoadWait means that too many loads are ahead.
+	CauseLoadWait
 )
 
 // String gives the cause as the stable code that callers see.
@@ -48,6 +50,8 @@
 		return "owner_stopped"
 	case CauseHeld:
 		return "slots_held"
+	case CauseLoadWait:
+		return "loads_overdue"
 	}
 	return "unknown"
 }
@@ -108,14 +112,14 @@
 	// ServiceTime is the first guess at the time of one request; later ones
 	// are measured.
 	ServiceTime time.Duration
+	// MaxLoadWait is the longest expected wait for a load with which a request
+	// is let in. Beyond it, waiting would only lengthen the queue of loads.
+	MaxLoadWait time.Duration
 	// AgeStep is the wait that raises a request by one rank.
 	AgeStep time.Duration
 	// LoadTries is how many loads of an adapter may fail before its waiters
 	// are refused.
 	LoadTries int
-	// KeepFactor is how much more a waiting adapter must be worth than the
-	// heat of the victim it pushes out.
-	KeepFactor float64
 	// NameSuffix is added to an adapter's name at the engine, to tell this
 	// owner's loads from an earlier owner's.
 	NameSuffix string
@@ -126,13 +130,13 @@
 // chosen is told in docs/design/load-decisions.md.
 func DefaultConfig() Config {
 	return Config{
-		Residency:   residency.Config{MinResident: 2 * time.Second, HeatHalfLife: 30 * time.Second},
+		Residency:   residency.Config{MinResident: 500 * time.Millisecond, HeatHalfLife: 2 * time.Minute},
 		QueueLimit:  128,
 		LoadTime:    time.Second,
 		ServiceTime: 500 * time.Millisecond,
+		MaxLoadWait: 5 * time.Second,
 		AgeStep:     2 * time.Second,
 		LoadTries:   3,
-		KeepFactor:  0.25,
 	}
 }
 
@@ -158,7 +162,9 @@
 
 	phase     phase
 	next      coord.Adapter
+	askedAt   time.Time
 	loadSince time.Time
+	turnWait  time.Duration
 	retryAt   time.Time
 	fails     map[coord.Adapter]int
 	stopped   bool
@@ -207,6 +213,9 @@
 // Submit takes a request.
 func (d *Dispatcher) Submit(now time.Time, r Request) []Action {
 	r.arrived = now
+	if !r.Adapter.IsBase() {
+		d.slots.Asked(now, r.Adapter)
+	}
 	if d.stopped {
 		return d.refuseNow(r.Handle, CauseStopped, 0)
 	}
@@ -216,8 +225,12 @@
 	if !d.ready(r.Adapter) && d.slots.Blocked() {
 		return d.refuseNow(r.Handle, CauseHeld, heldRetry)
 	}
-	if wait := d.expectedWait(now, r); now.Add(wait).After(r.Deadline) {
-		return d.refuseNow(r.Handle, CauseDeadline, wait)
+	wait, load := d.expectedWait(r), d.loadWait(now, r)
+	if now.Add(max(wait, load)).After(r.Deadline) {
+		return d.refuseNow(r.Handle, CauseDeadline, max(wait, load))
+	}
+	if load > d.cfg.MaxLoadWait {
+		return d.refuseNow(r.Handle, CauseLoadWait, load-d.cfg.MaxLoadWait)
 	}
 	d.enqueue(r)
 	return d.settle(now)
@@ -246,27 +259,42 @@
 	return time.Duration(rounds+1) * d.service
 }
 
-// expectedWait is how long r would wait before it starts.
-func (d *Dispatcher) expectedWait(now time.Time, r Request) time.Duration {
+// expectedWait is how long r would wait for a place in the batch.
+func (d *Dispatcher) expectedWait(r Request) time.Duration {
 	ahead := len(d.running) + d.queued
-	wait := time.Duration(ahead/d.cfg.Batch) * d.service
-	if r.Adapter.IsBase() || d.slots.IsResident(r.Adapter) {
-		return wait
+	return time.Duration(ahead/d.cfg.Batch) * d.service
+}
+
+// loadWait is how long r would wait for its adapter.
+func (d *Dispatcher) loadWait(now time.Time, r Request) time.Duration {
+	if d.ready(r.Adapter) {
+		return 0
 	}
-	return max(wait, d.expectedLoad(now, r.Adapter))
+	return d.expectedLoad(now, r)
 }
 
-func (d *Dispatcher) expectedLoad(now time.Time, a coord.Adapter) time.Duration {
+// expectedLoad is how long r's adapter takes to become resident: the waiting
+// adapters that are worth as much go first, each with a turn at the weight store
+// and a load.
+func (d *Dispatcher) expectedLoad(now time.Time, r Request) time.Duration {
+	a := r.Adapter
 	if d.next == a && d.phase == loading {
 		return max(0, d.loadAvg-now.Sub(d.loadSince))
 	}
+	if d.waiting[a] != nil {
+		return 0 // it waits for the others of its adapter, who were let in
+	}
+	each := d.turnWait + d.loadAvg
+	if d.phase == asked {
+		each = max(each, now.Sub(d.askedAt)+d.loadAvg)
+	}
 	loads := 1
-	for other := range d.waiting {
-		if other != a && !d.ready(other) {
+	for other, q := range d.waiting {
+		if !d.ready(other) && q.worth(now, d.cfg.AgeStep) >= firstWorth(r.Rank) {
 			loads++
 		}
 	}
-	return time.Duration(loads) * d.loadAvg
+	return time.Duration(loads) * each
 }
 
 // Finished takes the end of a running request, whole or not.
@@ -412,7 +440,7 @@
 	r := best.pop()
 	d.queued--
 	d.dropIfEmpty(r.Adapter)
-	d.slots.Pin(now, r.Adapter)
+	d.slots.Pin(r.Adapter)
 	d.running[r.Handle] = run{adapter: r.Adapter, since: now}
 	d.act(Action{Kind: ActStart, Handle: r.Handle, Adapter: r.Adapter, Name: d.nameOf(r.Adapter)})
 	return true
--- a/coord/dispatch/load.go
+++ b/coord/dispatch/load.go
@@ -13,10 +13,11 @@
 		return
 	}
 	a, worth, ok := d.worthiest(now)
-	if !ok || !d.hasRoom(now, worth) {
+	if !ok || !d.hasRoom(now) {
 		return
 	}
 	d.phase = asked
+	d.askedAt = now
 	d.next = a
 	d.act(Action{Kind: ActAskTurn, Adapter: a, Value: worth})
 }
@@ -35,24 +36,17 @@
 	return best, worth, ok
 }
 
-func (d *Dispatcher) hasRoom(now time.Time, worth float64) bool {
+func (d *Dispatcher) hasRoom(now time.Time) bool {
 	if d.slots.Free() > 0 {
 		return true
 	}
-	_, ok := d.victimFor(now, worth)
+	_, ok := d.victim(now)
 	return ok
 }
 
-// victimFor picks an adapter to give up for a load of this worth. Adapters with
-// waiters are kept, and so are those that are hotter than the load is worth;
-// the worth grows with the wait, so the load gets its slot in the end.
-func (d *Dispatcher) victimFor(now time.Time, worth float64) (string, bool) {
-	keep := func(a coord.Adapter) bool { return d.waiting[a] != nil }
-	name, heat, ok := d.slots.Victim(now, keep)
-	if !ok || heat*d.cfg.KeepFactor > worth {
-		return "", false
-	}
-	return name, true
+// victim picks an adapter to give up. Adapters with waiters are kept.
+func (d *Dispatcher) victim(now time.Time) (string, bool) {
+	return d.slots.Victim(now, func(a coord.Adapter) bool { return d.waiting[a] != nil })
 }
 
 // TurnGranted starts the load that asked for a turn. When no one waits for the
@@ -63,15 +57,15 @@
 		d.act(Action{Kind: ActGiveTurn})
 		return d.acts
 	}
-	q := d.waiting[d.next]
-	if q == nil {
+	d.turnWait = blend(d.turnWait, now.Sub(d.askedAt))
+	if d.waiting[d.next] == nil {
 		return d.giveTurnBack(now)
 	}
 	if d.slots.Free() > 0 {
 		d.beginLoad(now)
 		return d.acts
 	}
-	victim, ok := d.victimFor(now, q.worth(now, d.cfg.AgeStep))
+	victim, ok := d.victim(now)
 	if !ok || !d.slots.BeginUnload(victim) {
 		return d.giveTurnBack(now)
 	}
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -75,7 +75,10 @@
 func (q *queue) worth(now time.Time, ageStep time.Duration) float64 {
 	sum := 0.0
 	for _, r := range q.items {
-		sum += float64(r.Rank+1) + float64(now.Sub(r.arrived))/float64(ageStep)
+		sum += firstWorth(r.Rank) + float64(now.Sub(r.arrived))/float64(ageStep)
 	}
 	return sum
 }
+
+// firstWorth is what a request is worth on arrival.
+func firstWorth(rank int) float64 { return float64(rank + 1) }
--- a/coord/fleet_test.go
+++ b/coord/fleet_test.go
@@ -236,7 +236,7 @@
 	v.dispatch = dispatch.New(dispatch.Config{
 		Residency: residency.Config{Slots: slots, HeatHalfLife: time.Second},
 		Batch:     4, QueueLimit: 8, LoadTime: time.Millisecond, ServiceTime: time.Millisecond,
-		AgeStep: time.Second, LoadTries: 3, NameSuffix: suffix,
+		MaxLoadWait: time.Hour, AgeStep: time.Second, LoadTries: 3, NameSuffix: suffix,
 	})
 	f.dispatched(i, v.dispatch.Inherit(f.now, a.Resident, parseName, usable))
 }
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -44,8 +44,6 @@
 	// inherited marks what the target held when this owner took over.
 	inherited bool
 	since     time.Time
-	heat      float64
-	heatTime  time.Time
 }
 
 // Config holds the fixed settings of a Table.
@@ -63,10 +61,19 @@
 type Table struct {
 	cfg   Config
 	slots []*Slot
+	heat  heatMap
 }
 
 // New returns an empty Table.
-func New(cfg Config) *Table { return &Table{cfg: cfg} }
+func New(cfg Config) *Table { return &Table{cfg: cfg, heat: heatMap{}} }
+
+// Asked counts a request for a, resident or not.
+func (t *Table) Asked(now time.Time, a coord.Adapter) { t.heat.add(now, a, t.cfg.HeatHalfLife) }
+
+// Heat returns how often a was asked for of late.
+func (t *Table) Heat(now time.Time, a coord.Adapter) float64 {
+	return t.heat.at(now, a, t.cfg.HeatHalfLife)
+}
 
 // Slots returns the occupied slots. The slice is the table's own.
 func (t *Table) Slots() []*Slot { return t.slots }
@@ -103,13 +110,12 @@
 
 // Pin marks a running request on a. It returns false, and pins nothing, when a
 // is not resident.
-func (t *Table) Pin(now time.Time, a coord.Adapter) bool {
+func (t *Table) Pin(a coord.Adapter) bool {
 	s := t.Find(a)
 	if s == nil || s.State != Resident {
 		return false
 	}
 	s.Pins++
-	t.warm(now, s)
 	return true
 }
 
@@ -120,19 +126,6 @@
 	}
 }
 
-func (t *Table) warm(now time.Time, s *Slot) {
-	s.heat = t.heatAt(now, s) + 1
-	s.heatTime = now
-}
-
-func (t *Table) heatAt(now time.Time, s *Slot) float64 {
-	if s.heat == 0 {
-		return 0
-	}
-	halves := float64(now.Sub(s.heatTime)) / float64(t.cfg.HeatHalfLife)
-	return s.heat * math.Exp2(-halves)
-}
-
 // BeginLoad takes a free slot for a. It returns false when there is none or a
 // has one already.
 func (t *Table) BeginLoad(now time.Time, a coord.Adapter, name string) bool {
@@ -181,19 +174,23 @@
 	return true
 }
 
-// Victim returns the name of the adapter that costs least to give up, and its
-// heat. Adapters for which keep returns true are passed over.
-func (t *Table) Victim(now time.Time, keep func(coord.Adapter) bool) (name string, heat float64, ok bool) {
-	heat = math.Inf(1)
+// Victim returns the name of the adapter that costs least to give up: a foreign
+// one, else the coldest. Adapters for which keep returns true are passed over.
+func (t *Table) Victim(now time.Time, keep func(coord.Adapter) bool) (name string, ok bool) {
+	coldest := math.Inf(1)
 	for _, s := range t.slots {
 		if !t.evictable(now, s) || (!s.Foreign && keep(s.Adapter)) {
 			continue
 		}
-		if h := t.heatAt(now, s); h < heat {
-			name, heat, ok = s.Name, h, true
+		h := 0.0
+		if !s.Foreign {
+			h = t.Heat(now, s.Adapter)
+		}
+		if h < coldest {
+			name, coldest, ok = s.Name, h, true
 		}
 	}
-	return name, heat, ok
+	return name, ok
 }
 
 func (t *Table) evictable(now time.Time, s *Slot) bool {
