Load what is worth most when the turn comes

Cause: a dispatcher loaded the adapter it had asked the turn for, although a more urgent request had come meanwhile.

Change: the choice is made again when the turn is granted.

--- a/coord/dispatch/load.go
+++ b/coord/dispatch/load.go
@@ -49,8 +49,9 @@
 	return d.slots.Victim(now, func(a coord.Adapter) bool { return d.waiting[a] != nil })
 }
 
-// TurnGranted starts the load that asked for a turn. When no one waits for the
-// adapter any more, the turn goes back.
+// TurnGranted starts the load that is worth most now; a more urgent request may
+// have come since the turn was asked for. When none is needed any more, the turn
+// goes back.
 func (d *Dispatcher) TurnGranted(now time.Time) []Action {
 	d.acts = nil
 	if d.phase != asked {
@@ -58,9 +59,11 @@
 		return d.acts
 	}
 	d.turnWait = blend(d.turnWait, now.Sub(d.askedAt))
-	if d.waiting[d.next] == nil {
+	best, _, ok := d.worthiest(now)
+	if !ok {
 		return d.giveTurnBack(now)
 	}
+	d.next = best
 	if d.slots.Free() > 0 {
 		d.beginLoad(now)
 		return d.acts
