Mend the model's mutant that sends a maybe-sent request again

Change: the mutant lets the lost request arrive and sends it again, for a live process only; the check that no request runs twice catches it.

The product's code is unchanged.

--- a/coord/fleet_test.go
+++ b/coord/fleet_test.go
@@ -332,28 +332,34 @@
 	}
 	finished := f.feed(i, func(d *dispatch.Dispatcher) []dispatch.Action { return d.Finished(f.now, a.Handle) })
 	end := func() { v.machine.Ended(); finished() }
-	f.send(i, fmt.Sprintf("run %d on %s", a.Handle, a.Name), func() {
-		got, there := f.engine.resident[a.Name]
-		if !there {
-			f.reply(i, life, "not loaded", end)
-			return
-		}
-		if got != adapter {
-			f.fault = fmt.Sprintf("request %d for %s ran on %s", a.Handle, adapter, got)
-		}
-		f.engine.ran[a.Handle]++
-		if f.engine.ran[a.Handle] > 1 {
-			f.fault = fmt.Sprintf("request %d ran twice", a.Handle)
-		}
-		f.engine.runs = append(f.engine.runs, run{vm: i, life: life, name: a.Name, handle: a.Handle, adapter: adapter})
-	}, func() {
-		if f.broken == retryMaybeSent {
+	arrive := func() { f.arrive(i, life, a, adapter, end) }
+	f.send(i, fmt.Sprintf("run %d on %s", a.Handle, a.Name), arrive, func() {
+		if f.broken == retryMaybeSent && v.life == life {
+			arrive() // it had been sent after all
 			f.start(i, a)
+			return
 		}
 		f.reply(i, life, "broken", end)
 	})
 }
 
+// arrive is a request reaching the engine.
+func (f *fleet) arrive(i, life int, a dispatch.Action, adapter coord.Adapter, end func()) {
+	got, there := f.engine.resident[a.Name]
+	if !there {
+		f.reply(i, life, "not loaded", end)
+		return
+	}
+	if got != adapter {
+		f.fault = fmt.Sprintf("request %d for %s ran on %s", a.Handle, adapter, got)
+	}
+	f.engine.ran[a.Handle]++
+	if f.engine.ran[a.Handle] > 1 {
+		f.fault = fmt.Sprintf("request %d ran twice", a.Handle)
+	}
+	f.engine.runs = append(f.engine.runs, run{vm: i, life: life, name: a.Name, handle: a.Handle, adapter: adapter})
+}
+
 // finishRun ends a request at the engine and brings its answer back.
 func (f *fleet) finishRun(n int) {
 	r := f.engine.runs[n]
