Measure the slopes of state, traffic and time; test the parts in fault tables

Cause: docs/CAPACITY.md needs measured slopes, and the parts' faults were shown only through the whole.

Found: a fleet of seven that starts at once could stay unsure of its records for the whole retention, because a VM that was certified by another does not certify the next; a VM that is not whole now asks again. A finding without a section ran file line and key together.

--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,14 @@
 	PATH="$(TOOLS):$$PATH" $(TOOLS)/buf lint
 	PATH="$(TOOLS):$$PATH" $(TOOLS)/buf generate
 
+capacity:
+	$(GO) test ./internal/capacity -run xxx -bench . -benchtime 1x -timeout 15m
+
+bench:
+	$(GO) test ./internal/dev -run xxx -bench . -benchtime 1x
+
+policy:
+	cd coord && $(GO) test . -run xxx -bench Policy -benchtime 1x
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/coord/dispatch/dispatch_test.go
@@ -0,0 +1,259 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/dispatch"
+)
+
+var (
+	start = time.Unix(100, 0)
+	a     = coord.Adapter{Name: "a", Version: "1"}
+	b     = coord.Adapter{Name: "b", Version: "1"}
+	c     = coord.Adapter{Name: "c", Version: "1"}
+	all   = []coord.Adapter{a, b, c}
+)
+
+func newDispatcher(change func(*dispatch.Config)) *dispatch.Dispatcher {
+	cfg := dispatch.DefaultConfig()
+	cfg.Residency.Slots, cfg.Batch, cfg.QueueLimit = 1, 2, 4
+	if change != nil {
+		change(&cfg)
+	}
+	return dispatch.New(cfg)
+}
+
+func request(handle uint64, adapter coord.Adapter, rank int) dispatch.Request {
+	return dispatch.Request{Handle: handle, Adapter: adapter, Rank: rank, Deadline: start.Add(time.Minute)}
+}
+
+// load brings an adapter into the target and returns what starts.
+func load(t *testing.T, d *dispatch.Dispatcher, now time.Time, adapter coord.Adapter) []dispatch.Action {
+	t.Helper()
+	acts := d.TurnGranted(now)
+	if acts[0].Kind == dispatch.ActUnload {
+		acts = d.Unloaded(now, acts[0].Name, true)
+	}
+	assert.Equal(t, acts[0].Kind, dispatch.ActLoad)
+	assert.Equal(t, acts[0].Adapter, adapter)
+	return d.Loaded(now, adapter)
+}
+
+func handles(acts []dispatch.Action, kind dispatch.ActionKind) []uint64 {
+	var out []uint64
+	for _, x := range acts {
+		if x.Kind == kind {
+			out = append(out, x.Handle)
+		}
+	}
+	return out
+}
+
+// TestOneLoadServesAllWaiters queues several requests of an adapter.
+func TestOneLoadServesAllWaiters(t *testing.T) {
+	d := newDispatcher(nil)
+	acts := d.Submit(start, request(1, a, 0))
+	assert.Equal(t, acts[0].Kind, dispatch.ActAskTurn)
+	assert.Equal(t, len(d.Submit(start, request(2, a, 0))), 0)
+	assert.DeepEqual(t, handles(load(t, d, start, a), dispatch.ActStart), []uint64{1, 2})
+}
+
+// TestRefusals gives each refusal with what causes it.
+func TestRefusals(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		do   func(t *testing.T, d *dispatch.Dispatcher) []dispatch.Action
+		want dispatch.Cause
+	}{
+		{"the queue is full", func(_ *testing.T, d *dispatch.Dispatcher) []dispatch.Action {
+			for i := range uint64(4) {
+				d.Submit(start, request(i+1, a, 0))
+			}
+			return d.Submit(start, request(9, a, 0))
+		}, dispatch.CauseQueueFull},
+		{"the deadline is nearer than the load", func(_ *testing.T, d *dispatch.Dispatcher) []dispatch.Action {
+			r := request(9, a, 0)
+			r.Deadline = start.Add(time.Millisecond)
+			return d.Submit(start, r)
+		}, dispatch.CauseDeadline},
+		{"the deadline passes in the queue", func(_ *testing.T, d *dispatch.Dispatcher) []dispatch.Action {
+			d.Submit(start, request(9, a, 0))
+			return d.Tick(start.Add(2 * time.Minute))
+		}, dispatch.CauseDeadline},
+		{"the load fails for the last time", func(_ *testing.T, d *dispatch.Dispatcher) []dispatch.Action {
+			d.Submit(start, request(9, a, 0))
+			for range 2 {
+				d.TurnGranted(start)
+				d.LoadFailed(start, a)
+			}
+			d.TurnGranted(start)
+			return d.LoadFailed(start, a)
+		}, dispatch.CauseLoadFailed},
+		{"the owner stops", func(_ *testing.T, d *dispatch.Dispatcher) []dispatch.Action {
+			d.Submit(start, request(9, a, 0))
+			return d.Stop(start)
+		}, dispatch.CauseStopped},
+		{"a request after the stop", func(_ *testing.T, d *dispatch.Dispatcher) []dispatch.Action {
+			d.Stop(start)
+			return d.Submit(start, request(9, a, 0))
+		}, dispatch.CauseStopped},
+		{"every slot is held", func(_ *testing.T, d *dispatch.Dispatcher) []dispatch.Action {
+			d.Inherit(start, []string{"b@1"}, func(string) (coord.Adapter, bool) { return b, true }, true)
+			return d.Submit(start, request(9, a, 0))
+		}, dispatch.CauseHeld},
+		{"slots become held while it waits", func(_ *testing.T, d *dispatch.Dispatcher) []dispatch.Action {
+			d.Inherit(start, []string{"b@1"}, func(string) (coord.Adapter, bool) { return b, true }, true)
+			d.SetHolds(start, false, nil)
+			d.Submit(start, request(9, a, 0))
+			return d.SetHolds(start, true, nil)
+		}, dispatch.CauseHeld},
+		{"too many loads are ahead", func(_ *testing.T, d *dispatch.Dispatcher) []dispatch.Action {
+			d.Submit(start, request(1, a, 0))
+			d.Submit(start, request(2, b, 0))
+			return d.Submit(start.Add(4*time.Second), request(9, c, 0))
+		}, dispatch.CauseLoadWait},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			acts := row.do(t, newDispatcher(nil))
+			assert.DeepEqual(t, handles(acts, dispatch.ActRefuse), []uint64{9})
+			for _, x := range acts {
+				if x.Kind == dispatch.ActRefuse {
+					assert.Equal(t, x.Cause, row.want)
+				}
+			}
+		})
+	}
+}
+
+// TestInheritedIsUsableAtOnce serves from what the target held, without a load.
+func TestInheritedIsUsableAtOnce(t *testing.T) {
+	d := newDispatcher(nil)
+	d.Inherit(start, []string{"a@1"}, func(string) (coord.Adapter, bool) { return a, true }, true)
+	assert.DeepEqual(t, handles(d.Submit(start, request(1, a, 0)), dispatch.ActStart), []uint64{1})
+}
+
+// TestPriorityAndAge starts the higher rank first, and an old request before a
+// new one of a higher rank.
+func TestPriorityAndAge(t *testing.T) {
+	d := newDispatcher(func(c *dispatch.Config) { c.Batch = 1; c.MaxLoadWait = time.Hour })
+	d.Submit(start, request(1, a, 0))
+	d.Submit(start, request(2, a, 0))
+	d.Submit(start, request(3, a, 1))
+	assert.DeepEqual(t, handles(load(t, d, start, a), dispatch.ActStart), []uint64{3})
+	assert.DeepEqual(t, handles(d.Finished(start, 3), dispatch.ActStart), []uint64{1})
+	base := coord.Adapter{Name: "base"}
+	d.Submit(start.Add(7*time.Second), dispatch.Request{Handle: 4, Adapter: base, Rank: 2, Deadline: start.Add(time.Minute)})
+	assert.DeepEqual(t, handles(d.Finished(start.Add(7*time.Second), 1), dispatch.ActStart), []uint64{2})
+}
+
+// TestDispatcherPromises drives a dispatcher with random events and checks what
+// it promises after each.
+func TestDispatcherPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDispatcher(func(c *dispatch.Config) { c.Residency.Slots = 2 })
+		m := &dispatchModel{d: d, now: start, ended: map[uint64]string{}, running: map[uint64]coord.Adapter{}}
+		steps := rapid.IntRange(20, 120).Draw(t, "steps")
+		for range steps {
+			m.step(t)
+		}
+	})
+}
+
+// dispatchModel carries out a dispatcher's actions and checks them.
+type dispatchModel struct {
+	d       *dispatch.Dispatcher
+	now     time.Time
+	next    uint64
+	asked   bool
+	loading []dispatch.Action
+	removal []dispatch.Action
+	running map[uint64]coord.Adapter
+	wanted  map[uint64]coord.Adapter
+	ended   map[uint64]string
+}
+
+func (m *dispatchModel) step(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+	switch rapid.IntRange(0, 6).Draw(t, "event") {
+	case 0, 1:
+		m.next++
+		adapter := all[rapid.IntRange(0, len(all)-1).Draw(t, "adapter")]
+		if m.wanted == nil {
+			m.wanted = map[uint64]coord.Adapter{}
+		}
+		m.wanted[m.next] = adapter
+		r := request(m.next, adapter, rapid.IntRange(0, 2).Draw(t, "rank"))
+		r.Deadline = m.now.Add(20 * time.Second)
+		m.take(t, m.d.Submit(m.now, r))
+	case 2:
+		if m.asked {
+			m.asked = false
+			m.take(t, m.d.TurnGranted(m.now))
+		}
+	case 3:
+		if len(m.loading) > 0 {
+			x := m.loading[0]
+			m.loading = nil
+			if rapid.Bool().Draw(t, "loaded") {
+				m.take(t, m.d.Loaded(m.now, x.Adapter))
+			} else {
+				m.take(t, m.d.LoadFailed(m.now, x.Adapter))
+			}
+		}
+	case 4:
+		if len(m.removal) > 0 {
+			x := m.removal[0]
+			m.removal = nil
+			m.take(t, m.d.Unloaded(m.now, x.Name, true))
+		}
+	case 5:
+		for h := range m.running {
+			delete(m.running, h)
+			m.take(t, m.d.Finished(m.now, h))
+			break
+		}
+	case 6:
+		m.take(t, m.d.Tick(m.now))
+	}
+}
+
+func (m *dispatchModel) take(t *rapid.T, acts []dispatch.Action) {
+	for _, x := range acts {
+		switch x.Kind {
+		case dispatch.ActStart:
+			m.end(t, x.Handle, "started")
+			if !m.d.Slots().IsResident(x.Adapter) || x.Adapter != m.wanted[x.Handle] {
+				t.Fatalf("request %d for %s starts on %s", x.Handle, m.wanted[x.Handle], x.Adapter)
+			}
+			m.running[x.Handle] = x.Adapter
+		case dispatch.ActRefuse:
+			m.end(t, x.Handle, "refused")
+		case dispatch.ActAskTurn:
+			if m.asked || len(m.loading) > 0 {
+				t.Fatal("a second load at once")
+			}
+			m.asked = true
+		case dispatch.ActLoad:
+			m.loading = append(m.loading, x)
+		case dispatch.ActUnload:
+			for h, adapter := range m.running {
+				if adapter.String() == x.Name {
+					t.Fatalf("unloads %s under request %d", x.Name, h)
+				}
+			}
+			m.removal = append(m.removal, x)
+		}
+	}
+}
+
+func (m *dispatchModel) end(t *rapid.T, handle uint64, how string) {
+	if before := m.ended[handle]; before != "" {
+		t.Fatalf("request %d was %s and is %s", handle, before, how)
+	}
+	m.ended[handle] = how
+}
--- /dev/null
+++ b/coord/loadturn/loadturn_test.go
@@ -0,0 +1,68 @@
+package loadturn_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord/confver"
+	"github.com/junctionfold/junctionfold/coord/loadturn"
+)
+
+var start = time.Unix(100, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// TestTurns hands out turns by value, one at a time and at the store's rate, and
+// takes back one that was lost.
+func TestTurns(t *testing.T) {
+	g := loadturn.New(loadturn.Config{PerSecond: 4, Concurrent: 1, Hold: 2 * time.Second})
+	assert.DeepEqual(t, g.Ask(at(0), loadturn.Ask{ID: 1, Value: 1}), []uint64{1})
+	assert.Equal(t, len(g.Ask(at(0), loadturn.Ask{ID: 2, Value: 1})), 0)
+	assert.Equal(t, len(g.Ask(at(0), loadturn.Ask{ID: 3, Value: 5})), 0)
+	assert.Equal(t, len(g.Cancel(at(100), 1)), 0) // 250 ms between turns
+	assert.DeepEqual(t, g.Tick(at(250)), []uint64{3})
+	assert.Equal(t, len(g.Tick(at(1000))), 0)
+	assert.DeepEqual(t, g.Tick(at(2250)), []uint64{2})
+}
+
+func TestCancelledAskGetsNoTurn(t *testing.T) {
+	g := loadturn.New(loadturn.Config{PerSecond: 4, Concurrent: 1, Hold: time.Second})
+	g.Ask(at(0), loadturn.Ask{ID: 1})
+	g.Ask(at(0), loadturn.Ask{ID: 2})
+	g.Cancel(at(0), 2)
+	assert.Equal(t, len(g.Cancel(at(500), 1)), 0)
+}
+
+// TestVersionsNeverGoBack gives each order in which versions can come.
+func TestVersionsNeverGoBack(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		accept []uint64
+		want   uint64
+	}{
+		{"up", []uint64{1, 2, 5}, 5},
+		{"back", []uint64{5, 4}, 5},
+		{"the same again", []uint64{5, 5}, 5},
+		{"none", nil, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var g confver.Gate
+			for _, v := range row.accept {
+				g.Accept(v)
+			}
+			assert.Equal(t, g.InForce(), row.want)
+		})
+	}
+}
+
+func TestBehind(t *testing.T) {
+	var g confver.Gate
+	g.Accept(3)
+	assert.Assert(t, !g.Heard(3))
+	assert.Assert(t, g.Heard(7) && g.Behind())
+	assert.Assert(t, !g.Heard(7))
+	g.Forget(7)
+	assert.Assert(t, !g.Behind())
+}
--- /dev/null
+++ b/coord/ownership/ownership_test.go
@@ -0,0 +1,146 @@
+package ownership_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/ownership"
+)
+
+var now = time.Unix(100, 0)
+
+// serving returns a machine that serves; others may have owned the target.
+func serving(others ...coord.VMID) *ownership.Machine {
+	m := ownership.New("self", 1)
+	m.Want(now, true, others)
+	m.Read(now, ownership.Report{Fence: 9, Resident: []string{"a@1"}})
+	m.Claimed(now, m.Fence(), ownership.Report{Fence: m.Fence(), Resident: []string{"a@1"}})
+	return m
+}
+
+func kinds(acts []ownership.Action) []ownership.ActionKind {
+	var out []ownership.ActionKind
+	for _, a := range acts {
+		out = append(out, a.Kind)
+	}
+	return out
+}
+
+// TestHolds gives what ends a hold and what does not.
+func TestHolds(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		do   func(*ownership.Machine) []ownership.Action
+		left []coord.VMID
+		all  bool
+		want []string
+	}{
+		{"nothing", func(m *ownership.Machine) []ownership.Action { return m.Want(now, true, []coord.VMID{"self", "x", "y"}) }, []coord.VMID{"x", "y"}, true, nil},
+		{"one releases", func(m *ownership.Machine) []ownership.Action { return m.Released("x", m.Fence(), nil) }, []coord.VMID{"y"}, true, nil},
+		{"a release under another number", func(m *ownership.Machine) []ownership.Action { return m.Released("x", m.Fence()-1, nil) }, []coord.VMID{"x", "y"}, true, nil},
+		{"the list drops one", func(m *ownership.Machine) []ownership.Action { return m.Want(now, true, []coord.VMID{"self", "y"}) }, []coord.VMID{"y"}, true, nil},
+		{"both answer, one still uses a name", func(m *ownership.Machine) []ownership.Action {
+			m.Released("x", m.Fence(), nil)
+			return m.Released("y", m.Fence(), []string{"a@1"})
+		}, []coord.VMID{"y"}, false, []string{"a@1"}},
+		{"all release", func(m *ownership.Machine) []ownership.Action {
+			m.Released("x", m.Fence(), nil)
+			return m.Released("y", m.Fence(), nil)
+		}, []coord.VMID{}, false, nil},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := serving("self", "x", "y")
+			acts := row.do(m)
+			assert.DeepEqual(t, m.Holds(), row.left)
+			if len(acts) == 0 {
+				assert.Assert(t, row.all, "no word on holds")
+				return
+			}
+			assert.Equal(t, acts[0].All, row.all)
+			assert.DeepEqual(t, acts[0].Names, row.want)
+		})
+	}
+}
+
+// TestReleaseOfAnEarlierTenure is a fault that the model found: a release that
+// answers an ask of an earlier tenure must not count while a new one begins.
+func TestReleaseOfAnEarlierTenure(t *testing.T) {
+	m := serving("self", "x")
+	old := m.Fence()
+	m.Refused(now, old, old+1)
+	m.Tick(now.Add(time.Minute), []coord.VMID{"self", "x"})
+	assert.Equal(t, m.Phase(), ownership.Reading)
+	m.Released("x", old, nil)
+	assert.DeepEqual(t, m.Holds(), []coord.VMID{"x"})
+}
+
+// TestStepDown gives each reason to stop.
+func TestStepDown(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		do   func(*ownership.Machine) []ownership.Action
+		want ownership.Phase
+	}{
+		{"the view names another", func(m *ownership.Machine) []ownership.Action { return m.Want(now, false, nil) }, ownership.Idle},
+		{"the target refuses the number", func(m *ownership.Machine) []ownership.Action { return m.Refused(now, m.Fence(), m.Fence()+1) }, ownership.Idle},
+		{"a refusal of an older number", func(m *ownership.Machine) []ownership.Action { return m.Refused(now, m.Fence()-1, m.Fence()) }, ownership.Serving},
+		{"the target restarts", func(m *ownership.Machine) []ownership.Action { return m.Rebooted(now) }, ownership.Idle},
+		{"another VM claims under a higher number", func(m *ownership.Machine) []ownership.Action {
+			released, acts := m.AskedToRelease(now, m.Fence()+1)
+			assert.Assert(t, released)
+			return acts
+		}, ownership.Idle},
+		{"another VM claims under a lower number", func(m *ownership.Machine) []ownership.Action {
+			released, acts := m.AskedToRelease(now, m.Fence()-1)
+			assert.Assert(t, !released)
+			return acts
+		}, ownership.Serving},
+		{"the view names another while a request runs", func(m *ownership.Machine) []ownership.Action {
+			m.Started()
+			return m.Want(now, false, nil)
+		}, ownership.Draining},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := serving("self")
+			acts := row.do(m)
+			assert.Equal(t, m.Phase(), row.want)
+			stopped := row.want != ownership.Serving
+			assert.Equal(t, len(kinds(acts)) == 1 && acts[0].Kind == ownership.ActStop, stopped)
+			assert.Equal(t, m.MayStart(), !stopped)
+		})
+	}
+}
+
+// TestContestsSpread checks that two VMs which both take themselves for the owner
+// do not pass the target back and forth at full speed.
+func TestContestsSpread(t *testing.T) {
+	m := serving("self")
+	at := now
+	tries := 0
+	for range 600 { // a minute of ticks
+		at = at.Add(100 * time.Millisecond)
+		m.Tick(at, []coord.VMID{"self"})
+		if m.Phase() == ownership.Reading {
+			tries++
+			m.Read(at, ownership.Report{})
+			m.Claimed(at, m.Fence(), ownership.Report{})
+		}
+		if m.MayStart() {
+			m.Refused(at, m.Fence(), m.Fence()+1)
+		}
+	}
+	assert.Assert(t, tries >= 5 && tries <= 15, "%d tries in a minute", tries)
+}
+
+func TestFencesGrow(t *testing.T) {
+	seen := uint64(0)
+	for _, clock := range []time.Time{now, now.Add(-time.Hour), now} { // a clock that steps back
+		next := ownership.NextFence(clock, seen, 3)
+		assert.Assert(t, next > seen)
+		seen = next
+	}
+	assert.Assert(t, ownership.NextFence(now, 0, 1) != ownership.NextFence(now, 0, 2))
+}
--- /dev/null
+++ b/coord/placement/placement_test.go
@@ -0,0 +1,130 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/placement"
+	"github.com/junctionfold/junctionfold/coord/rendezvous"
+)
+
+var now = time.Unix(100, 0)
+
+func pool(n int) (*placement.Map, *placement.Pool) {
+	var targets []placement.Target
+	for i := range n {
+		targets = append(targets, placement.Target{ID: coord.TargetID(fmt.Sprintf("t%d", i)), Base: "base", Hall: fmt.Sprintf("h%d", i%3), Batch: 10})
+	}
+	m := placement.NewMap(targets)
+	return m, m.Pool("base")
+}
+
+func query(name string) *placement.Query {
+	return &placement.Query{Key: rendezvous.Hash(name), Halls: ^uint64(0), Spread: 1, Now: now}
+}
+
+// TestFilters gives each reason to pass over the preferred target.
+func TestFilters(t *testing.T) {
+	m, p := pool(6)
+	sched := placement.Default()
+	first := sched.Pick(p, placement.NewBoard(placement.DefaultBoardConfig()), query("x"))
+	for _, row := range []struct {
+		name string
+		do   func(*placement.Board, *placement.Query)
+		by   string
+	}{
+		{"leaving", func(b *placement.Board, _ *placement.Query) { b.SetLeaving(first.Target, true) }, "leaving"},
+		{"tried", func(_ *placement.Board, q *placement.Query) { q.Avoid = []coord.TargetID{first.Target} }, "tried"},
+		{"failed three times", func(b *placement.Board, _ *placement.Query) {
+			for range 3 {
+				b.Failed(now, first.Target)
+			}
+		}, "ejected"},
+		{"in another hall", func(_ *placement.Board, q *placement.Query) {
+			halls := []string{"h0", "h1", "h2"}
+			q.Halls = m.HallMask(halls) &^ m.HallMask([]string{p.Targets[first.Index].Hall})
+		}, "hall"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b, q := placement.NewBoard(placement.DefaultBoardConfig()), query("x")
+			row.do(b, q)
+			got := sched.Pick(p, b, q)
+			assert.Assert(t, got.OK && got.Target != first.Target)
+			for _, r := range sched.Explain(p, b, q) {
+				if r.Target == first.Target {
+					assert.Equal(t, r.RemovedBy, row.by)
+				}
+			}
+		})
+	}
+}
+
+func TestNoTargetLeft(t *testing.T) {
+	_, p := pool(1)
+	q := query("x")
+	q.Avoid = []coord.TargetID{"t0"}
+	assert.Assert(t, !placement.Default().Pick(p, placement.NewBoard(placement.DefaultBoardConfig()), q).OK)
+}
+
+// TestEjectionEndsAndGrows probes an ejected target after its pause, and doubles
+// the pause with each failed probe.
+func TestEjectionEndsAndGrows(t *testing.T) {
+	b := placement.NewBoard(placement.DefaultBoardConfig())
+	for range 3 {
+		b.Failed(now, "t")
+	}
+	assert.Assert(t, b.Ejected(now.Add(499*time.Millisecond), "t"))
+	assert.Assert(t, !b.Ejected(now.Add(500*time.Millisecond), "t"))
+	b.Failed(now, "t")
+	assert.Assert(t, b.Ejected(now.Add(999*time.Millisecond), "t"))
+	b.Succeeded("t")
+	assert.Assert(t, !b.Ejected(now, "t"))
+}
+
+// TestFullTargetIsLeft sends an adapter elsewhere only when its target is more
+// than a batch behind.
+func TestFullTargetIsLeft(t *testing.T) {
+	_, p := pool(6)
+	sched, b := placement.Default(), placement.NewBoard(placement.DefaultBoardConfig())
+	first := sched.Pick(p, b, query("x")).Target
+	b.Heard(now, first, 10, 0)
+	assert.Equal(t, sched.Pick(p, b, query("x")).Target, first)
+	b.Heard(now, first, 10, 11)
+	assert.Assert(t, sched.Pick(p, b, query("x")).Target != first)
+}
+
+// TestSpreadGrowsAndShrinks widens a hot adapter and narrows it again.
+func TestSpreadGrowsAndShrinks(t *testing.T) {
+	s := placement.NewSpread(placement.DefaultSpreadConfig())
+	s.Heard(now, 1, 2, 10)
+	assert.Equal(t, s.Width(1), 1)
+	s.Heard(now, 1, 8, 10)
+	assert.Equal(t, s.Width(1), 2)
+	s.Heard(now.Add(100*time.Millisecond), 1, 8, 10) // a report from before the step
+	assert.Equal(t, s.Width(1), 2)
+	s.Heard(now.Add(time.Second), 1, 8, 10)
+	assert.Equal(t, s.Width(1), 4)
+	s.Tick(now.Add(22 * time.Second))
+	assert.Equal(t, s.Width(1), 2)
+	s.Tick(now.Add(43 * time.Second))
+	assert.Equal(t, s.Width(1), 1)
+}
+
+// TestMembershipMovesLittle adds a target; few adapters change their place.
+func TestMembershipMovesLittle(t *testing.T) {
+	_, small := pool(12)
+	_, large := pool(13)
+	sched, b := placement.Default(), placement.NewBoard(placement.DefaultBoardConfig())
+	moved := 0
+	for i := range 3000 {
+		q := query(fmt.Sprint(i))
+		if sched.Pick(small, b, q).Target != sched.Pick(large, b, q).Target {
+			moved++
+		}
+	}
+	assert.Assert(t, moved > 150 && moved < 320, "%d of 3000 moved; 231 expected", moved)
+}
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -16,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/junctionfold/junctionfold/internal/bundle"
+	"github.com/junctionfold/junctionfold/internal/certs"
 	"github.com/junctionfold/junctionfold/internal/logging"
 	"github.com/junctionfold/junctionfold/internal/node"
 	"github.com/junctionfold/junctionfold/internal/settings"
@@ -37,6 +40,9 @@
 	DrainMs int64
 	// Change alters the example bundle before it is published.
 	Change func(*schema.Bundle)
+	// TLSDir is where certificates are written when VMs use TLS; empty for no
+	// TLS.
+	TLSDir string
 	// Dial returns how a VM reaches others; nil for TCP.
 	Dial func(vm string) node.Dial
 }
@@ -80,7 +86,9 @@
 	private []byte
 	public  string
 	servers []*http.Server
-	base    string
+
+	authority certs.Pair
+	base      string
 }
 
 // VM is one running VM.
@@ -250,9 +258,37 @@
 	s.Trust.PublicKeys = []string{c.public}
 	vm := &VM{ID: s.Vm.Id, Settings: s}
 	c.VMs = append(c.VMs, vm)
+	if c.opts.TLSDir != "" {
+		if err := c.issue(s); err != nil {
+			return err
+		}
+	}
 	return vm.open(c)
 }
 
+// issue gives a VM a certificate and turns TLS on.
+func (c *Cluster) issue(s *schema.Settings) error {
+	if c.authority.Cert == nil {
+		var err error
+		if c.authority, err = certs.NewAuthority(); err != nil {
+			return err
+		}
+	}
+	pair, err := certs.Issue(c.authority, s.Vm.Id, nil)
+	if err != nil {
+		return err
+	}
+	file := func(name string) string { return filepath.Join(c.opts.TLSDir, s.Vm.Id+"."+name) }
+	s.Peer.InsecureLoopback = false
+	s.Peer.CertFile, s.Peer.KeyFile, s.Peer.CaFile = file("pem"), file("key"), file("ca")
+	for name, data := range map[string][]byte{s.Peer.CertFile: pair.Cert, s.Peer.KeyFile: pair.Key, s.Peer.CaFile: c.authority.Cert} {
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			return errors.Wrap(err, "write certificate")
+		}
+	}
+	return nil
+}
+
 // open makes the VM's node; later ones listen where the first did.
 func (vm *VM) open(c *Cluster) error {
 	var dial node.Dial
--- a/internal/findings/findings.go
+++ b/internal/findings/findings.go
@@ -35,8 +35,11 @@
 	if p.Section != "" {
 		fmt.Fprintf(&b, ": [%s]", p.Section)
 	}
-	if p.Key != "" {
-		fmt.Fprintf(&b, " %s", p.Key)
+	switch {
+	case p.Key != "" && p.Section != "":
+		b.WriteString(" " + p.Key)
+	case p.Key != "":
+		b.WriteString(": " + p.Key)
 	}
 	return b.String()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -323,3 +323,13 @@
 
 // BundlesRefused returns how many bundles this VM did not accept.
 func (n *Node) BundlesRefused() int64 { return n.metrics.BundlesRefused.Value() }
+
+// PeerTraffic returns the bytes on all peer sessions so far, and how many
+// sessions are open.
+func (n *Node) PeerTraffic() (in, out int64, sessions int) {
+	in, out = n.mesh.Bytes()
+	return in, out, n.mesh.Sessions()
+}
+
+// PlatformReads returns how many calls this VM has made to the platform.
+func (n *Node) PlatformReads() int64 { return n.metrics.ServiceReads.Value() }
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/certs"
+	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// memorySink keeps an answer.
+type memorySink struct {
+	status int
+	body   []byte
+}
+
+func (s *memorySink) Head(status int, _ []*schema.Header) error { s.status = status; return nil }
+func (s *memorySink) Data(part []byte) error                    { s.body = append(s.body, part...); return nil }
+
+func head(id string, attempt uint32) *schema.Frame {
+	return &schema.Frame{Kind: &schema.Frame_Head{Head: &schema.AnswerHead{RequestId: id, Attempt: attempt, Status: 200}}}
+}
+
+func data(id string, attempt uint32, seq uint64, body string) *schema.Frame {
+	return &schema.Frame{Kind: &schema.Frame_Data{Data: &schema.AnswerData{RequestId: id, Attempt: attempt, Seq: seq, Body: []byte(body)}}}
+}
+
+func end(id string, attempt uint32, seq uint64) *schema.Frame {
+	return &schema.Frame{Kind: &schema.Frame_End{End: &schema.AnswerEnd{RequestId: id, Attempt: attempt, Seq: seq}}}
+}
+
+// TestAnswerFrames gives each way that an answer's frames can come, and whether
+// the answer counts as whole.
+func TestAnswerFrames(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		frames []*schema.Frame
+		code   string
+		body   string
+	}{
+		{"whole", []*schema.Frame{head("r", 1), data("r", 1, 1, "a"), data("r", 1, 2, "b"), end("r", 1, 2)}, "", "ab"},
+		{"no body", []*schema.Frame{head("r", 1), end("r", 1, 0)}, "", ""},
+		{"cut before the end", []*schema.Frame{head("r", 1), data("r", 1, 1, "a")}, forward.CodeCut, "a"},
+		{"cut before the head", nil, forward.CodeCut, ""},
+		{"a part is lost", []*schema.Frame{head("r", 1), data("r", 1, 2, "b"), end("r", 1, 2)}, forward.CodeCrossed, ""},
+		{"a part comes twice", []*schema.Frame{head("r", 1), data("r", 1, 1, "a"), data("r", 1, 1, "a")}, forward.CodeCrossed, "a"},
+		{"parts change places", []*schema.Frame{head("r", 1), data("r", 1, 2, "b"), data("r", 1, 1, "a")}, forward.CodeCrossed, ""},
+		{"the last part is lost", []*schema.Frame{head("r", 1), data("r", 1, 1, "a"), end("r", 1, 2)}, forward.CodeCrossed, "a"},
+		{"another request's head", []*schema.Frame{head("other", 1)}, forward.CodeCrossed, ""},
+		{"another request's part", []*schema.Frame{head("r", 1), data("other", 1, 1, "x")}, forward.CodeCrossed, ""},
+		{"an earlier attempt's part", []*schema.Frame{head("r", 2), data("r", 1, 1, "x")}, forward.CodeCrossed, ""},
+		{"an earlier attempt's end", []*schema.Frame{head("r", 1), end("r", 7, 0)}, forward.CodeCrossed, ""},
+		{"a second head", []*schema.Frame{head("r", 1), head("r", 1)}, forward.CodeCrossed, ""},
+		{"a part before the head", []*schema.Frame{data("r", 1, 1, "x")}, forward.CodeCrossed, ""},
+		{"a frame of another kind", []*schema.Frame{{Kind: &schema.Frame_Hello{Hello: &schema.Hello{Vm: "x"}}}}, forward.CodeCrossed, ""},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var wire bytes.Buffer
+			for _, f := range row.frames {
+				assert.NilError(t, writeFrame(&wire, f))
+			}
+			sink := &memorySink{}
+			attempt := uint32(1)
+			if row.name == "an earlier attempt's part" {
+				attempt = 2
+			}
+			got := (&answerCopy{id: "r", attempt: attempt, sink: sink}).run(t.Context(), newFrameReader(&wire))
+			assert.Equal(t, got.Failure.GetCode(), row.code)
+			if row.code != "" {
+				assert.Equal(t, got.Failure.GetOutcome(), schema.Outcome_OUTCOME_UNKNOWN)
+			}
+			assert.Equal(t, string(sink.body), row.body)
+		})
+	}
+}
+
+// echo answers calls with an empty reply.
+type echo struct{}
+
+func (echo) ServeForward(context.Context, coord.VMID, *schema.Forward, *AnswerWriter) {}
+func (echo) ServeCall(context.Context, coord.VMID, *schema.Call) *schema.Reply {
+	return &schema.Reply{Body: &schema.Reply_Empty{Empty: &schema.Empty{}}}
+}
+func (echo) Heard(*schema.Heartbeat) {}
+
+// startMesh starts a VM's mesh and returns its address.
+func startMesh(t *testing.T, vm coord.VMID, config *tls.Config, resolve func(coord.VMID) string) (*Mesh, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	m := New(Config{Self: vm, TLS: config, DialTimeout: 2 * time.Second}, echo{}, resolve)
+	go m.Serve(l)
+	t.Cleanup(func() { _ = l.Close(); m.Close() })
+	return m, l.Addr().String()
+}
+
+func tlsOf(t *testing.T, authority certs.Pair, vm string) *tls.Config {
+	t.Helper()
+	pair, err := certs.Issue(authority, vm, nil)
+	assert.NilError(t, err)
+	cert, err := tls.X509KeyPair(pair.Cert, pair.Key)
+	assert.NilError(t, err)
+	pool := x509.NewCertPool()
+	assert.Assert(t, pool.AppendCertsFromPEM(authority.Cert))
+	return NewTLS(cert, pool)
+}
+
+// TestIdentity gives each false identity of a peer; none gets a session.
+func TestIdentity(t *testing.T) {
+	ours, err := certs.NewAuthority()
+	assert.NilError(t, err)
+	theirs, err := certs.NewAuthority()
+	assert.NilError(t, err)
+	for _, row := range []struct {
+		name string
+		// says is what the listening VM says of itself, config its TLS.
+		says   coord.VMID
+		config *tls.Config
+		ok     bool
+	}{
+		{"right", "b", tlsOf(t, ours, "b"), true},
+		{"another VM at the address", "c", tlsOf(t, ours, "c"), false},
+		{"says a name that its certificate does not", "b", tlsOf(t, ours, "c"), false},
+		{"certificate of another authority", "b", tlsOf(t, theirs, "b"), false},
+		{"no TLS", "b", nil, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			_, address := startMesh(t, row.says, row.config, nil)
+			a, _ := startMesh(t, "a", tlsOf(t, ours, "a"), func(coord.VMID) string { return address })
+			_, err := a.Call(t.Context(), "b", &schema.Call{})
+			assert.Equal(t, err == nil, row.ok, "%v", err)
+		})
+	}
+}
+
+func FuzzFrames(f *testing.F) {
+	var wire bytes.Buffer
+	assert.NilError(f, writeFrame(&wire, head("r", 1)))
+	assert.NilError(f, writeFrame(&wire, end("r", 1, 0)))
+	f.Add(wire.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f, 0x00})
+	f.Fuzz(func(_ *testing.T, wire []byte) {
+		sink := &memorySink{}
+		(&answerCopy{id: "r", attempt: 1, sink: sink}).run(context.Background(), newFrameReader(bytes.NewReader(wire)))
+	})
+}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -128,6 +128,10 @@
 		s.mu.Unlock()
 		return
 	}
+	if len(s.asked) == len(s.others) && !s.history.Whole(s.cfg.Now()) {
+		// Not whole by these answers; others may have become so since.
+		s.asked = map[coord.VMID]bool{}
+	}
 	var ask []coord.VMID
 	for _, vm := range s.others {
 		if !s.asked[vm] {
