--- a/coord/ownership/ownership_test.go
+++ b/coord/ownership/ownership_test.go
@@ -38,7 +38,9 @@
 		all  bool
 		want []string
 	}{
-		{"nothing", func(m *ownership.Machine) []ownership.Action { return m.Want(now, true, []coord.VMID{"self", "x", "y"}) }, []coord.VMID{"x", "y"}, true, nil},
+		{"nothing", func(m *ownership.Machine) []ownership.Action {
+			return m.Want(now, true, []coord.VMID{"self", "x", "y"})
+		}, []coord.VMID{"x", "y"}, true, nil},
 		{"one releases", func(m *ownership.Machine) []ownership.Action { return m.Released("x", m.Fence(), nil) }, []coord.VMID{"y"}, true, nil},
 		{"a release under another number", func(m *ownership.Machine) []ownership.Action { return m.Released("x", m.Fence()-1, nil) }, []coord.VMID{"x", "y"}, true, nil},
 		{"the list drops one", func(m *ownership.Machine) []ownership.Action { return m.Want(now, true, []coord.VMID{"self", "y"}) }, []coord.VMID{"y"}, true, nil},
--- a/coord/policy_test.go
+++ b/coord/policy_test.go
@@ -160,6 +160,24 @@
 	}
 }
 
+// BenchmarkTuning replays the loads on the tuning seeds, for trying a setting.
+func BenchmarkTuning(b *testing.B) {
+	for _, s := range cases()[:3] {
+		b.Run(s.name, func(b *testing.B) {
+			sums := make([]float64, len(figureNames))
+			for _, seed := range tuningSeeds {
+				for i, x := range runCase(s, "ours", seed).row() {
+					sums[i] += x / float64(len(tuningSeeds))
+				}
+			}
+			for i, name := range figureNames {
+				b.ReportMetric(sums[i], name)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
 // TestReplayIsDeterministic gives the same figures for the same seed.
 func TestReplayIsDeterministic(t *testing.T) {
 	s := cases()[1]
--- a/coord/replay_test.go
+++ b/coord/replay_test.go
@@ -525,4 +525,3 @@
 	e.act(e.dispatch.Finished(e.sys.clock.now, j.handle))
 	e.hint(rendezvous.Hash(adapterOf(j.adapter).String()), adapterOf(j.adapter))
 }
-
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -23,6 +23,7 @@
 	bytesIn, bytesOut float64 // a second
 	cpu               float64 // share of a core
 	heap              float64
+	stacks            float64
 	goroutines        float64
 	sessions          float64
 	reads             float64 // of the platform, a second, all nodes
@@ -54,6 +55,9 @@
 		out.bytesIn, out.bytesOut = (in2-in)/took, (sent2-sent)/took
 		out.cpu = (cpuTime() - cpu).Seconds() / took
 		out.reads = (reads2 - reads) / time.Since(began).Seconds()
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		out.stacks = float64(mem.StackInuse) / float64(n)
 		out.goroutines = float64(runtime.NumGoroutine()) / float64(n)
 		for _, vm := range c.VMs {
 			_, _, sessions := vm.Node.PeerTraffic()
@@ -97,11 +101,11 @@
 		rows := []Row{
 			{What: "control bytes received", Unit: "bytes/s a node"}, {What: "control bytes sent", Unit: "bytes/s a node"},
 			{What: "processor time", Unit: "% of a core a node"}, {What: "heap", Unit: "KB a node"},
-			{What: "goroutines", Unit: "a node"}, {What: "sessions", Unit: "a node"}, {What: "platform reads", Unit: "a second, fleet"},
+			{What: "goroutine stacks", Unit: "KB a node"}, {What: "goroutines", Unit: "a node"}, {What: "sessions", Unit: "a node"}, {What: "platform reads", Unit: "a second, fleet"},
 		}
 		for _, n := range fleetSizes {
 			m := measureIdle(b, n)
-			for i, y := range []float64{m.bytesIn, m.bytesOut, 100 * m.cpu, m.heap / 1024, m.goroutines, m.sessions, m.reads} {
+			for i, y := range []float64{m.bytesIn, m.bytesOut, 100 * m.cpu, m.heap / 1024, m.stacks / 1024, m.goroutines, m.sessions, m.reads} {
 				rows[i].Per, rows[i].Planned = "VMs", 330
 				rows[i].Points = append(rows[i].Points, Point{X: float64(n), Y: y})
 			}
