--- a/coord/outcome/holders.go
+++ b/coord/outcome/holders.go
@@ -1,6 +1,7 @@
 package outcome
 
 import (
+	"slices"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
@@ -27,6 +28,11 @@
 	return h
 }
 
+// Equal reports whether both sets pick the same holders for every key.
+func (h *HolderSet) Equal(other *HolderSet) bool {
+	return other != nil && slices.Equal(h.ids, other.ids) && slices.Equal(h.halls, other.halls)
+}
+
 // Holders returns the holders of a key, heaviest first. Each next one is taken
 // from a hall that has none yet, as long as there is such a hall. O(VMs).
 func (h *HolderSet) Holders(key string) []coord.VMID {
@@ -46,7 +52,7 @@
 	best, bestFresh := -1, false
 	var weight uint64
 	for i, hash := range h.hashes {
-		if contains(taken, i) {
+		if slices.Contains(taken, i) {
 			continue
 		}
 		w, fresh := rendezvous.Mix(hash, key), h.isFreshHall(i, taken)
@@ -57,15 +63,6 @@
 	return best
 }
 
-func contains(list []int, x int) bool {
-	for _, v := range list {
-		if v == x {
-			return true
-		}
-	}
-	return false
-}
-
 func (h *HolderSet) isFreshHall(i int, taken []int) bool {
 	for _, t := range taken {
 		if h.halls[t] == h.halls[i] {
@@ -198,7 +195,7 @@
 // two of the set's holders. A record stands at two of three, so two of them
 // cannot both lack it.
 func (h *History) Certain(now time.Time, key string) bool {
-	if len(h.sets) == 0 || !isHolder(h.Current().Holders(key), h.self) {
+	if len(h.sets) == 0 || !slices.Contains(h.Current().Holders(key), h.self) {
 		return false
 	}
 	for i := range h.sets {
@@ -218,7 +215,7 @@
 		return true
 	}
 	holders := d.set.Holders(key)
-	if d.present && isHolder(holders, h.self) {
+	if d.present && slices.Contains(holders, h.self) {
 		return true
 	}
 	have := 0
@@ -229,12 +226,3 @@
 	}
 	return have >= Needed
 }
-
-func isHolder(holders []coord.VMID, id coord.VMID) bool {
-	for _, h := range holders {
-		if h == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/bundle/chunks.go
+++ b/internal/bundle/chunks.go
@@ -26,7 +26,7 @@
 	MaxChunks = 4096
 	// adaptersPerBucket balances the chunk that a change re-sends against the
 	// manifest that names all chunks; see docs/design/configuration.md.
-	adaptersPerBucket = 512
+	adaptersPerBucket = 256
 )
 
 // ManifestKey is the configuration service's key of the signed manifest.
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -27,6 +27,9 @@
 	goroutines        float64
 	sessions          float64
 	reads             float64 // of the platform, a second, all nodes
+	// listChange is the bytes that one change of the VM list costs a node, both
+	// ways, beyond the steady ones.
+	listChange float64
 }
 
 func cpuTime() time.Duration {
@@ -59,6 +62,7 @@
 		runtime.ReadMemStats(&mem)
 		out.stacks = float64(mem.StackInuse) / float64(n)
 		out.goroutines = float64(runtime.NumGoroutine()) / float64(n)
+		out.listChange = measureListChange(c, n, out.bytesIn+out.bytesOut)
 		for _, vm := range c.VMs {
 			_, _, sessions := vm.Node.PeerTraffic()
 			out.sessions += float64(sessions) / float64(n)
@@ -69,6 +73,20 @@
 	return out
 }
 
+// settleFor is how long the traffic after a change of the list takes.
+const settleFor = 4 * time.Second
+
+// measureListChange drops the last VM from the list: every other one asks all
+// others for the outcome records that it should hold.
+func measureListChange(c *dev.Cluster, n int, steady float64) float64 {
+	in, out, _ := totals(c)
+	began := time.Now()
+	c.PublishVMs(c.VMs[n-1])
+	<-time.After(settleFor)
+	in2, out2, _ := totals(c)
+	return (in2-in+out2-out)/float64(n) - steady*time.Since(began).Seconds()
+}
+
 // waitSessions waits until most pairs of nodes have met, as they do in time by
 // comparing versions.
 func waitSessions(c *dev.Cluster, n int) {
@@ -102,10 +120,11 @@
 			{What: "control bytes received", Unit: "bytes/s a node"}, {What: "control bytes sent", Unit: "bytes/s a node"},
 			{What: "processor time", Unit: "% of a core a node"}, {What: "heap", Unit: "KB a node"},
 			{What: "goroutine stacks", Unit: "KB a node"}, {What: "goroutines", Unit: "a node"}, {What: "sessions", Unit: "a node"}, {What: "platform reads", Unit: "a second, fleet"},
+			{What: "a change of the VM list", Unit: "bytes a node, both ways"},
 		}
 		for _, n := range fleetSizes {
 			m := measureIdle(b, n)
-			for i, y := range []float64{m.bytesIn, m.bytesOut, 100 * m.cpu, m.heap / 1024, m.stacks / 1024, m.goroutines, m.sessions, m.reads} {
+			for i, y := range []float64{m.bytesIn, m.bytesOut, 100 * m.cpu, m.heap / 1024, m.stacks / 1024, m.goroutines, m.sessions, m.reads, m.listChange} {
 				rows[i].Per, rows[i].Planned = "VMs", 330
 				rows[i].Points = append(rows[i].Points, Point{X: float64(n), Y: y})
 			}
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -336,10 +337,13 @@
 	return nil
 }
 
-// PublishVMs publishes the list of all VMs as live.
-func (c *Cluster) PublishVMs() {
+// PublishVMs publishes the list of all VMs as live, but for those left out.
+func (c *Cluster) PublishVMs(except ...*VM) {
 	list := make([]standin.VM, 0, len(c.VMs))
 	for _, vm := range c.VMs {
+		if slices.Contains(except, vm) {
+			continue
+		}
 		list = append(list, standin.VM{ID: vm.ID, Hall: vm.Settings.Vm.Hall, Address: vm.Settings.Peer.Listen, State: "live"})
 	}
 	c.Platform.SetVMs(list)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -71,6 +72,9 @@
 	units   map[coord.TargetID]*unit
 	catalog *catalog.Catalog
 	peers   []coord.VMID
+	// loadTime is the measured time of a load in nanoseconds, for targets that
+	// are taken over; zero until there was one.
+	loadTime atomic.Int64
 }
 
 // New returns an Owner of nothing.
@@ -228,5 +232,18 @@
 	return out
 }
 
+// loadTimeShare is the weight of a new measurement of a load, as one in N.
+const loadTimeShare = 8
+
+// noteLoadTime keeps a running mean. A measurement lost between two goroutines
+// does no harm.
+func (o *Owner) noteLoadTime(took time.Duration) {
+	mean := o.loadTime.Load()
+	if mean == 0 {
+		mean = int64(took)
+	}
+	o.loadTime.Store(mean + (int64(took)-mean)/loadTimeShare)
+}
+
 // Close waits for orders that run.
 func (o *Owner) Close() { o.pool.StopAndWait() }
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -227,6 +227,9 @@
 	cfg.Residency.Slots = int(u.spec.Slots)
 	cfg.Batch = int(u.spec.Batch)
 	cfg.QueueLimit = int(u.catalog.Limits.QueuePerTarget)
+	if known := u.owner.loadTime.Load(); known > 0 {
+		cfg.LoadTime = time.Duration(known)
+	}
 	if !u.fences() {
 		cfg.NameSuffix = u.nameSuffix(fence)
 	}
@@ -435,6 +438,7 @@
 	metrics.AddMillis(m.LoadMillis, took)
 	fields := log.Fields{"adapter": a.Adapter.String(), "took_ms": took.Milliseconds()}
 	if err == nil {
+		u.owner.noteLoadTime(took)
 		u.log().WithFields(fields).Info("adapter_loaded")
 		return
 	}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -75,7 +75,11 @@
 func (s *Store) ListChanged(members []*membership.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Changed(s.cfg.Now(), outcome.NewHolderSet(members))
+	set := outcome.NewHolderSet(members)
+	if set.Equal(s.history.Current()) {
+		return // a state changed, as when a VM leaves; the holders are the same
+	}
+	s.history.Changed(s.cfg.Now(), set)
 	s.others = s.others[:0:0]
 	for _, m := range members {
 		if m.ID != s.cfg.Self {
