--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -333,3 +333,13 @@
 
 // PlatformReads returns how many calls this VM has made to the platform.
 func (n *Node) PlatformReads() int64 { return n.metrics.ServiceReads.Value() }
+
+// Explain says why a model's request goes where it goes; nil for a model that the
+// bundle does not hold.
+func (n *Node) Explain(model string) *schema.Explanation {
+	m, kind := n.router.Catalog().Resolve(model)
+	if kind != catalog.OK {
+		return nil
+	}
+	return n.router.Explain(m)
+}
