--- a/coord/confver/confver.go
+++ b/coord/confver/confver.go
@@ -7,10 +7,9 @@
 // The caller must verify a bundle's signatures before it calls Accept.
 package confver
 
-// Gate holds the version in force and the highest version heard of.
+// Gate holds the version in force. The zero value has none.
 type Gate struct {
 	inForce uint64
-	heard   uint64
 }
 
 // InForce returns the version in force; zero when there is none.
@@ -23,27 +22,9 @@
 		return false
 	}
 	g.inForce = version
-	g.heard = max(g.heard, version)
 	return true
 }
 
-// Heard notes a version that another VM or the service named. It returns true
-// when this VM is now behind and did not know.
-func (g *Gate) Heard(version uint64) bool {
-	if version <= g.heard {
-		return false
-	}
-	g.heard = version
-	return version > g.inForce
-}
-
-// Behind reports whether a higher version than the one in force exists.
-func (g *Gate) Behind() bool { return g.heard > g.inForce }
-
-// Forget drops the memory of a version that turned out not to exist, so that a
-// false claim does not keep this VM waiting.
-func (g *Gate) Forget(version uint64) {
-	if g.heard == version {
-		g.heard = g.inForce
-	}
-}
+// Behind reports whether another side's version is higher than the one in force,
+// so that this side must catch up before it decides.
+func (g *Gate) Behind(version uint64) bool { return version > g.inForce }
--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -327,7 +327,7 @@
 // Heard takes the versions that another VM named and catches up if behind.
 func (s *Sync) Heard(vm coord.VMID, bundleVersion, listVersion uint64) {
 	s.mu.Lock()
-	behind := bundleVersion > s.gate.InForce() || listVersion > s.list.GetVersion()
+	behind := s.gate.Behind(bundleVersion) || listVersion > s.list.GetVersion()
 	s.mu.Unlock()
 	if !behind {
 		return
