Raise a waiting ask for a load turn when its worth has doubled

Cause: an ask kept the worth it was made with. A request of higher rank that came to an engine whose ask was already waiting stood behind asks of other engines.

Change: the dispatcher tells the giver when what waits is worth twice what it said. The test of one load for all waiters expected no action for the second waiter; it now expects exactly the raise.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -81,6 +81,8 @@
 	ActRefuse
 	// ActAskTurn asks for a turn at the weight store, worth Value.
 	ActAskTurn
+	// ActRaiseTurn raises the worth of the turn that was asked for to Value.
+	ActRaiseTurn
 	// ActGiveTurn gives a turn back.
 	ActGiveTurn
 	// ActLoad orders the target to load Adapter under Name.
@@ -163,6 +165,7 @@
 	phase     phase
 	next      coord.Adapter
 	askedAt   time.Time
+	askWorth  float64
 	loadSince time.Time
 	turnWait  time.Duration
 	retryAt   time.Time
--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -59,7 +59,9 @@
 	d := newDispatcher(nil)
 	acts := d.Submit(start, request(1, a, 0))
 	assert.Equal(t, acts[0].Kind, dispatch.ActAskTurn)
-	assert.Equal(t, len(d.Submit(start, request(2, a, 0))), 0)
+	second := d.Submit(start, request(2, a, 0)) // the load is worth more now
+	assert.Equal(t, len(second), 1)
+	assert.Equal(t, second[0].Kind, dispatch.ActRaiseTurn)
 	assert.DeepEqual(t, handles(load(t, d, start, a), dispatch.ActStart), []uint64{1, 2})
 }
 
--- a/coord/dispatch/load.go
+++ b/coord/dispatch/load.go
@@ -9,6 +9,9 @@
 // planLoad asks for a turn when an adapter waits for a load, none is under way
 // and a slot can be had for it.
 func (d *Dispatcher) planLoad(now time.Time) {
+	if d.phase == asked {
+		d.raise(now)
+	}
 	if d.phase != idle || d.stopped || now.Before(d.retryAt) {
 		return
 	}
@@ -18,10 +21,25 @@
 	}
 	d.phase = asked
 	d.askedAt = now
+	d.askWorth = worth
 	d.next = a
 	d.act(Action{Kind: ActAskTurn, Adapter: a, Value: worth})
 }
 
+// raiseFactor is how much the worth of a waiting ask must have grown before the
+// giver is told: a message for each waiter would be too many.
+const raiseFactor = 2
+
+// raise tells the giver when what waits has become worth much more than was said.
+func (d *Dispatcher) raise(now time.Time) {
+	_, worth, ok := d.worthiest(now)
+	if !ok || worth < raiseFactor*d.askWorth {
+		return
+	}
+	d.askWorth = worth
+	d.act(Action{Kind: ActRaiseTurn, Value: worth})
+}
+
 // worthiest returns the waiting adapter whose load is worth most.
 func (d *Dispatcher) worthiest(now time.Time) (best coord.Adapter, worth float64, ok bool) {
 	for a, q := range d.waiting {
--- a/coord/loadturn/loadturn.go
+++ b/coord/loadturn/loadturn.go
@@ -46,6 +46,15 @@
 	return g.Tick(now)
 }
 
+// Raise changes the value of a waiting request.
+func (g *Giver) Raise(id uint64, value float64) {
+	for i := range g.waiting {
+		if g.waiting[i].ID == id {
+			g.waiting[i].Value = value
+		}
+	}
+}
+
 // Cancel withdraws a request or gives a turn back.
 func (g *Giver) Cancel(now time.Time, id uint64) []uint64 {
 	delete(g.out, id)
--- a/coord/replay_test.go
+++ b/coord/replay_test.go
@@ -478,6 +478,8 @@
 			e.turn = e.sys.nextAsk
 			e.sys.asks[e.turn] = e
 			e.sys.grant(e.sys.giver.Ask(now, loadturn.Ask{ID: e.turn, Value: a.Value}))
+		case dispatch.ActRaiseTurn:
+			e.sys.giver.Raise(e.turn, a.Value)
 		case dispatch.ActGiveTurn:
 			e.sys.grant(e.sys.giver.Cancel(now, e.turn))
 		case dispatch.ActUnload:
--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -26,6 +26,7 @@
 	"github.com/junctionfold/junctionfold/coord/confver"
 	"github.com/junctionfold/junctionfold/internal/bundle"
 	"github.com/junctionfold/junctionfold/internal/platform"
+	"github.com/junctionfold/junctionfold/internal/wait"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -181,17 +182,6 @@
 	peerTimeout = 3 * time.Second
 )
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // watchLoop reads the manifest: by a waiting watch when this VM is a watcher,
 // else now and then.
 func (s *Sync) watchLoop(ctx context.Context) {
@@ -200,13 +190,13 @@
 		value, err := s.readManifest(ctx, revision)
 		if err != nil {
 			s.cfg.Log.WithError(err).Debug("manifest_unreadable")
-			sleep(ctx, s.jitter(retryRead))
+			wait.Sleep(ctx, s.jitter(retryRead))
 			continue
 		}
 		revision = value.Revision
 		s.takeValue(ctx, value)
 		if in, _ := s.Versions(); !s.roster.Watcher() && in > 0 {
-			sleep(ctx, s.jitter(idleRead))
+			wait.Sleep(ctx, s.jitter(idleRead))
 		}
 	}
 }
@@ -428,7 +418,7 @@
 		if _, version := s.Versions(); version > 0 && !s.roster.Watcher() {
 			pause = s.jitter(idleRead)
 		}
-		if !sleep(ctx, pause) {
+		if !wait.Sleep(ctx, pause) {
 			return
 		}
 		s.readList(ctx)
@@ -437,7 +427,7 @@
 
 // compareLoop compares versions with a random VM.
 func (s *Sync) compareLoop(ctx context.Context) {
-	for sleep(ctx, compareEvery) {
+	for wait.Sleep(ctx, compareEvery) {
 		others := s.roster.Others()
 		if len(others) == 0 {
 			continue
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -8,6 +8,7 @@
 	"github.com/junctionfold/junctionfold/coord/outcome"
 	"github.com/junctionfold/junctionfold/internal/forward"
 	"github.com/junctionfold/junctionfold/internal/records"
+	"github.com/junctionfold/junctionfold/internal/wait"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -48,7 +49,7 @@
 			c.answerPrior(decision, prior)
 			return
 		}
-		if !c.runnerAlive(prior) || !pause(ctx, records.JoinPause) {
+		if !c.runnerAlive(prior) || !wait.Sleep(ctx, records.JoinPause) {
 			c.answerPrior(outcome.RefuseUnknown, prior)
 			return
 		}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -8,6 +8,7 @@
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/internal/forward"
 	"github.com/junctionfold/junctionfold/internal/router"
+	"github.com/junctionfold/junctionfold/internal/wait"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -37,7 +38,7 @@
 	var last *schema.Failure
 	for n := uint32(1); n <= maxAttempts; n++ {
 		route, ok := j.pick(avoid)
-		if !ok && len(avoid) > 0 && passing(last) && pause(ctx, roundPause) {
+		if !ok && len(avoid) > 0 && passing(last) && wait.Sleep(ctx, roundPause) {
 			avoid = avoid[:0]
 			route, ok = j.pick(avoid)
 		}
@@ -84,17 +85,6 @@
 	return false
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (c *call) attempt(ctx context.Context, j *job, route router.Route, n uint32, sink *answerSink) *schema.Failure {
 	f := j.forward
 	f.Attempt = n
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -34,6 +34,8 @@
 	// the load has ended; otherwise the load may be asked for again after
 	// retry.
 	Acquire(ctx context.Context, target coord.TargetID, value float64) (done func(), granted bool, retry time.Duration)
+	// Raise changes the value of the target's ask that waits.
+	Raise(target coord.TargetID, value float64)
 }
 
 // Releases asks other VMs whether they have let go of targets.
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -327,6 +327,8 @@
 		u.wake(a)
 	case dispatch.ActAskTurn:
 		u.submitOrder(func(d *dispatch.Dispatcher) { u.askTurn(d, a.Value) })
+	case dispatch.ActRaiseTurn:
+		u.owner.pool.Submit(func() { u.owner.cfg.Turns.Raise(u.id, a.Value) })
 	case dispatch.ActGiveTurn:
 		u.giveTurn()
 	case dispatch.ActLoad:
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -40,14 +40,16 @@
 	give   *loadturn.Giver
 	next   uint64
 	wakers map[uint64]chan struct{}
-	timer  *time.Timer
+	// asks is the waiting ask of each target.
+	asks  map[coord.TargetID]uint64
+	timer *time.Timer
 }
 
 // NewGiver returns a Giver for a weight store that allows perSecond loads, one
 // at a time.
 func NewGiver(perSecond float64, now func() time.Time) *Giver {
 	return &Giver{
-		now: now, wakers: map[uint64]chan struct{}{},
+		now: now, wakers: map[uint64]chan struct{}{}, asks: map[coord.TargetID]uint64{},
 		give: loadturn.New(loadturn.Config{PerSecond: perSecond, Concurrent: 1, Hold: holdTimeout}),
 	}
 }
@@ -59,15 +61,17 @@
 	g.give.SetRate(perSecond)
 }
 
-// Ask waits for a turn.
-func (g *Giver) Ask(ctx context.Context, value float64) (turn uint64, granted bool) {
+// Ask waits for a turn for a target, which has one ask at a time.
+func (g *Giver) Ask(ctx context.Context, target coord.TargetID, value float64) (turn uint64, granted bool) {
 	g.mu.Lock()
 	g.next++
 	id := g.next
+	g.asks[target] = id
 	waker := make(chan struct{})
 	g.wakers[id] = waker
 	g.wake(g.give.Ask(g.now(), loadturn.Ask{ID: id, Value: value}))
 	g.mu.Unlock()
+	defer g.forget(target, id)
 	select {
 	case <-waker:
 		return id, true
@@ -77,6 +81,23 @@
 	}
 }
 
+func (g *Giver) forget(target coord.TargetID, id uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.asks[target] == id {
+		delete(g.asks, target)
+	}
+}
+
+// Raise changes the value of a target's waiting ask.
+func (g *Giver) Raise(target coord.TargetID, value float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if id, ok := g.asks[target]; ok {
+		g.give.Raise(id, value)
+	}
+}
+
 // Done gives a turn back, or withdraws an ask.
 func (g *Giver) Done(id uint64) {
 	g.mu.Lock()
@@ -134,13 +155,13 @@
 	defer cancel()
 	vm := t.Giver()
 	if vm == t.Self || vm == "" {
-		return acquireFrom(ctx, t.Local, value)
+		return acquireFrom(ctx, t.Local, target, value)
 	}
 	reply, err := t.Peers.Call(ctx, vm, &schema.Call{Body: &schema.Call_Turn{Turn: &schema.TurnRequest{
 		Vm: string(t.Self), Target: string(target), Value: value, TimeoutMs: serveTimeout.Milliseconds(),
 	}}})
 	if err != nil && ctx.Err() == nil {
-		return acquireFrom(ctx, t.Share, value)
+		return acquireFrom(ctx, t.Share, target, value)
 	}
 	if err != nil || !reply.GetTurn().GetGranted() {
 		return nil, false, deniedRetry
@@ -149,14 +170,29 @@
 	return func() { t.giveBack(vm, turn) }, true, 0
 }
 
-func acquireFrom(ctx context.Context, g *Giver, value float64) (done func(), granted bool, retry time.Duration) {
-	turn, ok := g.Ask(ctx, value)
+func acquireFrom(ctx context.Context, g *Giver, target coord.TargetID, value float64) (done func(), granted bool, retry time.Duration) {
+	turn, ok := g.Ask(ctx, target, value)
 	if !ok {
 		return nil, false, deniedRetry
 	}
 	return func() { g.Done(turn) }, true, 0
 }
 
+// Raise changes the value of a target's waiting ask. A raise that is lost costs
+// time only.
+func (t *Turns) Raise(target coord.TargetID, value float64) {
+	vm := t.Giver()
+	if vm == t.Self || vm == "" {
+		t.Local.Raise(target, value)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	_, _ = t.Peers.Call(ctx, vm, &schema.Call{Body: &schema.Call_TurnRaise{
+		TurnRaise: &schema.TurnRaise{Target: string(target), Value: value},
+	}})
+}
+
 func (t *Turns) giveBack(vm coord.VMID, turn uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
@@ -169,10 +205,13 @@
 	case *schema.Call_Turn:
 		ctx, cancel := context.WithTimeout(ctx, time.Duration(body.Turn.TimeoutMs)*time.Millisecond)
 		defer cancel()
-		turn, ok := t.Local.Ask(ctx, body.Turn.Value)
+		turn, ok := t.Local.Ask(ctx, coord.TargetID(body.Turn.Target), body.Turn.Value)
 		return &schema.Reply{Body: &schema.Reply_Turn{Turn: &schema.TurnReply{
 			Granted: ok, Turn: turn, RetryAfterMs: deniedRetry.Milliseconds(),
 		}}}
+	case *schema.Call_TurnRaise:
+		t.Local.Raise(coord.TargetID(body.TurnRaise.Target), body.TurnRaise.Value)
+		return &schema.Reply{Body: &schema.Reply_Empty{Empty: &schema.Empty{}}}
 	case *schema.Call_TurnDone:
 		t.Local.Done(body.TurnDone.Turn)
 		return &schema.Reply{Body: &schema.Reply_Empty{Empty: &schema.Empty{}}}
