Let the bundle's weights decide how soon an adapter is spread

Cause: the weights of load stall and batch efficiency were carried and read by nothing; and no case was bound by batches, where they matter.

--- a/coord/placement/parts.go
+++ b/coord/placement/parts.go
@@ -50,21 +50,22 @@
 // AffinityScorer prefers the targets that every VM prefers for the adapter, so
 // that it is loaded in as few places as its traffic needs. Targets within the
 // spread are equal.
-type AffinityScorer struct{}
+type AffinityScorer struct {
+	// Step is what each place beyond the spread costs: half a Step is worth a
+	// batch of queue.
+	Step float64
+}
 
 // Name returns the scorer's name.
 func (AffinityScorer) Name() string { return "affinity" }
 
-// affinityStep is what each place beyond the spread costs.
-const affinityStep = 0.5
-
 // Score falls with the distance from the spread.
-func (AffinityScorer) Score(q *Query, _ *Target, _ *Load, rank int) float64 {
+func (s AffinityScorer) Score(q *Query, _ *Target, _ *Load, rank int) float64 {
 	beyond := rank - max(q.Spread, 1) + 1
 	if beyond <= 0 {
 		return 1
 	}
-	return 1 - affinityStep*float64(beyond)
+	return 1 - s.Step*float64(beyond)
 }
 
 // QueueScorer prefers targets with a short queue.
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -154,12 +154,15 @@
 	return &Scheduler{filters: filters, scorers: scorers}
 }
 
-// Default returns the Scheduler that the daemon runs.
-func Default() *Scheduler {
+// Default returns the Scheduler that the daemon runs when load stalls weigh all.
+func Default() *Scheduler { return WithStep(stepForStalls) }
+
+// WithStep returns the daemon's Scheduler with another step of affinity.
+func WithStep(step float64) *Scheduler {
 	return NewScheduler(
 		[]Filter{HallFilter{}, LeavingFilter{}, TriedFilter{}, EjectedFilter{}},
 		[]Weighted{
-			{Scorer: AffinityScorer{}, Weight: affinityWeight},
+			{Scorer: AffinityScorer{Step: step}, Weight: affinityWeight},
 			{Scorer: QueueScorer{}, Weight: queueWeight},
 		},
 	)
--- a/coord/placement/spread.go
+++ b/coord/placement/spread.go
@@ -12,9 +12,10 @@
 	ShrinkAfter time.Duration
 }
 
-// DefaultSpreadConfig returns the settings that the daemon runs with.
+// DefaultSpreadConfig returns the settings that the daemon runs with when load
+// stalls weigh all.
 func DefaultSpreadConfig() SpreadConfig {
-	return SpreadConfig{GrowAt: 0.75, ShrinkAfter: 20 * time.Second}
+	return SpreadConfig{GrowAt: 1, ShrinkAfter: 20 * time.Second}
 }
 
 // Spread decides over how many targets each adapter is spread. Only adapters
@@ -30,6 +31,9 @@
 	changed  time.Time
 }
 
+// SetConfig takes new settings; adapters keep the spread they have.
+func (s *Spread) SetConfig(cfg SpreadConfig) { s.cfg = cfg }
+
 // NewSpread returns a Spread where every adapter has one target.
 func NewSpread(cfg SpreadConfig) *Spread {
 	return &Spread{cfg: cfg, hot: map[uint64]*hotAdapter{}}
--- a/coord/replay_test.go
+++ b/coord/replay_test.go
@@ -281,7 +281,10 @@
 
 // figures are what a replay reports.
 type figures struct {
-	stalls    []float64
+	stalls []float64
+	// arrived is when each served request came, for figures of a part of the
+	// run.
+	arrived   []time.Duration
 	firsts    []float64
 	highs     []float64
 	served    int
@@ -300,6 +303,7 @@
 		f.waited++
 	}
 	f.stalls = append(f.stalls, stall)
+	f.arrived = append(f.arrived, j.at.Sub(epoch))
 	first := j.started.Sub(j.at).Seconds()
 	f.firsts = append(f.firsts, first)
 	if j.rank > 0 {
@@ -307,6 +311,17 @@
 	}
 }
 
+// between returns the stalls of requests that came in a part of the run.
+func (f *figures) between(from, to time.Duration) []float64 {
+	var out []float64
+	for i, at := range f.arrived {
+		if at >= from && at < to {
+			out = append(out, f.stalls[i])
+		}
+	}
+	return out
+}
+
 func mean(xs []float64) float64 {
 	sum := 0.0
 	for _, x := range xs {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,11 +27,11 @@
 
 // Router picks targets.
 type Router struct {
-	view  atomic.Pointer[View]
-	sched *placement.Scheduler
-	now   func() time.Time
+	view atomic.Pointer[View]
+	now  func() time.Time
 
 	mu     sync.Mutex
+	sched  *placement.Scheduler
 	board  *placement.Board
 	spread *placement.Spread
 	turn   uint64
@@ -47,7 +47,15 @@
 }
 
 // SetView puts a view in force.
-func (r *Router) SetView(v View) { r.view.Store(&v) }
+func (r *Router) SetView(v View) {
+	w := v.Catalog.Weights
+	spread, sched := placement.ForWeights(w.GetLoadStall(), w.GetBatchEfficiency())
+	r.mu.Lock()
+	r.spread.SetConfig(spread)
+	r.sched = sched
+	r.mu.Unlock()
+	r.view.Store(&v)
+}
 
 // Catalog returns the catalog in force, or nil.
 func (r *Router) Catalog() *catalog.Catalog {
