--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -155,6 +155,63 @@
 	c.assertPromises(t)
 }
 
+// TestTakeoverRepeatsNoLoad crashes the owner of an engine that refuses old
+// numbers; its successor serves what the engine holds without loading it again.
+func TestTakeoverRepeatsNoLoad(t *testing.T) {
+	c, _ := startFleet(t, Options{})
+	const target = "roskilde-llm-1"
+	models := c.adaptersAt(target)
+	for i, m := range models {
+		assert.NilError(t, c.chat(t.Context(), i, m, "before", false))
+	}
+	held := c.Engines[target].Resident()
+	assert.Assert(t, len(held) > 0)
+	before := c.Weights.Loads()
+	c.VMs[1].Kill()
+	eventually(t, "a new owner", func() bool { return c.engineOwners(c.VMs[1])[target] != "" })
+	for _, m := range held {
+		assert.NilError(t, c.chat(t.Context(), 0, m, "after", false))
+	}
+	assert.DeepEqual(t, c.Weights.Loads(), before)
+}
+
+// TestListFreesSlots crashes the owner of an engine that ignores numbers. While
+// the list shows it, its adapters stay; once the list drops it their slots can be
+// used.
+func TestListFreesSlots(t *testing.T) {
+	c, _ := startFleet(t, Options{})
+	const target = "koege-llm-1"
+	c.fill(t, target)
+	c.VMs[2].Kill()
+	eventually(t, "a new owner", func() bool { return c.engineOwners(c.VMs[2])[target] != "" })
+	before := c.Engines[target].Resident()
+	for i, m := range c.models() {
+		assert.NilError(t, c.chat(t.Context(), i%2, m, "while it is listed", false))
+	}
+	for _, name := range before {
+		assert.Assert(t, slices.Contains(c.Engines[target].Resident(), name), "%s is gone", name)
+	}
+	c.PublishVMs(c.VMs[2])
+	eventually(t, "the slots to be used", func() bool {
+		for i, m := range c.models() {
+			assert.NilError(t, c.chat(t.Context(), i%2, m, "after", false))
+		}
+		return !slices.Contains(c.Engines[target].Resident(), before[0])
+	})
+	c.assertPromises(t)
+}
+
+// fill asks for adapters until an engine's slots are all in use.
+func (c *Cluster) fill(t *testing.T, target string) {
+	t.Helper()
+	eventually(t, "the engine's slots to be full", func() bool {
+		for i, m := range c.models() {
+			assert.NilError(t, c.chat(t.Context(), i, m, "fill", false))
+		}
+		return len(c.Engines[target].Resident()) == 4
+	})
+}
+
 // TestPartition cuts one VM off, lets both sides serve, and heals.
 func TestPartition(t *testing.T) {
 	c, network := startFleet(t, Options{TokenTime: time.Millisecond})
--- /dev/null
+++ b/internal/platform/contract_test.go
@@ -0,0 +1,114 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/internal/platform"
+	"github.com/junctionfold/junctionfold/internal/standin"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// platformUnderTest is the interfaces' user side and the means to publish. A test
+// of the real services gives its own.
+type platformUnderTest struct {
+	platform.ConfigService
+	platform.VMLister
+	publish func(key string, value []byte)
+	setVMs  func(...standin.VM)
+	reads   *int
+}
+
+func start(t *testing.T) platformUnderTest {
+	t.Helper()
+	p := standin.NewPlatform()
+	s := httptest.NewServer(p)
+	t.Cleanup(s.Close)
+	reads := 0
+	c := platform.NewClient(s.URL, s.URL, http.DefaultTransport, func() { reads++ })
+	return platformUnderTest{
+		ConfigService: c, VMLister: c, reads: &reads,
+		publish: func(key string, value []byte) { p.Publish(map[string][]byte{key: value}) },
+		setVMs:  func(vms ...standin.VM) { p.SetVMs(vms) },
+	}
+}
+
+func TestConfigServiceContract(t *testing.T) {
+	p := start(t)
+	ctx := t.Context()
+	t.Run("a missing key", func(t *testing.T) {
+		_, err := p.Get(ctx, "x")
+		assert.Assert(t, errors.Is(err, platform.ErrNotFound), "%v", err)
+	})
+	p.publish("x", []byte("one"))
+	first, err := p.Get(ctx, "x")
+	assert.NilError(t, err)
+	assert.Equal(t, string(first.Data), "one")
+	t.Run("a watch of an older revision returns at once", func(t *testing.T) {
+		v, err := p.Watch(ctx, "x", first.Revision-1, time.Minute)
+		assert.NilError(t, err)
+		assert.Equal(t, v.Revision, first.Revision)
+	})
+	t.Run("a watch without a change returns the same", func(t *testing.T) {
+		v, err := p.Watch(ctx, "x", first.Revision, 20*time.Millisecond)
+		assert.NilError(t, err)
+		assert.Equal(t, v.Revision, first.Revision)
+	})
+	t.Run("a watch returns with a change", func(t *testing.T) {
+		done := make(chan platform.Value, 1)
+		go func() {
+			v, _ := p.Watch(ctx, "x", first.Revision, time.Minute)
+			done <- v
+		}()
+		p.publish("x", []byte("two"))
+		v := <-done
+		assert.Equal(t, string(v.Data), "two")
+		assert.Assert(t, v.Revision > first.Revision)
+	})
+	t.Run("every call is counted", func(t *testing.T) { assert.Equal(t, *p.reads, 5) })
+}
+
+func TestVMListContract(t *testing.T) {
+	p := start(t)
+	p.setVMs(standin.VM{ID: "a", Hall: "h", Address: "127.0.0.1:1", State: "live"}, standin.VM{ID: "b", Hall: "h", State: "leaving"})
+	l, err := p.List(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, l.Vms[1].State, schema.VMState_VM_STATE_LEAVING)
+	p.setVMs(standin.VM{ID: "a", Hall: "h", State: "live"})
+	next, err := p.List(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, next.Version > l.Version)
+	p.setVMs(standin.VM{ID: "a", State: "sleeping"})
+	_, err = p.List(t.Context())
+	assert.ErrorContains(t, err, `"sleeping"`)
+}
+
+// TestBadServices gives answers of the services that must not be taken.
+func TestBadServices(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		handler http.HandlerFunc
+		want    string
+	}{
+		{"an error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, "status 500"},
+		{"no revision", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) }, "no revision"},
+		{"more than a megabyte", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(platform.RevisionHeader, "1")
+			_, _ = w.Write(make([]byte, platform.MaxValueBytes+1))
+		}, "too large"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := httptest.NewServer(row.handler)
+			defer s.Close()
+			c := platform.NewClient(s.URL, s.URL, http.DefaultTransport, func() {})
+			_, err := c.Get(context.Background(), "x")
+			assert.ErrorContains(t, err, row.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/target/contract_test.go
@@ -0,0 +1,165 @@
+package target_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord/attempt"
+	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/internal/standin"
+	"github.com/junctionfold/junctionfold/internal/target"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// The contract of an engine is checked against the stand-in, or against a real
+// engine whose address stands in this variable. It must have the base model
+// base-8b, two slots, and weights for a@1, b@1 and c@1.
+const engineVariable = "JUNCTIONFOLD_ENGINE"
+
+// engineAddress returns the engine under test.
+func engineAddress(t *testing.T, refuses bool) string {
+	t.Helper()
+	if real := os.Getenv(engineVariable); real != "" {
+		return real
+	}
+	s := httptest.NewServer(standin.NewEngine(standin.EngineConfig{
+		Base: "base-8b", Slots: 2, RefusesOldFences: refuses, Weights: standin.NewWeightStore(time.Millisecond),
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func newEngine(t *testing.T, refuses bool) *target.Engine {
+	t.Helper()
+	return target.NewEngine(&schema.Target{Address: engineAddress(t, refuses)}, http.DefaultTransport, "")
+}
+
+// sink keeps an answer.
+type sink struct {
+	status int
+	body   strings.Builder
+}
+
+func (s *sink) Head(status int, _ []*schema.Header) error { s.status = status; return nil }
+func (s *sink) Data(part []byte) error                    { s.body.Write(part); return nil }
+
+func run(t *testing.T, e *target.Engine, name, model string, stream bool) (*sink, forward.Result, *attempt.Attempt) {
+	t.Helper()
+	out, a := &sink{}, &attempt.Attempt{}
+	body := `{"model":"x","stream":false,"messages":[{"role":"user","content":"hello there"}]}`
+	if stream {
+		body = strings.Replace(body, "false", "true", 1)
+	}
+	r := e.Run(t.Context(), target.Run{
+		Forward: &schema.Forward{RequestId: t.Name(), Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte(body), Stream: stream},
+		Name:    name, Model: model, Fence: 10, Attempt: a,
+	}, out)
+	return out, r, a
+}
+
+// TestEngineContract is what the owner relies on.
+func TestEngineContract(t *testing.T) {
+	e := newEngine(t, true)
+	ctx := t.Context()
+	t.Run("a claim is shown in the report", func(t *testing.T) {
+		assert.NilError(t, e.Claim(ctx, 10))
+		s, err := e.State(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, s.Fence, uint64(10))
+		assert.Assert(t, s.BootID != "")
+	})
+	t.Run("a load is resident when the order ends", func(t *testing.T) {
+		assert.NilError(t, e.Load(ctx, 10, "a@1", "a@1"))
+		s, err := e.State(ctx)
+		assert.NilError(t, err)
+		assert.Assert(t, slices.Contains(s.Resident, "a@1"))
+	})
+	t.Run("loading what is there is no error", func(t *testing.T) {
+		assert.NilError(t, e.Load(ctx, 10, "a@1", "a@1"))
+	})
+	t.Run("a load into no free slot fails and evicts nothing", func(t *testing.T) {
+		assert.NilError(t, e.Load(ctx, 10, "b@1", "b@1"))
+		assert.ErrorContains(t, e.Load(ctx, 10, "c@1", "c@1"), "no_free_slot")
+		s, err := e.State(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, len(s.Resident), 2)
+	})
+	for _, stream := range []bool{false, true} {
+		t.Run("an answer names the adapter", func(t *testing.T) {
+			out, r, a := run(t, e, "a@1", "a@1", stream)
+			assert.Assert(t, r.Failure == nil, "%v", r.Failure)
+			assert.Equal(t, out.status, http.StatusOK)
+			assert.Assert(t, strings.Contains(out.body.String(), `"model":"a@1"`))
+			assert.Equal(t, a.Outcome(), attempt.Ran)
+		})
+	}
+	t.Run("a request for what is not loaded is refused unrun", func(t *testing.T) {
+		_, r, a := run(t, e, "c@1", "c@1", false)
+		assert.Equal(t, r.Failure.GetCode(), target.EngineNotLoaded)
+		assert.Equal(t, a.Outcome(), attempt.NotRun)
+	})
+	t.Run("an unload empties the slot", func(t *testing.T) {
+		assert.NilError(t, e.Unload(ctx, 10, "b@1"))
+		assert.NilError(t, e.Load(ctx, 10, "c@1", "c@1"))
+	})
+}
+
+// TestFencingContract is what engines do with old numbers, by kind.
+func TestFencingContract(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		refuses bool
+	}{{"refuses", true}, {"ignores", false}} {
+		t.Run(row.name, func(t *testing.T) {
+			if os.Getenv(engineVariable) != "" && !row.refuses {
+				t.Skip("the real engine is taken to refuse old numbers")
+			}
+			e := newEngine(t, row.refuses)
+			assert.NilError(t, e.Claim(t.Context(), 20))
+			for _, order := range []func(context.Context, uint64) error{
+				e.Claim,
+				func(ctx context.Context, fence uint64) error { return e.Load(ctx, fence, "a@1", "a@1") },
+				func(ctx context.Context, fence uint64) error { return e.Unload(ctx, fence, "a@1") },
+			} {
+				err := order(t.Context(), 19)
+				var stale *target.StaleFence
+				assert.Equal(t, errors.As(err, &stale), row.refuses, "%v", err)
+				if stale != nil {
+					assert.Equal(t, stale.Seen, uint64(20))
+				}
+			}
+		})
+	}
+}
+
+// TestCallersNameComesBack hides the name that an adapter has at the engine.
+func TestCallersNameComesBack(t *testing.T) {
+	e := newEngine(t, false)
+	assert.NilError(t, e.Load(t.Context(), 1, "a@1~xyz", "a@1"))
+	for _, stream := range []bool{false, true} {
+		out, r, _ := run(t, e, "a@1~xyz", "a@1", stream)
+		assert.Assert(t, r.Failure == nil, "%v", r.Failure)
+		assert.Assert(t, !strings.Contains(out.body.String(), "~xyz"), "%s", out.body.String())
+		assert.Assert(t, strings.Contains(out.body.String(), `"model":"a@1"`))
+	}
+}
+
+// TestUnreachableEngine is an attempt that provably did not run.
+func TestUnreachableEngine(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(s.URL, "http://")
+	s.Close()
+	e := target.NewEngine(&schema.Target{Address: address}, &http.Transport{}, "")
+	_, r, a := run(t, e, "a@1", "a@1", false)
+	assert.Equal(t, r.Failure.GetCode(), forward.CodeTargetDown)
+	assert.Equal(t, a.Outcome(), attempt.NotRun)
+}
