Write each event's line at once

Cause: make run -v showed lines of two VMs mixed: the library's handler writes a line in pieces, and VMs in one process share standard error.

Change: each event is formatted into a buffer and written with one call.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,6 +3,7 @@
 package logging
 
 import (
+	"bytes"
 	"io"
 	"sync"
 
@@ -16,22 +17,29 @@
 	if err != nil {
 		parsed = log.InfoLevel
 	}
-	l := &log.Logger{Handler: logfmt.New(&lockedWriter{w: w}), Level: parsed}
+	h := &lineHandler{w: w}
+	h.format = logfmt.New(&h.line)
+	l := &log.Logger{Handler: h, Level: parsed}
 	return l.WithField("vm", vm)
 }
 
-// Discard returns a logger that writes nothing.
-func Discard() log.Interface { return New(io.Discard, "error", "") }
-
-// lockedWriter keeps the lines of concurrent events whole.
-type lockedWriter struct {
-	mu sync.Mutex
-	w  io.Writer
+// lineHandler writes each event with one Write. The library's handler writes a
+// line in pieces, and the lines of several VMs that share a writer would mix.
+type lineHandler struct {
+	mu     sync.Mutex
+	line   bytes.Buffer
+	format *logfmt.Handler
+	w      io.Writer
 }
 
-// Write writes one line.
-func (l *lockedWriter) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.w.Write(p)
+// HandleLog writes one event.
+func (h *lineHandler) HandleLog(e *log.Entry) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.line.Reset()
+	if err := h.format.HandleLog(e); err != nil {
+		return err
+	}
+	_, err := h.w.Write(h.line.Bytes())
+	return err
 }
