Tell a version that was made anew from the old copies engines hold

Cause: reading the owner again showed three ways to the wrong adapter or an eviction in use. (1) A version removed and made anew under its name was served from the copy that an engine still held. (2) A target dropped from the bundle while requests ran lost its unit at once; when it came back, a new unit knew nothing of their pins. (3) A target whose address or slots changed kept the state of the old one.

Change: (1) a revision in the bundle is part of the name at engines; (2) a unit stays until nothing of it is left; (3) a changed declaration starts the tenure anew.

--- a/coord/doc.go
+++ b/coord/doc.go
@@ -41,28 +41,45 @@
 //   - confver: bundle versions that never go back.
 package coord
 
+import "strconv"
+
 // VMID names a VM, as the published list does.
 type VMID string
 
 // TargetID names a target, as the bundle does.
 type TargetID string
 
-// Adapter is one adapter in one version. Both parts are exact: there is no
-// default version.
+// Adapter is one adapter in one version. All parts are exact: there is no default
+// version.
 type Adapter struct {
 	// Name of the adapter; for a request to the base model, the base's name.
 	Name string
 	// Version of the adapter; empty for a request to the base model itself.
 	Version string
+	// Revision tells a version that operators have made anew under its old name
+	// from the one before. Callers do not name it; targets do.
+	Revision int32
 }
 
-// String gives the form that callers use: name@version.
-func (a Adapter) String() string {
+// Model gives the form that callers use: name@version.
+func (a Adapter) Model() string {
 	if a.Version == "" {
 		return a.Name
 	}
 	return a.Name + "@" + a.Version
 }
 
+// revisionMark stands between a version and its revision. Names of the bundle
+// cannot hold it.
+const revisionMark = "+"
+
+// String gives the name at a target, which differs for each revision.
+func (a Adapter) String() string {
+	if a.Revision == 0 {
+		return a.Model()
+	}
+	return a.Model() + revisionMark + strconv.Itoa(int(a.Revision))
+}
+
 // IsBase reports whether a names a base model without an adapter.
 func (a Adapter) IsBase() bool { return a.Version == "" }
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -120,6 +120,9 @@
 		c.reference("adapter", a.Name, "halls", h, c.halls)
 	}
 	c.versions(a)
+	if a.Revision < 0 {
+		c.add("adapter", a.Name, "revision", "%d is below zero", a.Revision)
+	}
 	c.atLeastZero("adapter", a.Name, "rate_limit", a.RateLimit)
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -35,6 +35,7 @@
 	// Halls is the placement mask of the halls that may serve it.
 	Halls     uint64
 	RateLimit float64
+	Revision  int32
 }
 
 // Service is a plain service with its instances.
@@ -151,7 +152,7 @@
 	for _, a := range b.Adapters {
 		c.adapters[a.Name] = &Adapter{
 			Name: a.Name, Base: a.Base, Versions: a.Versions, Rank: c.ranks[a.Priority],
-			Halls: c.Engines.HallMask(a.Halls), RateLimit: a.RateLimit,
+			Halls: c.Engines.HallMask(a.Halls), RateLimit: a.RateLimit, Revision: a.Revision,
 		}
 	}
 }
@@ -182,18 +183,19 @@
 }
 
 func (a *Adapter) model(version string) Model {
-	ref := coord.Adapter{Name: a.Name, Version: version}
+	ref := coord.Adapter{Name: a.Name, Version: version, Revision: a.Revision}
 	return Model{
-		Adapter: ref, Base: a.Base, Key: rendezvous.Hash(ref.String()),
+		Adapter: ref, Base: a.Base, Key: rendezvous.Hash(ref.Model()),
 		Halls: a.Halls, Rank: a.Rank, RateLimit: a.RateLimit,
 	}
 }
 
 // ParseName reads an adapter's name at an engine back into the adapter. ok is
-// false for a name that the bundle does not hold.
+// false for a name that the bundle does not hold, in the revision in force.
 func (c *Catalog) ParseName(name string) (coord.Adapter, bool) {
-	m, kind := c.Resolve(name)
-	return m.Adapter, kind == OK
+	model, _, _ := strings.Cut(name, "+")
+	m, kind := c.Resolve(model)
+	return m.Adapter, kind == OK && m.Adapter.String() == name
 }
 
 // Service returns a plain service, or nil.
--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -331,6 +331,48 @@
 	assert.NilError(t, c.chat(t.Context(), 2, c.Bundle().Adapters[0].Name+"@v7", "still there", false))
 }
 
+// TestVersionMadeAnew raises an adapter's revision: copies of the old version that
+// engines hold are not used any more, and callers see no other name.
+func TestVersionMadeAnew(t *testing.T) {
+	c, _ := startFleet(t, Options{})
+	const model = "cab-answers@v3"
+	assert.NilError(t, c.chat(t.Context(), 0, model, "old", false))
+	for _, a := range c.Bundle().Adapters {
+		if a.Name == "cab-answers" {
+			a.Revision = 1
+		}
+	}
+	assert.NilError(t, c.Publish())
+	assert.NilError(t, c.WaitReady(readyTimeout))
+	for i := range c.VMs {
+		assert.NilError(t, c.chat(t.Context(), i, model, "new", i%2 == 0))
+	}
+	assert.Equal(t, c.Weights.Loads()[model], 2)
+}
+
+// TestTargetLeavesBundle takes an engine out of the bundle while a request runs
+// there, and brings it back: the request ends whole, and its adapter is kept.
+func TestTargetLeavesBundle(t *testing.T) {
+	c, _ := startFleet(t, Options{TokenTime: 10 * time.Millisecond})
+	const target = "glostrup-llm-1"
+	models := c.adaptersAt(target)
+	done := make(chan error, 1)
+	go func() { done <- c.chat(t.Context(), 1, models[0], strings.TrimSpace(strings.Repeat("long ", 100)), true) }()
+	eventually(t, "the request to run", func() bool { return len(c.Engines[target].Runs()) == 1 })
+	all := c.Bundle().Targets
+	c.Bundle().Targets = slices.DeleteFunc(slices.Clone(all), func(t *schema.Target) bool { return t.Name == target })
+	assert.NilError(t, c.Publish())
+	eventually(t, "the change in force", func() bool { return c.VMs[0].Node.Status().BundleVersion == c.Version() })
+	c.Bundle().Targets = all
+	assert.NilError(t, c.Publish())
+	assert.NilError(t, c.WaitReady(readyTimeout))
+	for i, m := range append(models, c.models()...) {
+		assert.NilError(t, c.chat(t.Context(), i, m, "push it out", false))
+	}
+	assert.NilError(t, <-done)
+	c.assertPromises(t)
+}
+
 // TestEngineFaults shows what callers get when engines fail.
 func TestEngineFaults(t *testing.T) {
 	c, _ := startFleet(t, Options{})
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -37,7 +37,7 @@
 
 func (u *unit) executeOnce(ctx context.Context, f *schema.Forward, sink forward.Sink) forward.Result {
 	ref := coord.Adapter{Name: f.Adapter, Version: f.AdapterVersion}
-	handle, signal, refusal := u.submit(ctx, ref, f)
+	handle, signal, refusal := u.submit(ctx, ref)
 	if refusal != nil {
 		return *refusal
 	}
@@ -63,10 +63,10 @@
 }
 
 // submit checks the request against the bundle in force and queues it.
-func (u *unit) submit(ctx context.Context, ref coord.Adapter, f *schema.Forward) (uint64, chan dispatch.Action, *forward.Result) {
+func (u *unit) submit(ctx context.Context, ref coord.Adapter) (uint64, chan dispatch.Action, *forward.Result) {
 	deadline, _ := ctx.Deadline()
 	u.mu.Lock()
-	model, refusal := u.admit(ref, f)
+	model, refusal := u.admit(ref)
 	if refusal != nil {
 		u.mu.Unlock()
 		return 0, nil, refusal
@@ -76,7 +76,7 @@
 	signal := make(chan dispatch.Action, 1)
 	u.waiters[handle] = signal
 	acts := u.dispatch.Submit(u.now(), dispatch.Request{
-		Handle: handle, Adapter: ref, Rank: model.Rank, Deadline: deadline,
+		Handle: handle, Adapter: model.Adapter, Rank: model.Rank, Deadline: deadline,
 	})
 	u.mu.Unlock()
 	u.runDispatch(acts)
@@ -84,7 +84,7 @@
 }
 
 // admit refuses what this VM may not or cannot send. u.mu is held.
-func (u *unit) admit(ref coord.Adapter, f *schema.Forward) (catalog.Model, *forward.Result) {
+func (u *unit) admit(ref coord.Adapter) (catalog.Model, *forward.Result) {
 	if !u.machine.MayStart() || u.dispatch == nil {
 		r := refuse(forward.CodeOwnerStarting, startingRetry, "ownership of the target is "+u.machine.Phase().String())
 		return catalog.Model{}, &r
@@ -93,10 +93,10 @@
 		r := refuse(forward.CodeTargetLeaving, 0, "the target is leaving")
 		return catalog.Model{}, &r
 	}
-	model, kind := u.catalog.Resolve(ref.String())
+	model, kind := u.catalog.Resolve(ref.Model())
 	if kind != catalog.OK || model.Base != u.spec.Base {
 		r := forward.Fail(forward.CodeUnknownModel, http.StatusNotFound,
-			schema.Outcome_OUTCOME_NOT_RUN, 0, "the bundle in force does not hold "+ref.String()+" for this target")
+			schema.Outcome_OUTCOME_NOT_RUN, 0, "the bundle in force does not hold "+ref.Model()+" for this target")
 		return catalog.Model{}, &r
 	}
 	return model, nil
@@ -134,7 +134,7 @@
 		return refuse(forward.CodeNotOwner, 0, "the target went to another owner")
 	}
 	r := engine.Run(ctx, target.Run{
-		Forward: f, Name: act.Name, Model: ref.String(), Fence: fence, Attempt: att,
+		Forward: f, Name: act.Name, Model: ref.Model(), Fence: fence, Attempt: att,
 	}, sink)
 	u.finished(act.Handle, true)
 	if r.Failure != nil && r.Failure.Code == target.EngineStaleFence {
@@ -160,8 +160,8 @@
 	h := &schema.LoadHint{Target: string(u.id), Batch: uint32(u.spec.Batch), Leaving: u.leaving}
 	if u.dispatch != nil {
 		h.Running, h.Queued = uint32(u.dispatch.Running()), uint32(u.dispatch.Queued())
-		same := u.dispatch.SameAdapter(coord.Adapter{Name: f.Adapter, Version: f.AdapterVersion})
-		h.SameAdapter = uint32(same)
+		model, _ := u.catalog.Resolve(coord.Adapter{Name: f.Adapter, Version: f.AdapterVersion}.Model())
+		h.SameAdapter = uint32(u.dispatch.SameAdapter(model.Adapter))
 	}
 	return h
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -70,10 +70,9 @@
 	cfg  Config
 	pool pond.Pool
 
-	mu      sync.Mutex
-	units   map[coord.TargetID]*unit
-	catalog *catalog.Catalog
-	peers   []coord.VMID
+	mu    sync.Mutex
+	units map[coord.TargetID]*unit
+	peers []coord.VMID
 	// loadTime is the measured time of a load in nanoseconds, for targets that
 	// are taken over; zero until there was one.
 	loadTime atomic.Int64
@@ -96,41 +95,40 @@
 
 // Apply takes a new view.
 func (o *Owner) Apply(v View) {
+	for u, wanted := range o.decide(v) {
+		u.want(wanted, v)
+	}
+}
+
+// decide says for each unit whether this VM should own its target, and makes the
+// units that it lacks. A target that the bundle no longer holds is not wanted.
+func (o *Owner) decide(v View) map[*unit]bool {
 	o.mu.Lock()
-	o.catalog = v.Catalog
+	defer o.mu.Unlock()
 	o.peers = v.Peers
-	o.dropGone(v.Catalog)
-	type change struct {
-		u      *unit
-		wanted bool
+	wanted := make(map[*unit]bool, len(o.units))
+	for _, u := range o.units {
+		wanted[u] = false
 	}
-	var changes []change
 	for id, t := range v.Catalog.Targets() {
-		if t.Kind != schema.TargetKind_TARGET_KIND_ENGINE {
+		if t.Kind != schema.TargetKind_TARGET_KIND_ENGINE || v.Leaving || v.Chooser.Owner(t.Hash, t.Hall) != o.cfg.Self {
 			continue
 		}
-		wanted := !v.Leaving && v.Chooser.Owner(t.Hash, t.Hall) == o.cfg.Self
-		u := o.units[id]
-		if u == nil && wanted {
-			u = newUnit(o, t, v.Catalog)
-			o.units[id] = u
+		if o.units[id] == nil {
+			o.units[id] = newUnit(o, t, v.Catalog)
 		}
-		if u != nil {
-			changes = append(changes, change{u, wanted})
-		}
-	}
-	o.mu.Unlock()
-	for _, c := range changes {
-		c.u.want(c.wanted, v)
+		wanted[o.units[id]] = true
 	}
+	return wanted
 }
 
-// dropGone stops the units of targets that the bundle no longer holds.
-func (o *Owner) dropGone(c *catalog.Catalog) {
-	for id, u := range o.units {
-		if c.Target(id) == nil {
-			delete(o.units, id)
-			go u.want(false, View{Catalog: c, Peers: o.peers})
+// dropGone forgets the units of targets that are no more.
+func (o *Owner) dropGone() {
+	for _, u := range o.snapshot() {
+		if u.gone() {
+			o.mu.Lock()
+			delete(o.units, u.id)
+			o.mu.Unlock()
 		}
 	}
 }
@@ -184,6 +182,9 @@
 	for _, u := range o.snapshot() {
 		u.tick(peers, poll)
 	}
+	if poll {
+		o.dropGone()
+	}
 }
 
 // Execute runs an attempt on a target that this VM owns.
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/dispatch"
@@ -60,27 +61,46 @@
 func (u *unit) want(wanted bool, v View) {
 	u.mu.Lock()
 	u.catalog = v.Catalog
+	var acts []ownership.Action
 	if t := v.Catalog.Target(u.id); t != nil {
-		u.respec(t)
+		acts = u.respec(t)
 	}
 	before := u.machine.Phase()
 	if wanted && before == ownership.Idle {
 		u.tookAt = u.now()
 	}
-	acts := u.machine.Want(u.now(), wanted, v.Peers)
+	acts = append(acts, u.machine.Want(u.now(), wanted, v.Peers)...)
 	u.mu.Unlock()
 	u.runOwnership(acts)
 }
 
-// respec takes a changed declaration of the target. A new address is another
-// engine: its slots are read anew.
-func (u *unit) respec(t *catalog.Target) {
-	if t.Address != u.spec.Address || t.ChecksOrders != u.spec.ChecksOrders {
-		u.engine = target.NewEngine(t.Target, u.owner.cfg.Transport, u.owner.cfg.OrderToken)
-		u.boot = ""
-	}
+// respec takes the target's declaration. When it has changed in more than that
+// the target leaves, what this VM knows of it may be wrong, and the tenure starts
+// anew: the target is read and claimed before it is used. u.mu is held.
+func (u *unit) respec(t *catalog.Target) []ownership.Action {
+	old := u.spec
 	u.spec = t
 	u.leaving = u.leaving || t.Leaving
+	if sameTarget(old.Target, t.Target) {
+		return nil
+	}
+	u.engine = target.NewEngine(t.Target, u.owner.cfg.Transport, u.owner.cfg.OrderToken)
+	u.boot = ""
+	return u.machine.Rebooted(u.now())
+}
+
+func sameTarget(a, b *schema.Target) bool {
+	x, y := proto.CloneOf(a), proto.CloneOf(b)
+	x.Leaving, y.Leaving = false, false
+	return proto.Equal(x, y)
+}
+
+// gone reports whether the bundle holds the target no more and nothing of it is
+// left here. Until then the unit answers for what its requests still use.
+func (u *unit) gone() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.catalog.Target(u.id) == nil && u.machine.Phase() == ownership.Idle
 }
 
 func (u *unit) tick(peers []coord.VMID, poll bool) {
@@ -413,7 +433,7 @@
 	err := errStepped
 	if ok {
 		u.owner.cfg.Metrics.Loads.Add(1)
-		err = engine.Load(context.Background(), fence, a.Name, a.Adapter.String())
+		err = engine.Load(context.Background(), fence, a.Name, a.Adapter.Model())
 	}
 	u.noteLoad(a, fence, u.now().Sub(began), err)
 	u.feed(d, func(now time.Time) []dispatch.Action {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -168,7 +168,7 @@
 // Explain says why a model's request goes where it goes.
 func (r *Router) Explain(m catalog.Model) *schema.Explanation {
 	v := r.view.Load()
-	out := &schema.Explanation{Model: m.Adapter.String()}
+	out := &schema.Explanation{Model: m.Adapter.Model()}
 	pool := v.Catalog.Engines.Pool(m.Base)
 	if pool == nil {
 		return out
