--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -357,7 +357,9 @@
 	const target = "glostrup-llm-1"
 	models := c.adaptersAt(target)
 	done := make(chan error, 1)
-	go func() { done <- c.chat(t.Context(), 1, models[0], strings.TrimSpace(strings.Repeat("long ", 100)), true) }()
+	go func() {
+		done <- c.chat(t.Context(), 1, models[0], strings.TrimSpace(strings.Repeat("long ", 100)), true)
+	}()
 	eventually(t, "the request to run", func() bool { return len(c.Engines[target].Runs()) == 1 })
 	all := c.Bundle().Targets
 	c.Bundle().Targets = slices.DeleteFunc(slices.Clone(all), func(t *schema.Target) bool { return t.Name == target })
