Say unknown when any attempt may have run; give up on silent VMs in seconds

Cause, from reading the retry loop again: (1) an idempotent request was tried again after an attempt with an unknown outcome; when the second was refused unsent, the caller was told not_run true, which may be false. (2) A VM that loses power resets no connection; a request sent to it before it is suspect could wait for its deadline. (3) Requests whose owner cannot be reached used the budget of retries, although nothing reaches a target.

Change: (1) a failure says not run only if no attempt may have run; (2) sessions with a VM end five seconds after it became suspect, or when the list drops it; (3) such attempts count as re-routes.

Measured: TestRetryKeepsTheDoubt fails with (1) taken out ('true' for 'unknown') and passes with it.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -57,6 +57,8 @@
 	State State
 	// Incarnation of the process last heard from; zero when never heard.
 	Incarnation uint64
+	// SuspectSince is when the VM became suspect; zero when it is not.
+	SuspectSince time.Time
 
 	hash      uint64
 	lastHeard time.Time
@@ -213,6 +215,7 @@
 	m.lastHeard = now
 	m.saidLeave = leaving || (m.saidLeave && !restarted)
 	m.State = m.stateWhenHeard()
+	m.SuspectSince = time.Time{}
 	return t.noteChange(&before, m)
 }
 
@@ -225,17 +228,24 @@
 
 // Suspected takes another VM's notice that id's heartbeats have stopped. A
 // notice about an older incarnation, or about this VM itself, changes nothing.
-func (t *Tracker) Suspected(id coord.VMID, incarnation uint64) bool {
+func (t *Tracker) Suspected(now time.Time, id coord.VMID, incarnation uint64) bool {
 	m := t.byID[id]
 	if m == nil || id == t.cfg.Self || incarnation < m.Incarnation {
 		return false
 	}
 	before := *m
 	m.Incarnation = incarnation
-	m.State = Suspect
+	m.suspect(now)
 	return t.noteChange(&before, m)
 }
 
+func (m *Member) suspect(now time.Time) {
+	if m.State != Suspect {
+		m.SuspectSince = now
+	}
+	m.State = Suspect
+}
+
 func (t *Tracker) noteChange(before, after *Member) bool {
 	if before.State == after.State && before.Incarnation == after.Incarnation {
 		return false
@@ -259,7 +269,7 @@
 			continue
 		}
 		if now.Sub(m.lastHeard) >= t.cfg.SuspectAfter {
-			m.State = Suspect
+			m.suspect(now)
 			t.epoch++
 			fresh = append(fresh, m)
 		}
--- a/coord/membership/membership_test.go
+++ b/coord/membership/membership_test.go
@@ -55,14 +55,14 @@
 			}
 			t.Heard(at(2100), "b", 1, false)
 		}, membership.Live},
-		{"another VM's suspicion", func(t *membership.Tracker) { t.Suspected("b", 1) }, membership.Suspect},
+		{"another VM's suspicion", func(t *membership.Tracker) { t.Suspected(at(3), "b", 1) }, membership.Suspect},
 		{"a suspicion of an earlier process", func(t *membership.Tracker) {
 			t.Heard(at(1), "b", 7, false)
-			t.Suspected("b", 6)
+			t.Suspected(at(3), "b", 6)
 		}, membership.Live},
 		{"a late heartbeat of an earlier process", func(t *membership.Tracker) {
 			t.Heard(at(1), "b", 7, false)
-			t.Suspected("b", 7)
+			t.Suspected(at(3), "b", 7)
 			t.Heard(at(2), "b", 6, false)
 		}, membership.Suspect},
 		{"it says that it leaves", func(t *membership.Tracker) { t.Heard(at(1), "b", 1, true) }, membership.Leaving},
--- a/internal/dev/engine_faults_test.go
+++ b/internal/dev/engine_faults_test.go
@@ -1,6 +1,7 @@
 package dev
 
 import (
+	"bytes"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/junctionfold/junctionfold/internal/standin"
+	"github.com/junctionfold/junctionfold/schema"
 )
 
 // setFaults sets the same switches on every engine.
@@ -116,6 +118,34 @@
 	}
 }
 
+// TestRetryKeepsTheDoubt repeats calls that may be repeated after one that ran and
+// lost its answer. The second instance cannot be reached; the first may still have
+// run, whichever was tried first.
+func TestRetryKeepsTheDoubt(t *testing.T) {
+	c, _ := startFleet(t, Options{})
+	c.Bundle().Targets = append(c.Bundle().Targets, &schema.Target{
+		Name: "glostrup-app-2", Kind: schema.TargetKind_TARGET_KIND_SERVICE, Service: "tickets",
+		Hall: "glostrup-hal", Address: freeAddress(t),
+	})
+	assert.NilError(t, c.Publish())
+	assert.NilError(t, c.WaitReady(readyTimeout))
+	eventually(t, "the second instance to be routed to", func() bool {
+		return c.VMs[0].Node.Ready() && c.VMs[0].Node.Status().BundleVersion == c.Version()
+	})
+	for range 2 {
+		c.Services["glostrup-app-1"].DropAfterRun(1)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, c.VMs[0].Door()+"/services/tickets/x", http.NoBody)
+		assert.NilError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		var body bytes.Buffer
+		_, err = body.ReadFrom(resp.Body)
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		assert.Equal(t, gjson.GetBytes(body.Bytes(), "error.not_run").String(), "unknown", "%s", body.String())
+	}
+}
+
 // TestKeyForTwoRequests refuses a key that was used for another request.
 func TestKeyForTwoRequests(t *testing.T) {
 	c, _ := startFleet(t, Options{})
--- a/internal/dev/paused_test.go
+++ b/internal/dev/paused_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/tidwall/gjson"
 	"google.golang.org/protobuf/encoding/protojson"
 	"gotest.tools/v3/assert"
 
@@ -172,3 +173,26 @@
 	}
 	c.Platform.SetVMs(append(list, standin.VM{ID: "entry-3", Hall: "koege-hal", Address: p.peer, State: "live"}))
 }
+
+// TestSilentOwner stops an owner's process for good, as a loss of power would: no
+// connection is reset. A request sent to it before it is suspect ends as unknown
+// within seconds and not at its deadline of five minutes.
+func TestSilentOwner(t *testing.T) {
+	const target = "koege-llm-1"
+	c, err := Start(Options{VMs: 2, LoadTime: 5 * time.Millisecond})
+	assert.NilError(t, err)
+	t.Cleanup(c.Close)
+	p := startProcess(t, c)
+	c.publishWith(p)
+	eventually(t, "the process to own its hall's engine", func() bool { return p.serving(target) })
+	model := c.adaptersAt(target)[0]
+	assert.NilError(t, c.chat(t.Context(), 0, model, "before", false))
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+	began := time.Now()
+	r, err := Post(t.Context(), c.VMs[0].Door()+chatPath, ChatBody(model, "into the silence", false), nil)
+	assert.NilError(t, err)
+	took := time.Since(began)
+	t.Logf("answered after %s: %s", took, r.body)
+	assert.Equal(t, gjson.GetBytes(r.body, "error.not_run").String(), "unknown")
+	assert.Assert(t, took < time.Minute)
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -30,12 +30,22 @@
 	roundPause  = 200 * time.Millisecond
 )
 
-// run tries the job until it is answered or given up. Once part of the answer
-// has gone to the caller there is no other attempt.
+// run tries the job until it is answered or given up. A failure says not run only
+// if no attempt can have run: an idempotent request may have been tried again
+// after one whose outcome is not known.
 func (c *call) run(ctx context.Context, j *job, sink *answerSink) *schema.Failure {
+	f, mayHaveRun := c.tryAll(ctx, j, sink)
+	if f != nil && mayHaveRun && f.Outcome == schema.Outcome_OUTCOME_NOT_RUN {
+		f.Outcome = schema.Outcome_OUTCOME_UNKNOWN
+	}
+	return f
+}
+
+// tryAll makes the attempts. Once part of the answer has gone to the caller there
+// is no other one.
+func (c *call) tryAll(ctx context.Context, j *job, sink *answerSink) (last *schema.Failure, mayHaveRun bool) {
 	c.door.cfg.Retries.First()
 	var avoid []coord.TargetID
-	var last *schema.Failure
 	for n := uint32(1); n <= maxAttempts; n++ {
 		route, ok := j.pick(avoid)
 		if !ok && len(avoid) > 0 && passing(last) && wait.Sleep(ctx, roundPause) {
@@ -43,15 +53,16 @@
 			route, ok = j.pick(avoid)
 		}
 		if !ok {
-			return noTarget(last)
+			return noTarget(last), mayHaveRun
 		}
 		last = c.attempt(ctx, j, route, n, sink)
+		mayHaveRun = mayHaveRun || (last != nil && last.Outcome != schema.Outcome_OUTCOME_NOT_RUN)
 		if last == nil || sink.committed || !c.mayRetry(ctx, j, last) {
-			return last
+			return last, mayHaveRun
 		}
 		avoid = append(avoid, route.Target)
 	}
-	return last
+	return last, mayHaveRun
 }
 
 // noTarget is the failure of a request that no candidate is left for.
@@ -62,12 +73,12 @@
 	return refusal(forward.CodeNoTarget, http.StatusServiceUnavailable, time.Second, "no target may serve the request now")
 }
 
-// rerouted reports whether an owner sent the request on before its target had any
-// work with it. Such an attempt adds nothing to the targets' load, so it does not
+// rerouted reports whether a request was turned away, or its owner not reached,
+// before its target had any work with it. Such an attempt adds nothing to the targets' load, so it does not
 // count against the budget of retries.
 func rerouted(code string) bool {
 	switch code {
-	case forward.CodeOwnerStarting, forward.CodeNotOwner, forward.CodeOwnerStopped, forward.CodeTargetLeaving, forward.CodeSlotsHeld:
+	case forward.CodeOwnerStarting, forward.CodeNotOwner, forward.CodeOwnerStopped, forward.CodeTargetLeaving, forward.CodeSlotsHeld, forward.CodeUnreachable:
 		return true
 	}
 	return false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -246,7 +246,9 @@
 func (n *Node) onList(l *schema.VMList) {
 	n.metrics.ListVersion.Set(int64(l.Version))
 	n.log.WithField("version", l.Version).WithField("vms", len(l.Vms)).Info("vm_list_changed")
-	n.view.applyList(l)
+	for _, vm := range n.view.applyList(l) {
+		n.mesh.Drop(vm)
+	}
 	n.records.ListChanged(n.view.members())
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -25,6 +25,8 @@
 	bundlePoll = 10 * time.Millisecond
 	// fadeEvery is the time between two ticks of the router.
 	fadeEvery = time.Second
+	// dropAfter is how long a VM may be suspect before its sessions are ended.
+	dropAfter = 5 * time.Second
 	// drainPoll is the time between two looks at what is still open.
 	drainPoll = 20 * time.Millisecond
 	// headerTimeout bounds the time a caller takes to send a request's head.
@@ -147,6 +149,15 @@
 	}
 }
 
+// dropSilent ends the sessions with VMs that have been silent for long: a VM that
+// lost its power sends no reset, and requests through it would hang to their
+// deadline. One that was only paused makes new sessions when it wakes.
+func (n *Node) dropSilent() {
+	for _, vm := range n.view.silentFor(dropAfter) {
+		n.mesh.Drop(vm)
+	}
+}
+
 func (n *Node) fadeLoop(ctx context.Context) {
 	ticker := time.NewTicker(fadeEvery)
 	defer ticker.Stop()
@@ -156,6 +167,7 @@
 			return
 		case <-ticker.C:
 			n.router.Tick()
+			n.dropSilent()
 		}
 	}
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// applyList takes a published list and returns its members.
-func (v *view) applyList(l *schema.VMList) {
+// applyList takes a published list and returns the VMs that it dropped.
+func (v *view) applyList(l *schema.VMList) []coord.VMID {
 	listed := make([]membership.Listed, 0, len(l.Vms))
 	for _, vm := range l.Vms {
 		listed = append(listed, membership.Listed{
@@ -58,9 +58,10 @@
 		})
 	}
 	v.mu.Lock()
-	v.tracker.ApplyList(v.now(), l.Version, listed)
+	dropped := v.tracker.ApplyList(v.now(), l.Version, listed)
 	v.mu.Unlock()
 	v.markDirty()
+	return dropped
 }
 
 // heard takes a sign of life; it returns false when nothing changed.
@@ -76,7 +77,7 @@
 
 func (v *view) suspected(id coord.VMID, incarnation uint64) bool {
 	v.mu.Lock()
-	changed := v.tracker.Suspected(id, incarnation)
+	changed := v.tracker.Suspected(v.now(), id, incarnation)
 	v.mu.Unlock()
 	if changed {
 		v.markDirty()
@@ -84,6 +85,14 @@
 	return changed
 }
 
+// silentFor returns the VMs that have been suspect for at least d.
+func (v *view) silentFor(d time.Duration) []coord.VMID {
+	now := v.now()
+	return ids(v.members(), func(m *membership.Member) bool {
+		return m.State == membership.Suspect && now.Sub(m.SuspectSince) >= d
+	})
+}
+
 // tick returns the VMs that have just become suspect, as copies.
 func (v *view) tick() []membership.Member {
 	v.mu.Lock()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -125,6 +125,21 @@
 	m.keep(s)
 }
 
+// Drop ends the sessions with a VM; answers under way on them are cut.
+func (m *Mesh) Drop(vm coord.VMID) {
+	m.mu.Lock()
+	var open []*session
+	for s := range m.all {
+		if s.vm == vm {
+			open = append(open, s)
+		}
+	}
+	m.mu.Unlock()
+	for _, s := range open {
+		_ = s.mux.Close()
+	}
+}
+
 // Close ends all sessions.
 func (m *Mesh) Close() {
 	m.mu.Lock()
