Send a request only in the tenure that started it; same events, same actions

Cause: reading the owner again showed a gap between the dispatcher's word to start a request and its sending. When the tenure ended and the next began in between, the request was sent under a name that the new tenure had not pinned.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -14,6 +14,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -376,6 +378,7 @@
 			d.act(Action{Kind: ActRefuse, Handle: r.Handle, Cause: CauseStopped})
 		}
 	}
+	inOrder(d.acts)
 	d.waiting = map[coord.Adapter]*queue{}
 	d.queued = 0
 	return d.acts
@@ -395,12 +398,19 @@
 	d.acts = nil
 	d.expire(now)
 	d.refuseBlocked()
+	inOrder(d.acts)
 	for len(d.running) < d.cfg.Batch && d.startNext(now) {
 	}
 	d.planLoad(now)
 	return d.acts
 }
 
+// inOrder sorts refusals by handle, so that the same events give the same actions
+// whatever the order of a map.
+func inOrder(refusals []Action) {
+	slices.SortFunc(refusals, func(a, b Action) int { return cmp.Compare(a.Handle, b.Handle) })
+}
+
 func (d *Dispatcher) expire(now time.Time) {
 	for a, q := range d.waiting {
 		for _, r := range q.takeExpired(now) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,26 +104,19 @@
 
 // connect builds what talks to others.
 func (n *Node) connect(self coord.VMID, dial Dial) error {
-	s := n.settings
-	tlsConfig, err := peer.TLSFromSettings(s.Peer)
+	tlsConfig, err := peer.TLSFromSettings(n.settings.Peer)
 	if err != nil {
 		return err
 	}
-	trust, err := bundle.NewTrust(s.Trust)
+	trust, err := bundle.NewTrust(n.settings.Trust)
 	if err != nil {
 		return err
 	}
 	n.mesh = peer.New(peer.Config{
-		Self: self, Hall: s.Vm.Hall, Incarnation: n.incarnation, TLS: tlsConfig, DialTimeout: dialTimeout, Dial: dial,
+		Self: self, Hall: n.settings.Vm.Hall, Incarnation: n.incarnation, TLS: tlsConfig, DialTimeout: dialTimeout, Dial: dial,
 	}, (*peerHandler)(n), n.view.address)
 	transport := newTransport()
-	n.sync = confsync.New(confsync.Config{
-		Platform: platform.NewClient(s.Platform.ConfigUrl, s.Platform.VmListUrl, transport, func() { n.metrics.ServiceReads.Add(1) }),
-		Peers:    n.mesh, Trust: trust, Seeds: s.Platform.Seeds, Seed: n.incarnation, Log: n.log,
-		ListPoll: time.Duration(s.Platform.VmListPollMs) * time.Millisecond,
-		Watch:    time.Duration(s.Platform.WatchMs) * time.Millisecond,
-		OnBundle: n.onBundle, OnList: n.onList, OnRefused: n.onRefused, Beat: n.heartbeat,
-	}, n.view)
+	n.sync = n.newSync(trust, transport)
 	n.records = records.New(records.Config{
 		Self: self, Incarnation: n.incarnation, Peers: n.mesh, Lists: n.sync, Now: n.now,
 		Limits: outcome.Config{Retention: firstRetention, MaxBytes: firstBytes},
@@ -132,16 +125,37 @@
 		Self: self, Local: turns.NewGiver(firstLoadRate, n.now), Share: turns.NewGiver(firstLoadRate, n.now),
 		Peers: n.mesh, Giver: n.giver,
 	}
-	n.owner = owner.New(owner.Config{
-		Self: self, Incarnation: n.incarnation, Tie: tieOf(s.Vm.Id), Transport: transport, OrderToken: s.Platform.OrderToken,
-		Turns: n.turns, Releases: n, Log: n.log, Audit: n.audit, Metrics: n.metrics, Now: n.now,
+	n.owner = n.newOwner(self, transport)
+	n.door = n.newDoor(transport)
+	return nil
+}
+
+func (n *Node) newSync(trust bundle.Trust, transport http.RoundTripper) *confsync.Sync {
+	p := n.settings.Platform
+	counted := func() { n.metrics.ServiceReads.Add(1) }
+	return confsync.New(confsync.Config{
+		Platform: platform.NewClient(p.ConfigUrl, p.VmListUrl, transport, counted),
+		Peers:    n.mesh, Trust: trust, Seeds: p.Seeds, Seed: n.incarnation, Log: n.log,
+		ListPoll: time.Duration(p.VmListPollMs) * time.Millisecond,
+		Watch:    time.Duration(p.WatchMs) * time.Millisecond,
+		OnBundle: n.onBundle, OnList: n.onList, OnRefused: n.onRefused, Beat: n.heartbeat,
+	}, n.view)
+}
+
+func (n *Node) newOwner(self coord.VMID, transport http.RoundTripper) *owner.Owner {
+	return owner.New(owner.Config{
+		Self: self, Incarnation: n.incarnation, Tie: tieOf(n.settings.Vm.Id), Transport: transport,
+		OrderToken: n.settings.Platform.OrderToken, Turns: n.turns, Releases: n,
+		Log: n.log, Audit: n.audit, Metrics: n.metrics, Now: n.now,
 	})
-	n.door = entry.New(entry.Config{
-		Settings: s.Door, Router: n.router, Records: n.records, Limits: n.limits, Retries: n.retries,
+}
+
+func (n *Node) newDoor(transport http.RoundTripper) *entry.Door {
+	return entry.New(entry.Config{
+		Settings: n.settings.Door, Router: n.router, Records: n.records, Limits: n.limits, Retries: n.retries,
 		Owner: n.executor, Transport: transport, Alive: n.view.alive, Ready: n.Ready,
 		Log: n.log, Metrics: n.metrics, Now: n.now,
 	})
-	return nil
 }
 
 // maxIdlePerTarget keeps connections to targets open between requests.
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -37,12 +37,12 @@
 
 func (u *unit) executeOnce(ctx context.Context, f *schema.Forward, sink forward.Sink) forward.Result {
 	ref := coord.Adapter{Name: f.Adapter, Version: f.AdapterVersion}
-	handle, signal, refusal := u.submit(ctx, ref)
+	p, refusal := u.submit(ctx, ref)
 	if refusal != nil {
 		return *refusal
 	}
 	began := u.now()
-	act, ok := u.await(ctx, handle, signal)
+	act, ok := u.await(ctx, p)
 	if !ok {
 		return forward.Fail(forward.CodeTimeout, http.StatusGatewayTimeout,
 			schema.Outcome_OUTCOME_NOT_RUN, 0, "the deadline passed, or the caller left, in the queue")
@@ -51,7 +51,7 @@
 		return refuse(act.Cause.String(), act.RetryAfter, "the target cannot take the request")
 	}
 	u.noteStall(u.now().Sub(began))
-	return u.run(ctx, f, ref, act, sink)
+	return u.run(ctx, f, p, act, sink)
 }
 
 func (u *unit) noteStall(d time.Duration) {
@@ -62,30 +62,49 @@
 	metrics.AddMillis(u.owner.cfg.Metrics.StallMillis, d)
 }
 
+// pending is a request that was given to the dispatcher of one tenure.
+type pending struct {
+	ref      coord.Adapter
+	handle   uint64
+	dispatch *dispatch.Dispatcher
+	// fence is the number of the tenure. The request is sent under no other:
+	// what was pinned for it is not pinned in the next one.
+	fence  uint64
+	signal chan dispatch.Action
+}
+
 // submit checks the request against the bundle in force and queues it.
-func (u *unit) submit(ctx context.Context, ref coord.Adapter) (uint64, chan dispatch.Action, *forward.Result) {
+func (u *unit) submit(ctx context.Context, ref coord.Adapter) (*pending, *forward.Result) {
 	deadline, _ := ctx.Deadline()
 	u.mu.Lock()
 	model, refusal := u.admit(ref)
 	if refusal != nil {
 		u.mu.Unlock()
-		return 0, nil, refusal
+		return nil, refusal
 	}
 	u.nextID++
-	handle := u.nextID
-	signal := make(chan dispatch.Action, 1)
-	u.waiters[handle] = signal
+	p := &pending{
+		ref: ref, handle: u.nextID, dispatch: u.dispatch, fence: u.serving,
+		signal: make(chan dispatch.Action, 1),
+	}
+	u.waiters[p.handle] = p.signal
 	acts := u.dispatch.Submit(u.now(), dispatch.Request{
-		Handle: handle, Adapter: model.Adapter, Rank: model.Rank, Deadline: deadline,
+		Handle: p.handle, Adapter: model.Adapter, Rank: model.Rank, Deadline: deadline,
 	})
 	u.mu.Unlock()
 	u.runDispatch(acts)
-	return handle, signal, nil
+	return p, nil
+}
+
+// mayServe reports whether the tenure of the dispatcher in force still lasts.
+// u.mu is held.
+func (u *unit) mayServe() bool {
+	return u.dispatch != nil && u.machine.MayStart() && u.machine.Fence() == u.serving
 }
 
 // admit refuses what this VM may not or cannot send. u.mu is held.
 func (u *unit) admit(ref coord.Adapter) (catalog.Model, *forward.Result) {
-	if !u.machine.MayStart() || u.dispatch == nil {
+	if !u.mayServe() {
 		r := refuse(forward.CodeOwnerStarting, startingRetry, "ownership of the target is "+u.machine.Phase().String())
 		return catalog.Model{}, &r
 	}
@@ -104,53 +123,51 @@
 
 // await waits for the dispatcher's word. When the caller goes first, the request
 // is withdrawn; if it has just been started, it is ended unsent.
-func (u *unit) await(ctx context.Context, handle uint64, signal chan dispatch.Action) (dispatch.Action, bool) {
+func (u *unit) await(ctx context.Context, p *pending) (dispatch.Action, bool) {
 	select {
-	case act := <-signal:
+	case act := <-p.signal:
 		return act, true
 	case <-ctx.Done():
 	}
 	u.mu.Lock()
-	delete(u.waiters, handle)
-	acts := u.dispatch.Cancel(u.now(), handle)
-	acts = append(acts, u.dispatch.Finished(u.now(), handle)...)
+	delete(u.waiters, p.handle)
 	u.mu.Unlock()
-	u.runDispatch(acts)
+	u.feed(p.dispatch, func(now time.Time) []dispatch.Action {
+		acts := p.dispatch.Cancel(now, p.handle)
+		return append(acts, p.dispatch.Finished(now, p.handle)...)
+	})
 	return dispatch.Action{}, false
 }
 
-// run sends a started request.
-func (u *unit) run(ctx context.Context, f *schema.Forward, ref coord.Adapter, act dispatch.Action, sink forward.Sink) forward.Result {
-	att := &attempt.Attempt{}
+// run sends a started request, if the tenure that started it still lasts.
+func (u *unit) run(ctx context.Context, f *schema.Forward, p *pending, act dispatch.Action, sink forward.Sink) forward.Result {
 	u.mu.Lock()
-	ok := u.machine.MayStart()
+	ok := u.mayServe() && u.serving == p.fence
 	if ok {
 		u.machine.Started()
 	}
-	engine, fence := u.engine, u.machine.Fence()
+	engine := u.engine
 	u.mu.Unlock()
 	if !ok {
-		u.finished(act.Handle, false)
+		u.finished(p)
 		return refuse(forward.CodeNotOwner, 0, "the target went to another owner")
 	}
 	r := engine.Run(ctx, target.Run{
-		Forward: f, Name: act.Name, Model: ref.Model(), Fence: fence, Attempt: att,
+		Forward: f, Name: act.Name, Model: p.ref.Model(), Fence: p.fence, Attempt: &attempt.Attempt{},
 	}, sink)
-	u.finished(act.Handle, true)
+	u.mu.Lock()
+	u.machine.Ended()
+	u.mu.Unlock()
+	u.finished(p)
 	if r.Failure != nil && r.Failure.Code == target.EngineStaleFence {
-		u.orderFailed(fence, &target.StaleFence{})
+		u.orderFailed(p.fence, &target.StaleFence{})
 	}
 	return r
 }
 
-func (u *unit) finished(handle uint64, counted bool) {
-	u.mu.Lock()
-	if counted {
-		u.machine.Ended()
-	}
-	acts := u.dispatch.Finished(u.now(), handle)
-	u.mu.Unlock()
-	u.runDispatch(acts)
+// finished unpins what the request used.
+func (u *unit) finished(p *pending) {
+	u.feed(p.dispatch, func(now time.Time) []dispatch.Action { return p.dispatch.Finished(now, p.handle) })
 }
 
 // hint tells the sender how loaded the target is.
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -32,9 +32,11 @@
 	machine  *ownership.Machine
 	dispatch *dispatch.Dispatcher
 	waiters  map[uint64]chan dispatch.Action
-	nextID   uint64
-	boot     string
-	leaving  bool
+	// serving is the fencing number of the tenure that dispatch belongs to.
+	serving uint64
+	nextID  uint64
+	boot    string
+	leaving bool
 	// doubted is set when the target has shown that its slots are not what
 	// this VM believes.
 	doubted  bool
@@ -227,6 +229,7 @@
 func (u *unit) serve(a ownership.Action) {
 	u.mu.Lock()
 	u.dispatch = dispatch.New(u.dispatchConfig(a.Fence))
+	u.serving = a.Fence
 	acts := u.dispatch.Inherit(u.now(), a.Resident, u.catalog.ParseName, u.fences())
 	took := u.now().Sub(u.tookAt)
 	u.mu.Unlock()
