Count an overdue turn once in the expected wait for a load

Cause: in a rolling restart under -race on a busy machine 2 of 366 requests were refused as loads_overdue: one ask that hung while the giver restarted was counted for each load ahead.

Change: the overdue part counts once. The restart test now uses fewer adapters than there are slots, so that a refusal in it can only come of the restart; it still allows none.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -290,8 +290,9 @@
 		return 0 // it waits for the others of its adapter, who were let in
 	}
 	each := d.turnWait + d.loadAvg
+	overdue := time.Duration(0)
 	if d.phase == asked {
-		each = max(each, now.Sub(d.askedAt)+d.loadAvg)
+		overdue = max(0, now.Sub(d.askedAt)-d.turnWait)
 	}
 	loads := 1
 	for other, q := range d.waiting {
@@ -299,7 +300,7 @@
 			loads++
 		}
 	}
-	return time.Duration(loads) * each
+	return overdue + time.Duration(loads)*each
 }
 
 // Finished takes the end of a running request, whole or not.
