Name a bundle version only once this VM decides by it; measure the catch-up

Cause: whether the side that is behind should catch up before it decides was kept on argument. Measuring it showed 5 to 8 of 120 requests for a new version refused as unknown even with it: a VM named a version as in force before its router and owner had taken it over.

Change: the bundle is carried to all parts before its version is named; refreshes are one at a time. BenchmarkCatchUp publishes 40 versions on seven VMs and asks for what is new at the first VM that has it.

--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -247,11 +247,12 @@
 	if err != nil {
 		return errors.Wrapf(err, "bundle %d", m.Version)
 	}
+	// The version is named to others only once this VM decides by it.
+	s.cfg.OnBundle(m, b)
 	s.mu.Lock()
 	s.gate.Accept(m.Version)
 	s.manifest, s.chunks = signed, chunks
 	s.mu.Unlock()
-	s.cfg.OnBundle(m, b)
 	s.tell(ctx)
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,10 +58,13 @@
 
 	doorListener, peerListener, opsListener net.Listener
 
-	catalog  atomic.Pointer[catalog.Catalog]
-	draining atomic.Bool
-	killed   chan struct{}
-	killOnce sync.Once
+	catalog atomic.Pointer[catalog.Catalog]
+	// refreshing makes refreshes one at a time, so that an older view never
+	// replaces a newer one.
+	refreshing sync.Mutex
+	draining   atomic.Bool
+	killed     chan struct{}
+	killOnce   sync.Once
 	// beating keeps one heartbeat to each monitor under way at most.
 	beating sync.Map
 }
@@ -247,7 +250,7 @@
 		Actor: m.Author, Subject: "bundle", Old: versionText(old),
 		New: strconv.FormatUint(m.Version, 10), Comment: m.Comment,
 	})
-	n.view.markDirty()
+	n.refresh()
 }
 
 func versionText(c *catalog.Catalog) string {
@@ -271,8 +274,10 @@
 	n.log.WithError(err).Warn("bundle_refused")
 }
 
-// refresh carries a changed view to the parts that decide from it.
+// refresh carries a changed view or bundle to the parts that decide from it.
 func (n *Node) refresh() {
+	n.refreshing.Lock()
+	defer n.refreshing.Unlock()
 	c := n.catalog.Load()
 	if c == nil {
 		return
