Take out what nothing uses; find the giver of turns once per view

Cause: a scan for exported names without a use, and a look at what runs per load: each ask for a turn built a chooser over all VMs anew.

Change: four unused methods are gone, with the counter behind one; the giver is kept with the view.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -79,7 +79,6 @@
 type Tracker struct {
 	cfg     Config
 	version uint64
-	epoch   uint64
 	members []*Member
 	byID    map[coord.VMID]*Member
 	last    time.Time
@@ -93,9 +92,6 @@
 // ListVersion returns the version of the newest list applied.
 func (t *Tracker) ListVersion() uint64 { return t.version }
 
-// Epoch grows with every change of the view; equal epochs mean equal views.
-func (t *Tracker) Epoch() uint64 { return t.epoch }
-
 // Members returns the listed VMs in order of their ids. The slice is the
 // tracker's own and must not be changed.
 func (t *Tracker) Members() []*Member { return t.members }
@@ -111,7 +107,6 @@
 		return nil
 	}
 	t.version = version
-	t.epoch++
 	next := make(map[coord.VMID]*Member, len(list))
 	members := make([]*Member, 0, len(list))
 	for _, l := range list {
@@ -216,7 +211,7 @@
 	m.saidLeave = leaving || (m.saidLeave && !restarted)
 	m.State = m.stateWhenHeard()
 	m.SuspectSince = time.Time{}
-	return t.noteChange(&before, m)
+	return changed(&before, m)
 }
 
 func (m *Member) stateWhenHeard() State {
@@ -236,7 +231,7 @@
 	before := *m
 	m.Incarnation = incarnation
 	m.suspect(now)
-	return t.noteChange(&before, m)
+	return changed(&before, m)
 }
 
 func (m *Member) suspect(now time.Time) {
@@ -246,12 +241,8 @@
 	m.State = Suspect
 }
 
-func (t *Tracker) noteChange(before, after *Member) bool {
-	if before.State == after.State && before.Incarnation == after.Incarnation {
-		return false
-	}
-	t.epoch++
-	return true
+func changed(before, after *Member) bool {
+	return before.State != after.State || before.Incarnation != after.Incarnation
 }
 
 // Tick returns the monitored VMs whose silence has just made them suspect. The
@@ -270,7 +261,6 @@
 		}
 		if now.Sub(m.lastHeard) >= t.cfg.SuspectAfter {
 			m.suspect(now)
-			t.epoch++
 			fresh = append(fresh, m)
 		}
 	}
--- a/coord/ownership/choose.go
+++ b/coord/ownership/choose.go
@@ -7,7 +7,7 @@
 )
 
 // Chooser picks the owner of a target from a view of the VMs. Make a new one
-// when the view's epoch changes; a pick costs one hash mix for each live VM of
+// when the view changes; a pick costs one hash mix for each live VM of
 // the target's hall.
 type Chooser struct {
 	all   pool
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -218,6 +218,3 @@
 		}
 	}
 }
-
-// Counts returns how many adapters and targets there are.
-func (c *Catalog) Counts() (adapters, targets int) { return len(c.adapters), len(c.targets) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,9 +62,11 @@
 	// refreshing makes refreshes one at a time, so that an older view never
 	// replaces a newer one.
 	refreshing sync.Mutex
-	draining   atomic.Bool
-	killed     chan struct{}
-	killOnce   sync.Once
+	// turnGiver is the VM that gives load turns in the current view.
+	turnGiver atomic.Pointer[coord.VMID]
+	draining  atomic.Bool
+	killed    chan struct{}
+	killOnce  sync.Once
 	// beating keeps one heartbeat to each monitor under way at most.
 	beating sync.Map
 }
@@ -223,9 +225,12 @@
 	return n.mesh.Remote(vm)
 }
 
-// giver returns the VM that gives load turns.
+// giver returns the VM that gives load turns, or "" before the first view.
 func (n *Node) giver() coord.VMID {
-	return ownership.NewChooser(n.view.members()).Singleton(turns.Duty)
+	if vm := n.turnGiver.Load(); vm != nil {
+		return *vm
+	}
+	return ""
 }
 
 func (n *Node) heartbeat() *schema.Heartbeat {
@@ -284,6 +289,8 @@
 	}
 	members := n.view.members()
 	chooser := ownership.NewChooser(members)
+	giver := chooser.Singleton(turns.Duty)
+	n.turnGiver.Store(&giver)
 	n.limits.SetVMs(countLive(members))
 	n.turns.Share.SetRate(c.Limits.GetLoadsPerSecond() / float64(max(countLive(members), 1)))
 	n.router.SetView(router.View{Catalog: c, Chooser: chooser, Hall: n.settings.Vm.Hall})
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -380,12 +380,6 @@
 	return s, nil
 }
 
-// Connect makes sure that there is a session to a VM.
-func (m *Mesh) Connect(ctx context.Context, vm coord.VMID) error {
-	_, err := m.get(ctx, vm)
-	return err
-}
-
 // Beat sends a heartbeat to a VM.
 func (m *Mesh) Beat(ctx context.Context, vm coord.VMID, h *schema.Heartbeat) error {
 	s, err := m.get(ctx, vm)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -32,7 +32,6 @@
 	vms      []VM
 	listVer  uint64
 	down     bool
-	reads    int
 }
 
 // NewPlatform returns an empty platform.
@@ -67,17 +66,9 @@
 	p.down = down
 }
 
-// Reads returns how many calls were made.
-func (p *Platform) Reads() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reads
-}
-
 // ServeHTTP serves both services.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	p.reads++
 	down := p.down
 	p.mu.Unlock()
 	switch {
