--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -176,6 +176,9 @@
 	// retryRead is the least time between two tries while nothing is in force
 	// or the platform cannot be read.
 	retryRead = time.Second
+	// refusedRead is the least time before a manifest that was refused is read
+	// again.
+	refusedRead = 2 * time.Second
 	// compareEvery is the time between two comparisons with a random VM.
 	compareEvery = time.Second
 	// peerTimeout bounds one call to a peer.
@@ -194,7 +197,13 @@
 			continue
 		}
 		revision = value.Revision
-		s.takeValue(ctx, value)
+		if err := s.takeValue(ctx, value); err != nil {
+			// Its chunks may only be late: read it again, watched or not.
+			s.cfg.OnRefused(err)
+			revision = 0
+			wait.Sleep(ctx, s.jitter(refusedRead))
+			continue
+		}
 		if in, _ := s.Versions(); !s.roster.Watcher() && in > 0 {
 			wait.Sleep(ctx, s.jitter(idleRead))
 		}
@@ -208,15 +217,12 @@
 	return s.cfg.Platform.Get(ctx, bundle.ManifestKey)
 }
 
-func (s *Sync) takeValue(ctx context.Context, value platform.Value) {
+func (s *Sync) takeValue(ctx context.Context, value platform.Value) error {
 	signed := &schema.SignedManifest{}
 	if err := proto.Unmarshal(value.Data, signed); err != nil {
-		s.cfg.OnRefused(errors.Wrap(err, "decode signed manifest"))
-		return
-	}
-	if err := s.adopt(ctx, signed, s.chunkFromPlatform); err != nil {
-		s.cfg.OnRefused(err)
+		return errors.Wrap(err, "decode signed manifest")
 	}
+	return s.adopt(ctx, signed, s.chunkFromPlatform)
 }
 
 func (s *Sync) chunkFromPlatform(ctx context.Context, hash []byte) ([]byte, error) {
--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -335,6 +335,39 @@
 	assert.NilError(t, c.chat(t.Context(), 2, c.Bundle().Adapters[0].Name+"@v7", "still there", false))
 }
 
+// TestFreshVMMeetsStaleService starts a VM anew while the service shows an old
+// bundle, and publishes one with half of its chunks: neither comes into force.
+func TestFreshVMMeetsStaleService(t *testing.T) {
+	c, _ := startFleet(t, Options{DrainMs: 1})
+	old, err := SignedValues(c.Bundle(), c.Version(), c.private)
+	assert.NilError(t, err)
+	c.Bundle().Adapters[0].Versions = append(c.Bundle().Adapters[0].Versions, "v7")
+	assert.NilError(t, c.Publish())
+	assert.NilError(t, c.WaitReady(readyTimeout))
+	c.Platform.Publish(old)
+	vm := c.VMs[1]
+	assert.NilError(t, vm.Stop())
+	assert.NilError(t, c.Restart(vm))
+	eventually(t, "the VM to be ready", vm.Node.Ready)
+	eventually(t, "the newer version from its peers", func() bool { return vm.Node.Status().BundleVersion == c.Version() })
+
+	c.Bundle().Adapters[0].Versions = append(c.Bundle().Adapters[0].Versions, "v8")
+	half, err := SignedValues(c.Bundle(), c.Version()+1, c.private)
+	assert.NilError(t, err)
+	missing := map[string][]byte{}
+	for key, value := range half {
+		if strings.Contains(key, "chunk") {
+			missing[key] = value
+			delete(half, key)
+		}
+	}
+	c.Platform.Publish(half)
+	eventually(t, "the half bundle to be refused", func() bool { return vm.Node.BundlesRefused() > 0 })
+	assert.Equal(t, vm.Node.Status().BundleVersion, c.Version())
+	c.Platform.Publish(missing) // the manifest does not change
+	eventually(t, "the whole bundle in force", func() bool { return vm.Node.Status().BundleVersion == c.Version()+1 })
+}
+
 // TestVersionMadeAnew raises an adapter's revision: copies of the old version that
 // engines hold are not used any more, and callers see no other name.
 func TestVersionMadeAnew(t *testing.T) {
