Drop a comment that no code belongs to

Cause: a sentence in internal/forward explained constants that had moved away.

Change: the comment is gone; nothing else.

Measured: the package builds and its users' tests pass.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -57,8 +57,6 @@
 	CodeVersionRequired = "version_required"
 )
 
-// HTTP statuses that failures map to are given by the maker of the failure.
-
 // Fail makes a failed Result.
 func Fail(code string, status int, outcome schema.Outcome, retry time.Duration, message string) Result {
 	return Result{Failure: &schema.Failure{
