Test a target that moves to another address

Cause: a changed declaration starts the tenure anew, which no test showed.

Change: a test gives an engine another address and expects its requests to be loaded and served there.

--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -412,6 +412,34 @@
 	c.assertPromises(t)
 }
 
+// TestTargetMoves gives a target another address: its slots are read anew there,
+// and what the old engine held is not taken for resident.
+func TestTargetMoves(t *testing.T) {
+	c, _ := startFleet(t, Options{})
+	const target = "roskilde-llm-1"
+	models := c.adaptersAt(target)
+	for i, m := range models {
+		assert.NilError(t, c.chat(t.Context(), i, m, "at the old address", false))
+	}
+	for _, declared := range c.Bundle().Targets {
+		if declared.Name != target {
+			continue
+		}
+		address, err := c.serve(c.target(declared)) // a fresh engine, also in c.Engines
+		assert.NilError(t, err)
+		declared.Address = address
+	}
+	assert.NilError(t, c.Publish())
+	assert.NilError(t, c.WaitReady(readyTimeout))
+	eventually(t, "the new engine to serve", func() bool {
+		for i, m := range models {
+			assert.NilError(t, c.chat(t.Context(), i, m, "at the new address", i%2 == 0))
+		}
+		return len(c.Engines[target].Runs()) > 0
+	})
+	c.assertPromises(t)
+}
+
 // TestEngineFaults shows what callers get when engines fail.
 func TestEngineFaults(t *testing.T) {
 	c, _ := startFleet(t, Options{})
