Call the mean that is there; say what Inherit and the weights are

Cause: a last read of the whole change. The owner kept a running mean of load times that was dispatch's own blend written again; Inherit returned actions that are always none; the comments on the scorers' weights named a page that is not there and a worth that is off by a factor; four tests repeated one loop.

Change: dispatch.Blend serves both; Inherit returns nothing; the comments say what the code does; the tests share askEach, with the same assertion.

Behaviour is as before.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -311,14 +311,15 @@
 	}
 	delete(d.running, handle)
 	d.slots.Unpin(r.adapter)
-	d.service = blend(d.service, now.Sub(r.since))
+	d.service = Blend(d.service, now.Sub(r.since))
 	return d.settle(now)
 }
 
 // blendShare is the weight of a new sample in a running mean, as one in N.
 const blendShare = 8
 
-func blend(mean, sample time.Duration) time.Duration {
+// Blend moves a running mean towards a sample by that share.
+func Blend(mean, sample time.Duration) time.Duration {
 	return mean + (sample-mean)/blendShare
 }
 
@@ -341,10 +342,10 @@
 	}
 }
 
-// Inherit starts the target from what it reports as resident.
-func (d *Dispatcher) Inherit(now time.Time, names []string, parse func(string) (coord.Adapter, bool), usable bool) []Action {
+// Inherit starts the target from what it reports as resident, all of it held until
+// SetHolds says otherwise.
+func (d *Dispatcher) Inherit(now time.Time, names []string, parse func(string) (coord.Adapter, bool), usable bool) {
 	d.slots.Inherit(now, names, parse, usable)
-	return nil
 }
 
 // SetHolds says what earlier owners may still use: everything that was found, or
--- a/coord/dispatch/load.go
+++ b/coord/dispatch/load.go
@@ -76,7 +76,7 @@
 		d.act(Action{Kind: ActGiveTurn})
 		return d.acts
 	}
-	d.turnWait = blend(d.turnWait, now.Sub(d.askedAt))
+	d.turnWait = Blend(d.turnWait, now.Sub(d.askedAt))
 	best, _, ok := d.worthiest(now)
 	if !ok {
 		return d.giveTurnBack(now)
@@ -174,7 +174,7 @@
 		return d.settle(now)
 	}
 	d.phase = idle
-	d.loadAvg = blend(d.loadAvg, now.Sub(d.loadSince))
+	d.loadAvg = Blend(d.loadAvg, now.Sub(d.loadSince))
 	acts := []Action{{Kind: ActGiveTurn}}
 	return append(acts, d.settle(now)...)
 }
--- a/coord/fleet_test.go
+++ b/coord/fleet_test.go
@@ -241,7 +241,7 @@
 		Batch:     4, QueueLimit: 8, LoadTime: time.Millisecond, ServiceTime: time.Millisecond,
 		MaxLoadWait: time.Hour, AgeStep: time.Second, LoadTries: 3, NameSuffix: suffix,
 	})
-	f.dispatched(i, v.dispatch.Inherit(f.now, a.Resident, parseName, usable))
+	v.dispatch.Inherit(f.now, a.Resident, parseName, usable)
 }
 
 func parseName(name string) (coord.Adapter, bool) {
--- a/coord/placement/parts.go
+++ b/coord/placement/parts.go
@@ -51,8 +51,8 @@
 // that it is loaded in as few places as its traffic needs. Targets within the
 // spread are equal.
 type AffinityScorer struct {
-	// Step is what each place beyond the spread costs: half a Step is worth a
-	// batch of queue.
+	// Step is what each place beyond the spread costs; 0.5 is worth a batch of
+	// queue.
 	Step float64
 }
 
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -168,8 +168,8 @@
 	)
 }
 
-// Weights of the default scorers. An affinity step costs as much as a queue of
-// half a batch: see docs/design/placement.md.
+// Weights of the default scorers. What one is worth against the other is set by
+// the step of affinity: see docs/design/load-decisions.md.
 const (
 	affinityWeight = 1.0
 	queueWeight    = 1.0
--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// askEach asks each model once, through each VM in turn, and wants the right answer.
+func (c *Cluster) askEach(t *testing.T, models []string, text string) {
+	t.Helper()
+	for i, m := range models {
+		assert.NilError(t, c.chat(t.Context(), i, m, text, false))
+	}
+}
+
 // eventually waits for a condition; what it waits for is said when it fails.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
@@ -165,9 +173,7 @@
 	c, _ := startFleet(t, Options{})
 	const target = "roskilde-llm-1"
 	models := c.adaptersAt(target)
-	for i, m := range models {
-		assert.NilError(t, c.chat(t.Context(), i, m, "before", false))
-	}
+	c.askEach(t, models, "before")
 	held := c.Engines[target].Resident()
 	assert.Assert(t, len(held) > 0)
 	before := c.Weights.Loads()
@@ -209,9 +215,7 @@
 func (c *Cluster) fill(t *testing.T, target string) {
 	t.Helper()
 	eventually(t, "the engine's slots to be full", func() bool {
-		for i, m := range c.models() {
-			assert.NilError(t, c.chat(t.Context(), i, m, "fill", false))
-		}
+		c.askEach(t, c.models(), "fill")
 		return len(c.Engines[target].Resident()) == 4
 	})
 }
@@ -405,9 +409,7 @@
 	c.Bundle().Targets = all
 	assert.NilError(t, c.Publish())
 	assert.NilError(t, c.WaitReady(readyTimeout))
-	for i, m := range append(models, c.models()...) {
-		assert.NilError(t, c.chat(t.Context(), i, m, "push it out", false))
-	}
+	c.askEach(t, append(models, c.models()...), "push it out")
 	assert.NilError(t, <-done)
 	c.assertPromises(t)
 }
@@ -418,9 +420,7 @@
 	c, _ := startFleet(t, Options{})
 	const target = "roskilde-llm-1"
 	models := c.adaptersAt(target)
-	for i, m := range models {
-		assert.NilError(t, c.chat(t.Context(), i, m, "at the old address", false))
-	}
+	c.askEach(t, models, "at the old address")
 	for _, declared := range c.Bundle().Targets {
 		if declared.Name != target {
 			continue
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -74,8 +74,8 @@
 }
 
 // rerouted reports whether a request was turned away, or its owner not reached,
-// before its target had any work with it. Such an attempt adds nothing to the targets' load, so it does not
-// count against the budget of retries.
+// before its target had any work with it. Such an attempt adds nothing to the
+// targets' load, so it does not count against the budget of retries.
 func rerouted(code string) bool {
 	switch code {
 	case forward.CodeOwnerStarting, forward.CodeNotOwner, forward.CodeOwnerStopped, forward.CodeTargetLeaving, forward.CodeSlotsHeld, forward.CodeUnreachable:
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -20,6 +20,7 @@
 	"github.com/apex/log"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/dispatch"
 	"github.com/junctionfold/junctionfold/coord/ownership"
 	"github.com/junctionfold/junctionfold/internal/audit"
 	"github.com/junctionfold/junctionfold/internal/catalog"
@@ -235,17 +236,14 @@
 	return out
 }
 
-// loadTimeShare is the weight of a new measurement of a load, as one in N.
-const loadTimeShare = 8
-
 // noteLoadTime keeps a running mean. A measurement lost between two goroutines
 // does no harm.
 func (o *Owner) noteLoadTime(took time.Duration) {
-	mean := o.loadTime.Load()
+	mean := time.Duration(o.loadTime.Load())
 	if mean == 0 {
-		mean = int64(took)
+		mean = took
 	}
-	o.loadTime.Store(mean + (int64(took)-mean)/loadTimeShare)
+	o.loadTime.Store(int64(dispatch.Blend(mean, took)))
 }
 
 // Close waits for orders that run.
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -230,7 +230,7 @@
 	u.mu.Lock()
 	u.dispatch = dispatch.New(u.dispatchConfig(a.Fence))
 	u.serving = a.Fence
-	acts := u.dispatch.Inherit(u.now(), a.Resident, u.catalog.ParseName, u.fences())
+	u.dispatch.Inherit(u.now(), a.Resident, u.catalog.ParseName, u.fences())
 	took := u.now().Sub(u.tookAt)
 	u.mu.Unlock()
 	u.owner.cfg.Metrics.Takeovers.Add(1)
@@ -239,7 +239,6 @@
 		New:     string(u.owner.cfg.Self) + " fence " + strconv.FormatUint(a.Fence, 10),
 		Comment: "serving after " + took.String(),
 	})
-	u.runDispatch(acts)
 }
 
 // fences reports whether the target refuses old fencing numbers.
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -20,7 +20,7 @@
 	return nil, errors.New("unreachable")
 }
 
-// TestTurnsKeepTheRate hands three turns out at three a second, one at a time.
+// TestTurnsKeepTheRate hands four turns out at three a second, one at a time.
 func TestTurnsKeepTheRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGiver(3, time.Now)
