--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -256,7 +256,12 @@
 type Codec interface {
 	// Request decodes a caller's headers.
 	Request(h http.Header) (Request, error)
-	// Encode sets the headers of a call to a target.
+	// Forward returns the caller's headers that go on to a target: neither those of
+	// the connection nor those that are ours to set.
+	Forward(h http.Header) http.Header
+	// Return returns the headers of a target's answer that go on to the caller.
+	Return(h http.Header) http.Header
+	// Encode sets the headers of a call to a target; h comes from Forward.
 	Encode(h http.Header, c Call)
 	// Classify says what a target's answer to the request id means.
 	Classify(id string, status int, h http.Header) Class
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,7 +13,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -213,7 +212,7 @@
 		left = min(left, x.req.Left)
 	}
 	x.deadline = x.began.Add(left)
-	x.header = forwardedHeader(x.r.Header)
+	x.header = x.g.cfg.Codec.Forward(x.r.Header)
 	return true
 }
 
@@ -307,25 +306,6 @@
 	return false
 }
 
-// connectionHeaders concern one connection only.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
-func forwardedHeader(h http.Header) http.Header {
-	out := h.Clone()
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		out.Del(name)
-	}
-	return out
-}
-
 // refuse answers that the request has not run.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) {
 	x.g.cfg.Codec.Refuse(x.w.Header(), retryAfter)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,6 +38,21 @@
 	return r, nil
 }
 
+func (testCodec) Forward(h http.Header) http.Header {
+	h = testCodec{}.Return(h)
+	h.Del("Target")
+	h.Del("Left")
+	return h
+}
+
+func (testCodec) Return(h http.Header) http.Header {
+	h = h.Clone()
+	for _, name := range []string{"Connection", "Content-Length", "Expect", "Keep-Alive", "Transfer-Encoding"} {
+		h.Del(name)
+	}
+	return h
+}
+
 func (testCodec) Encode(h http.Header, c fleet.Call) {
 	h.Set("Target", c.Target)
 	h.Set("Left", c.Left.String())
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -83,7 +83,7 @@
 // copyHeader passes an answer's headers on, but those of its connection.
 func (x *exchange) copyHeader(a *hop.Answer) {
 	out := x.w.Header()
-	for name, values := range forwardedHeader(a.Header) {
+	for name, values := range x.g.cfg.Codec.Return(a.Header) {
 		out[name] = values
 	}
 	if _, set := out["Content-Type"]; !set {
