Count what a VM told shortly before this one knew that it is asked

Cause: a scheduler that begins waits up to 1.5 s for all VMs to tell what they run before it unloads anything. A VM that hears of the change first tells it before this one has begun; the word was taken and then forgotten with the start, so that the whole 1.5 s passed.

Change: the time of a VM's last word is kept; one within adoptTime counts. A verdict of a scheduler that is not asked any more is told to the present one, also when it was not given alone.

Test: TestWordThatComesFirstCounts (failed first).

--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -77,7 +77,10 @@
 }
 
 // Told says that a VM has told all that it runs.
-func (s *Scheduler) Told(vm coord.VMID) { delete(s.untold, vm) }
+func (s *Scheduler) Told(now time.Time, vm coord.VMID) {
+	delete(s.untold, vm)
+	s.toldAt[vm] = now
+}
 
 // settled reports whether it is known what runs at the targets.
 func (s *Scheduler) settled(now time.Time) bool {
@@ -108,6 +111,7 @@
 // but their adapters stay until their deadlines: a VM that is paused keeps its
 // connections open, and engines go on.
 func (s *Scheduler) Silent(now time.Time, vm coord.VMID) []Action {
+	delete(s.toldAt, vm)
 	s.waiting = slices.DeleteFunc(s.waiting, func(r *Request) bool { return r.VM == vm })
 	for key, g := range s.grants {
 		if key.VM == vm && !g.lost {
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -48,6 +48,9 @@
 	// of untold tell what they run.
 	keepUntil time.Time
 	untold    map[coord.VMID]bool
+	// toldAt is when a VM last told all that it runs: some hear sooner than this VM
+	// that it is to be asked.
+	toldAt map[coord.VMID]time.Time
 	// mayOrder says that this VM holds the lease for orders.
 	mayOrder bool
 	// leaseSince is when it got it.
@@ -74,6 +77,7 @@
 		heat:     map[coord.AdapterRef]*heat{},
 		crowded:  map[coord.AdapterRef]crowdedHome{},
 		versions: map[coord.AdapterRef]int64{},
+		toldAt:   map[coord.VMID]time.Time{},
 	}
 }
 
@@ -133,7 +137,9 @@
 		s.keepUntil = now.Add(adoptTime)
 		s.untold = make(map[coord.VMID]bool, len(others))
 		for _, vm := range others {
-			s.untold[vm] = true
+			if at, told := s.toldAt[vm]; !told || now.Sub(at) > adoptTime {
+				s.untold[vm] = true
+			}
 		}
 		for _, id := range s.ids {
 			s.targets[id].readFrom(now)
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -320,7 +320,7 @@
 		tell func(b *bench)
 		wait time.Duration
 	}{
-		{"all have told", func(b *bench) { b.s.Told("other") }, 0},
+		{"all have told", func(b *bench) { b.s.Told(b.now, "other") }, 0},
 		{"one is silent", func(*bench) {}, adoptTime},
 	} {
 		t.Run(row.name, func(t *testing.T) {
@@ -344,6 +344,30 @@
 	}
 }
 
+// TestWordThatComesFirstCounts: a VM may hear sooner than this one that it is asked.
+func TestWordThatComesFirstCounts(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		ago   time.Duration
+		wants []ActionKind
+	}{
+		{"a moment ago", 100 * time.Millisecond, []ActionKind{ActUnload}},
+		{"too long ago to tell of now", adoptTime + time.Millisecond, nil},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := newBench(t, config(1), []string{"x"})
+			b.take(b.s.SetActing(b.now, false, nil))
+			b.s.Told(b.now, "other")
+			b.after(max(row.ago, minResident))
+			b.take(b.s.SetActing(b.now, true, []coord.VMID{"other"}))
+			b.want(ActRead)
+			b.report("t0", Report{Resident: []Holding{{Ref: base}, {Ref: ref("x")}}})
+			b.submit("z")
+			b.want(row.wants...)
+		})
+	}
+}
+
 func TestAdoptedRequestTakesAPlaceBeforeTheReport(t *testing.T) {
 	b := newBench(t, config(2), []string{})
 	b.s.Adopt(b.now, Key{VM: "other", Ticket: 1}, "t0", ref("x"), 100, b.now.Add(10*time.Second))
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -35,7 +35,7 @@
 		case <-time.After(askAgain):
 		}
 		if lost.over(n.now(), *n.acting.Load(), patience) {
-			return n.remember(r, n.decideAlone(r))
+			return n.remember(r, n.lastKnown(r))
 		}
 	}
 	return refused(r, "verdict_timeout", unknownPause)
@@ -138,13 +138,19 @@
 }
 
 // remember keeps where an adapter is, for when the scheduler is silent, and what
-// runs, for the scheduler that comes after this one.
+// runs, for the scheduler that comes after this one. A scheduler that did not give the
+// verdict is told at once, in case it can be reached: it must not unload the adapter.
 func (n *Node) remember(r *gateway.AdmitRequest, v gateway.Verdict) gateway.Verdict {
 	if v.Target == "" {
 		return v
 	}
 	n.lastHomes.Add(r.Request.Adapter, lastHome{target: v.Target, version: v.AdapterVersion})
 	n.running.add(r, v)
+	if acting := *n.acting.Load(); acting != "" && string(acting) != v.From {
+		go n.tell(acting, &schema.Call{Body: &schema.Call_Running{Running: &schema.Running{
+			Grants: []*schema.Grant{grantMessage(r, v)},
+		}}})
+	}
 	return v
 }
 
@@ -183,18 +189,6 @@
 // maxLastHomes bounds what a VM remembers of verdicts.
 const maxLastHomes = 4096
 
-// decideAlone is for when the scheduler is silent. The scheduler is told, in case it
-// can be reached: it must not unload the adapter.
-func (n *Node) decideAlone(r *gateway.AdmitRequest) gateway.Verdict {
-	v := n.lastKnown(r)
-	if acting := *n.acting.Load(); v.Target != "" && acting != "" {
-		go n.tell(acting, &schema.Call{Body: &schema.Call_Running{Running: &schema.Running{
-			Grants: []*schema.Grant{grantMessage(r, v)},
-		}}})
-	}
-	return v
-}
-
 // placesAlone reports whether this VM knows a target for a request by itself.
 func (n *Node) placesAlone(r *gateway.AdmitRequest) bool {
 	if r.Request.Adapter.IsBase() {
--- a/internal/edge/running.go
+++ b/internal/edge/running.go
@@ -87,6 +87,6 @@
 		return
 	}
 	for _, sc := range ss.services {
-		sc.s.Told(from)
+		sc.s.Told(now, from)
 	}
 }
