Take the duty without the store where engines check numbers

Cause: a holder that leaves while the store is down hands the duty to a VM that needs the store's revision for its number.

Ruled out: keeping the duty at a VM that leaves (its process ends within the grace); handing its number on (two machines must not order under one number).

Change: after two reads that failed, the next holder takes the number after the highest one that it heard of. Only where engines refuse lower numbers: if a higher one was used unheard, they refuse this one and the VM steps down. A VM that has heard of none still waits.

Tests: TestTakesWithoutTheStore (failed first), TestOneLostAnswerOfTheStoreIsAskedForAgain.

--- a/coord/duty/duty.go
+++ b/coord/duty/duty.go
@@ -11,7 +11,8 @@
 //
 // A number is the store's revision, read when the duty is taken, in the high
 // bits, and a tie-break in the low ones. The revision grows, survives a loss of
-// all VMs, and does not depend on clocks.
+// all VMs, and does not depend on clocks. Where engines check numbers, a fleet that
+// has lost the store goes on with the number after the highest one that it knows.
 //
 // Only VMs with enough capacity take the duty, since it is work for all others.
 // The holder stays the holder while it is live: a VM that returns does not take
@@ -68,16 +69,27 @@
 	refused bool
 	// settled is when this VM has been up for long enough to know the others.
 	settled time.Time
+	// checked says that engines refuse lower numbers.
+	checked bool
+	// unread is how often in a row the revision could not be read.
+	unread int
 }
 
+// maxUnread is how often the revision is asked for before the number is made without
+// it: one answer may be lost, a store that is down answers none.
+const maxUnread = 2
+
 // settleTime is some rounds of heartbeats: a VM that has just started knows only
 // itself, and must not take itself for the one that is asked.
 const settleTime = 300 * time.Millisecond
 
 // New returns a Machine for the duty named name. Until lease has passed since
-// now, a claim by a VM not heard of yet is possible.
-func New(now time.Time, self coord.VMID, name string, lease time.Duration) *Machine {
-	return &Machine{self: self, key: rendezvous.Hash(name), lease: lease, claimed: now, settled: now.Add(settleTime)}
+// now, a claim by a VM not heard of yet is possible. checked says that engines refuse
+// lower numbers.
+func New(now time.Time, self coord.VMID, name string, lease time.Duration, checked bool) *Machine {
+	return &Machine{
+		self: self, key: rendezvous.Hash(name), lease: lease, claimed: now, settled: now.Add(settleTime), checked: checked,
+	}
 }
 
 // Phase returns how far this VM is.
@@ -173,15 +185,22 @@
 }
 
 // Take takes the store's revision, read after Update asked for it. ok is false
-// when it could not be read; Update asks again.
+// when it could not be read; Update asks again. While the store is down and engines
+// check numbers, one above all that were heard of is enough: a fleet that goes on need
+// not wait for the store, and if a higher one was used unheard, engines refuse this one.
 func (m *Machine) Take(now time.Time, revision uint64, ok bool) {
 	if m.phase != Taking {
 		return
 	}
 	if !ok {
-		m.phase = Waiting
-		return
+		m.unread++
+		if !m.checked || m.seen == 0 || m.unread < maxUnread {
+			m.phase = Waiting
+			return
+		}
+		revision = 0
 	}
+	m.unread = 0
 	m.fence = NextFence(revision, m.seen, m.self)
 	m.seen = m.fence
 	m.phase = Holding
--- a/coord/duty/duty_test.go
+++ b/coord/duty/duty_test.go
@@ -34,7 +34,7 @@
 
 func TestTakesAfterTheLease(t *testing.T) {
 	r := newRoster("a", 1)
-	m := New(start, "a", "orders", lease)
+	m := New(start, "a", "orders", lease, false)
 	assert.Assert(t, !m.Update(start, r))
 	assert.Equal(t, m.Acting(), coord.VMID(""), "it may not know the others yet")
 	assert.Assert(t, !m.Update(start.Add(settleTime), r))
@@ -48,7 +48,7 @@
 
 func TestTakeFails(t *testing.T) {
 	r := newRoster("a", 1)
-	m := New(start, "a", "orders", lease)
+	m := New(start, "a", "orders", lease, false)
 	m.Update(start, r)
 	assert.Assert(t, m.Update(start.Add(lease), r))
 	m.Take(start.Add(lease), 0, false)
@@ -56,6 +56,56 @@
 	assert.Assert(t, m.Update(start.Add(lease+step), r), "asked again")
 }
 
+// TestTakesWithoutTheStore: the holder leaves while the store is down.
+func TestTakesWithoutTheStore(t *testing.T) {
+	const heard = uint64(7)<<tieBits | 9
+	for _, row := range []struct {
+		name    string
+		checked bool
+		heard   uint64 // a claim of the VM before
+		want    bool
+	}{
+		{"engines check numbers", true, heard, true},
+		{"engines do not check: a lower number would break the order", false, heard, false},
+		{"no number is known: it could be below those used before", true, 0, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			r := newRoster("a", 1)
+			m := New(start, "a", "orders", lease, row.checked)
+			r.Merge(start, []roster.Entry{{ID: "b", Incarnation: 1, Beat: 1, Fence: row.heard, Leaving: true}})
+			m.Update(start, r)
+			r.Merge(start, []roster.Entry{{ID: "b", Incarnation: 1, Beat: 2, Leaving: true}})
+			at := start.Add(lease)
+			for range 10 * maxUnread {
+				if at = at.Add(step); m.Update(at, r) {
+					m.Take(at, 0, false)
+				}
+			}
+			assert.Equal(t, m.Fence() != 0, row.want)
+			if row.want {
+				assert.Assert(t, m.Fence() > row.heard)
+			}
+		})
+	}
+}
+
+func TestOneLostAnswerOfTheStoreIsAskedForAgain(t *testing.T) {
+	r := newRoster("a", 1)
+	m := New(start, "a", "orders", lease, true)
+	r.Merge(start, []roster.Entry{{ID: "b", Incarnation: 1, Beat: 1, Fence: 1 << 20, Leaving: true}})
+	m.Update(start, r)
+	at := start
+	for !m.Update(at, r) {
+		at = at.Add(step)
+		r.Merge(at, []roster.Entry{{ID: "b", Incarnation: 1, Beat: 2, Leaving: true}})
+	}
+	m.Take(at, 0, false)
+	assert.Equal(t, m.Phase(), Waiting)
+	assert.Assert(t, m.Update(at.Add(step), r))
+	m.Take(at.Add(step), 50, true)
+	assert.Equal(t, m.Fence()>>tieBits, uint64(50))
+}
+
 func TestEvents(t *testing.T) {
 	for _, row := range []struct {
 		name string
@@ -82,7 +132,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			r := newRoster("a", 1)
-			m := New(start, "a", "orders", lease)
+			m := New(start, "a", "orders", lease, false)
 			m.Update(start, r)
 			m.Update(start.Add(lease), r)
 			m.Take(start.Add(lease), 50, true)
@@ -100,7 +150,7 @@
 
 func TestNumberIsNotUsedAgain(t *testing.T) {
 	r := newRoster("a", 1)
-	m := New(start, "a", "orders", lease)
+	m := New(start, "a", "orders", lease, false)
 	m.Update(start, r)
 	m.Update(start.Add(lease), r)
 	m.Take(start.Add(lease), 50, true)
@@ -146,7 +196,7 @@
 	v.incarnation++
 	v.up = true
 	v.r = startRoster(w.now, v.id, v.incarnation, []string{"vm0", "vm1", "vm2"})
-	v.m = New(w.now, coord.VMID(v.id), "orders", lease)
+	v.m = New(w.now, coord.VMID(v.id), "orders", lease, false)
 }
 
 // step moves time on, exchanges heartbeats as far as cuts allow, and lets every
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -150,7 +150,7 @@
 	if s.Orders.EnginesCheckFence {
 		wait = min(wait, fencedWait)
 	}
-	n.duty = duty.New(began, self, dutyName, wait)
+	n.duty = duty.New(began, self, dutyName, wait, s.Orders.EnginesCheckFence)
 	n.acting.Store(new(coord.VMID))
 	n.vms.Store(1)
 	homes, err := lru.New[coord.AdapterRef, lastHome](maxLastHomes)
