Let waiting end when the caller would leave

The estimate is poor, so it is not known that they cannot be served.

Conclusion: kept, since nobody gains by waiting for a caller that has left.

--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -88,6 +88,10 @@
 		s.refuse(r, "deadline", 0)
 		return true
 	}
+	if now.Add(s.quickest(r)).After(r.FirstBy) {
+		s.refuse(r, "caller_leaves", 0)
+		return true
+	}
 	home, homeDelay, any := s.bestHome(now, r)
 	if !any {
 		s.refuse(r, "no_target", noTargetPause)
@@ -114,6 +118,15 @@
 	return true
 }
 
+// quickest is the least time to the first event of a waiting request, if it were sent
+// now: the prompt of one whose adapter no target holds has to be read whole.
+func (s *Scheduler) quickest(r *Request) time.Duration {
+	if r.Ref.IsBase() || len(s.homes[r.Ref]) > 0 {
+		return s.speed.Overhead()
+	}
+	return s.speed.Overhead() + s.speed.Reading(r.PromptTokens)
+}
+
 // noTargetPause is when to come back if no target can be used: targets come back
 // within seconds.
 const noTargetPause = 300 * time.Millisecond
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -184,6 +184,9 @@
 // a later call.
 func (s *Scheduler) Submit(now time.Time, r Request) []Action {
 	r.arrived = now
+	if r.FirstBy.IsZero() {
+		r.FirstBy = r.Deadline
+	}
 	s.searches = 1
 	if !s.acting {
 		s.refuse(&r, ReasonMoved, 0)
@@ -248,7 +251,7 @@
 	stuck := map[coord.AdapterRef]bool{}
 	for _, r := range s.waiting {
 		// What does not help one request for an adapter does not help the next.
-		if stuck[r.Ref] && now.Before(r.Deadline) && len(r.Exclude) == 0 || !s.place(now, r) {
+		if stuck[r.Ref] && now.Before(r.FirstBy) && len(r.Exclude) == 0 || !s.place(now, r) {
 			rest = append(rest, r)
 			stuck[r.Ref] = true
 		}
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -590,6 +590,20 @@
 	assert.Equal(t, acts[len(acts)-1].Kind, ActRefuse)
 }
 
+// TestCallerThatWouldLeaveIsRefused: nobody waits for the first event then.
+func TestCallerThatWouldLeaveIsRefused(t *testing.T) {
+	b := newBench(t, config(0), []string{})
+	b.take(b.s.Submit(b.now, Request{
+		Key: Key{VM: "vm", Ticket: 1}, Ref: ref("x"), PromptTokens: 10_000, Objective: 500 * time.Millisecond,
+		Deadline: b.now.Add(15 * time.Second), FirstBy: b.now.Add(2 * time.Second),
+	}))
+	quickest := b.s.speed.Overhead() + b.s.speed.Reading(10_000)
+	b.after(2*time.Second - quickest)
+	b.want()
+	b.after(1)
+	assert.Equal(t, b.want(ActRefuse)[0].Reason, "caller_leaves")
+}
+
 func TestReportsDoNotPlaceAgainWhatWaits(t *testing.T) {
 	b := newBench(t, config(1), []string{})
 	b.take(b.s.SetActing(b.now, false, nil))
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -44,6 +44,8 @@
 	Objective time.Duration
 	// Deadline after which an answer is worthless.
 	Deadline time.Time
+	// FirstBy is when the caller leaves if no event has come; zero: at the deadline.
+	FirstBy time.Time
 
 	arrived time.Time
 	// late and heat are what the last ranking went by.
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -160,7 +160,8 @@
 		Model: r.Request.Adapter.Model, Adapter: r.Request.Adapter.Adapter,
 		PromptTokens: int32(r.Request.PromptTokens), OutputTokens: int32(r.Request.OutputTokens),
 		Priority: int32(r.Route.Priority), AimMs: r.Route.Objective.Milliseconds(),
-		LeftMs: time.Until(r.Deadline).Milliseconds(), Exclude: r.Exclude,
+		LeftMs: time.Until(r.Deadline).Milliseconds(), PatienceMs: time.Until(r.FirstBy).Milliseconds(),
+		Exclude: r.Exclude,
 	}
 	for _, p := range r.Request.Parts {
 		a.Parts = append(a.Parts, &schema.PromptPart{Id: p.ID, Tokens: int32(p.Tokens)})
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -210,6 +210,7 @@
 		Priority: int(a.Priority), Exclude: a.Exclude,
 		Objective: time.Duration(a.AimMs) * time.Millisecond,
 		Deadline:  now.Add(time.Duration(a.LeftMs) * time.Millisecond),
+		FirstBy:   now.Add(time.Duration(a.PatienceMs) * time.Millisecond),
 	}
 	for _, p := range a.Parts {
 		r.Parts = append(r.Parts, coord.PromptPart{ID: p.Id, Tokens: int(p.Tokens)})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,6 +72,9 @@
 	// Objective is the latency (to the first event, for streams) that callers
 	// expect; 0: unknown.
 	Objective time.Duration
+	// Patience is how long callers of a stream wait for its first event, and for each
+	// after it, before they leave; 0: until their deadline.
+	Patience time.Duration
 	// MaxAttempts is how many targets may run one request; at least 1.
 	MaxAttempts int
 	// Priority ranks requests; 0 is the most urgent.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,9 @@
 	Route   *fleet.Route
 	// Deadline after which an answer is worthless.
 	Deadline time.Time
-	Exclude  []string
+	// FirstBy is when the caller leaves if no event has come.
+	FirstBy time.Time
+	Exclude []string
 }
 
 // Verdict is a target, or a refusal if Target is empty.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -19,10 +19,15 @@
 // target, and the request goes there.
 func (x *exchange) serveModel() {
 	var exclude []string
+	firstBy := x.deadline
+	if p := x.route.Patience; p > 0 && x.began.Add(p).Before(firstBy) {
+		firstBy = x.began.Add(p)
+	}
 	for {
 		asked := x.g.cfg.Now()
 		v := x.g.cfg.Admission.Admit(x.ctx, &AdmitRequest{
-			Service: x.service.Name, Request: &x.req, Route: x.route, Deadline: x.deadline, Exclude: exclude,
+			Service: x.service.Name, Request: &x.req, Route: x.route, Deadline: x.deadline, FirstBy: firstBy,
+			Exclude: exclude,
 		})
 		x.line.Admit += x.g.cfg.Now().Sub(asked)
 		x.line.DecidedBy = v.From
