Let another engine go on with a resumable stream

Cause: a stream that broke off with its engine ended with the caller's connection, and a request whose engine failed before its first event was failed, although routes of this customer allow both to go on elsewhere.

Change: on resumable routes the caller gets whole events only; after a failure the scheduler is asked for another engine, within the route's attempts and the retry budget, which goes on after the last event that the caller has. The answer keeps its first head; other versions of the weights, another status or an event too long to be held back cut it as before. What may have run is not refused.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -237,6 +237,9 @@
 	Priority int
 	// AdapterVersion that alone may run it; 0: any.
 	AdapterVersion int64
+	// After is the last event of the answer that the caller has; empty: as the caller
+	// said.
+	After string
 }
 
 // Class says what an answer of a target means.
@@ -268,6 +271,9 @@
 	Encode(h http.Header, c Call)
 	// Classify says what a target's answer to the request id means.
 	Classify(id string, status int, h http.Header) Class
+	// Continues reports whether an answer can go on where another one, with the head
+	// first, broke off.
+	Continues(first, next http.Header) bool
 	// Refuse sets the headers of an answer that the request was not run.
 	Refuse(h http.Header, retryAfter time.Duration)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,6 +139,10 @@
 	body    []byte
 	// deadline is when the caller or the route gives up.
 	deadline time.Time
+	// runs is how many targets may have run a model request, and stream what the
+	// caller has of its answer.
+	runs   int
+	stream stream
 	// line closes the request in the log.
 	line events.Request
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,6 +56,9 @@
 func (testCodec) Encode(h http.Header, c fleet.Call) {
 	h.Set("Target", c.Target)
 	h.Set("Left", c.Left.String())
+	if c.After != "" {
+		h.Set("After", c.After)
+	}
 }
 
 func (testCodec) Classify(id string, status int, h http.Header) fleet.Class {
@@ -70,6 +73,10 @@
 	return fleet.Answered
 }
 
+func (testCodec) Continues(first, next http.Header) bool {
+	return first.Get("Weights") == next.Get("Weights")
+}
+
 func (testCodec) Refuse(h http.Header, retryAfter time.Duration) {
 	h.Set("Retry-After", retryAfter.String())
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,8 @@
 	Ended *expvar.Map
 	// NotRun counts attempts that a target did not run, by class.
 	NotRun *expvar.Map
+	// Resumed counts model requests that another target was to go on with.
+	Resumed *expvar.Int
 	// BudgetEmpty counts retries that the budget did not allow.
 	BudgetEmpty *expvar.Int
 	// Dials counts new connections to targets.
@@ -30,11 +32,12 @@
 func NewMetrics() *Metrics {
 	m := &Metrics{
 		Map: new(expvar.Map).Init(), Ended: new(expvar.Map).Init(), NotRun: new(expvar.Map).Init(),
-		BudgetEmpty: new(expvar.Int), Dials: new(expvar.Int), StoreCalls: new(expvar.Map).Init(),
+		Resumed: new(expvar.Int), BudgetEmpty: new(expvar.Int), Dials: new(expvar.Int), StoreCalls: new(expvar.Map).Init(),
 		Orders: new(expvar.Map).Init(), FirstEvent: &Histogram{},
 	}
 	m.Map.Set("requests_ended_total", m.Ended)
 	m.Map.Set("attempts_not_run_total", m.NotRun)
+	m.Map.Set("model_requests_resumed_total", m.Resumed)
 	m.Map.Set("retry_budget_empty_total", m.BudgetEmpty)
 	m.Map.Set("target_connections_total", m.Dials)
 	m.Map.Set("store_calls_total", m.StoreCalls)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -37,19 +38,19 @@
 			abort()
 		}
 		if v.Target == "" {
-			x.refuse(v.Reason, v.RetryAfter)
+			x.giveUp(v, v.Reason)
 			return
 		}
 		if x.line.Sends > 0 && !x.mayRetry() {
 			x.g.cfg.Admission.Done(v, scheduler.EndedAbandoned)
-			x.refuse("not_run", busyPause)
+			x.giveUp(Verdict{RetryAfter: busyPause}, "not_run")
 			return
 		}
 		if !x.tryModel(v) {
 			return
 		}
 		if x.line.Sends >= maxSends {
-			x.refuse("not_run", busyPause)
+			x.giveUp(Verdict{RetryAfter: busyPause}, "not_run")
 			return
 		}
 		exclude = append(exclude, v.Target)
@@ -62,7 +63,7 @@
 	sent := x.g.cfg.Now()
 	answer, err := x.send(x.ctx, destination{
 		target: v.Target, address: v.Address, adapterVersion: v.AdapterVersion,
-		priority: min(x.route.Priority, lowestPriority),
+		priority: min(x.route.Priority, lowestPriority), after: x.stream.lastEvent,
 	})
 	if err != nil {
 		return x.modelFailed(v, err)
@@ -76,8 +77,7 @@
 		x.modelNotRun(v, scheduler.EndedMisplaced, answer.Status, nil)
 		return true
 	}
-	x.relayModel(v, answer, sent)
-	return false
+	return x.relayModel(v, answer, sent)
 }
 
 func (x *exchange) modelNotRun(v Verdict, how scheduler.Ending, status int, err error) {
@@ -102,23 +102,47 @@
 		x.modelNotRun(v, scheduler.EndedUnreachable, 0, err)
 		return true
 	}
+	x.runs++
+	if x.mayResume(err) {
+		x.resumes(v, err)
+		return true
+	}
 	x.g.cfg.Admission.Done(v, scheduler.EndedFailed)
+	if x.stream.head != nil {
+		x.end("cut", http.StatusOK, "stream_cut", err)
+		abort()
+	}
 	x.fail("target_failed", err)
 	return false
 }
 
-// relayModel returns the target's answer.
-func (x *exchange) relayModel(v Verdict, answer *hop.Answer, sent time.Time) {
+// errOther marks an answer that does not go on where the caller's ends.
+var errOther = errors.New("the answer does not continue the one before")
+
+// relayModel returns the target's answer. It returns true if another target is to go on
+// with it.
+func (x *exchange) relayModel(v Verdict, answer *hop.Answer, sent time.Time) (again bool) {
+	if x.stream.head != nil && !x.goesOn(answer) {
+		return x.modelFailed(v, errOther)
+	}
 	if answer.Status != http.StatusOK || !isEventStream(answer.Header) {
-		x.relayModelWhole(v, answer)
-		return
+		return x.relayModelWhole(v, answer)
 	}
 	prefix, err := x.firstEvent(v, answer, sent)
 	if err != nil {
-		x.modelFailed(v, err)
-		return
+		return x.modelFailed(v, err)
+	}
+	if x.resumable(answer) {
+		err = x.relayEvents(answer, prefix)
+	} else {
+		err = x.relay(answer, prefix)
+	}
+	if err != nil && !x.callerLeft() && x.stream.head != nil {
+		if x.runs++; x.mayResume(err) {
+			x.resumes(v, err)
+			return true
+		}
 	}
-	err = x.relay(answer, prefix)
 	switch {
 	case err == nil:
 		x.g.cfg.Admission.Done(v, scheduler.EndedOK)
@@ -132,13 +156,16 @@
 		x.end("cut", answer.Status, "stream_cut", err)
 		abort()
 	}
+	return false
 }
 
-// firstEvent reads the first bytes of a stream.
+// firstEvent reads the first bytes of a stream. A stream that goes on after its last event
+// has none.
 func (x *exchange) firstEvent(v Verdict, answer *hop.Answer, sent time.Time) (prefix []byte, err error) {
 	buffer := make([]byte, 512)
 	n, err := answer.Read(buffer)
-	if n == 0 && err != nil {
+	nothingLeft := err == io.EOF && x.stream.head != nil
+	if n == 0 && err != nil && !nothingLeft {
 		return nil, errors.Wrap(err, "read first event")
 	}
 	x.g.cfg.Admission.First(v)
@@ -148,11 +175,10 @@
 }
 
 // relayModelWhole returns an answer that is no stream.
-func (x *exchange) relayModelWhole(v Verdict, answer *hop.Answer) {
+func (x *exchange) relayModelWhole(v Verdict, answer *hop.Answer) (again bool) {
 	body, whole, err := readWhole(answer)
 	if err != nil {
-		x.modelFailed(v, err)
-		return
+		return x.modelFailed(v, err)
 	}
 	how := scheduler.EndedOK
 	if answer.Status >= http.StatusInternalServerError {
@@ -161,7 +187,8 @@
 	x.g.cfg.Admission.Done(v, how)
 	if whole {
 		x.writeWhole(answer, body)
-		return
+		return false
 	}
 	x.finishLong(answer, body)
+	return false
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,6 +20,8 @@
 	target, address string
 	adapterVersion  int64
 	priority        int
+	// after is the last event that the caller has; empty: as the caller said.
+	after string
 }
 
 // noPriority leaves the priority out.
@@ -32,7 +34,7 @@
 	h := x.header.Clone()
 	left := time.Until(x.deadline)
 	x.g.cfg.Codec.Encode(h, fleet.Call{
-		Target: d.target, Left: left, Priority: d.priority, AdapterVersion: d.adapterVersion,
+		Target: d.target, Left: left, Priority: d.priority, AdapterVersion: d.adapterVersion, After: d.after,
 	})
 	return x.g.cfg.Pool.Do(ctx, &hop.Request{
 		Key: d.target, Address: d.address, MaxConns: x.connectionShare(),
@@ -127,36 +129,58 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	x.w.WriteHeader(a.Status)
-	out := http.NewResponseController(x.w)
-	if len(prefix) > 0 {
-		if _, err := x.w.Write(prefix); err != nil {
-			return errors.Mark(err, errCallerLeft)
-		}
+	return x.copyBody(a, prefix, func(b []byte) ([]byte, error) { return b, nil })
+}
+
+// relayEvents is relay for a stream that may be resumed: it passes on whole events. What
+// is left at the end of a whole answer is passed on as well.
+func (x *exchange) relayEvents(a *hop.Answer, prefix []byte) error {
+	if x.stream.head == nil {
+		x.copyHeader(a)
+		x.w.WriteHeader(a.Status)
+		x.stream.head = a.Header
 	}
-	if err := out.Flush(); err != nil {
-		return errors.Mark(err, errCallerLeft)
+	if err := x.copyBody(a, prefix, x.stream.take); err != nil {
+		return err
 	}
+	return x.write(x.stream.rest)
+}
+
+// copyBody passes on what part makes of the bytes that come, prefix first.
+func (x *exchange) copyBody(a *hop.Answer, prefix []byte, part func([]byte) ([]byte, error)) error {
 	buffer := copyBuffers.Get().(*[copySize]byte)
 	defer copyBuffers.Put(buffer)
-	for {
-		n, err := a.Read(buffer[:])
-		if n > 0 {
-			if _, werr := x.w.Write(buffer[:n]); werr != nil {
-				return errors.Mark(werr, errCallerLeft)
-			}
-			if ferr := out.Flush(); ferr != nil {
-				return errors.Mark(ferr, errCallerLeft)
-			}
+	for n, end := copy(buffer[:], prefix), error(nil); ; n, end = a.Read(buffer[:]) {
+		b, err := part(buffer[:n])
+		if err != nil {
+			return err
+		}
+		if err := x.write(b); err != nil {
+			return err
 		}
-		if err == io.EOF {
+		if end == io.EOF {
 			return nil
 		}
-		if err != nil {
-			return errors.Wrap(err, "read answer")
+		if end != nil {
+			return errors.Wrap(end, "read answer")
 		}
 	}
 }
 
+// write sends bytes to the caller at once.
+func (x *exchange) write(b []byte) error {
+	if len(b) == 0 {
+		return nil
+	}
+	if _, err := x.w.Write(b); err != nil {
+		return errors.Mark(err, errCallerLeft)
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return errors.Mark(err, errCallerLeft)
+	}
+	return nil
+}
+
 // abort ends the caller's connection so that the answer does not look whole.
 func abort() { panic(http.ErrAbortHandler) }
 
