--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	$(TOOLS)/staticcheck -checks "all,-ST1000,-ST1005" $(PACKAGES)
 
 # Tests that are known to fail, as a pattern; each is a line of KNOWN-RED.txt.
-KNOWN_RED := $(shell sed -n 's/ *|.*//; s,/,$$/^,; s/.*/^&$$/p' KNOWN-RED.txt | paste -sd'|')
+KNOWN_RED := $(shell .ci/known-red KNOWN-RED.txt)
 
 race:
 	@if [ -n '$(KNOWN_RED)' ]; then echo "passed over, see KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
