Let late requests go last at engines

Cause: engines read prompts by priority and in order of arrival, and what is read first is finished first. A request that cannot be in time any more made those behind it late as well.

Change: each priority of requests is divided in two at the engine; the scheduler says which, from the time that it expects. Classes keep their order.

Test: TestLateRequestLetsOthersGoFirst.

--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -20,7 +20,8 @@
 
 // delay is the expected time to the first event of r at t.
 func (s *Scheduler) delay(now time.Time, t *target, r *Request) time.Duration {
-	return t.engine.FirstEvent(now, s.speed, t.uncached(r), r.Priority) + s.roomWait(t, r)
+	_, first := s.urgency(now, t, r)
+	return first + s.roomWait(t, r)
 }
 
 // roomWait is the expected wait until requests that run at t have ended, where its
@@ -185,7 +186,8 @@
 }
 
 func (s *Scheduler) grant(now time.Time, t *target, r *Request) {
-	prompt := t.engine.Begin(now, s.speed, t.uncached(r), r.Priority)
+	priority, _ := s.urgency(now, t, r)
+	prompt := t.engine.Begin(now, s.speed, t.uncached(r), priority)
 	t.running++
 	t.crowd.add(now)
 	g := &grant{
@@ -198,7 +200,7 @@
 		t.health.trial = true
 	}
 	s.grants[r.Key] = g
-	a := Action{Kind: ActGrant, Key: r.Key, Target: t.id, Ref: r.Ref}
+	a := Action{Kind: ActGrant, Key: r.Key, Target: t.id, Ref: r.Ref, Priority: priority}
 	if sl := t.slots[r.Ref]; sl != nil {
 		sl.inUse++
 		sl.lastUse = now
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -590,6 +590,28 @@
 	assert.Equal(t, acts[len(acts)-1].Kind, ActRefuse)
 }
 
+// TestLateRequestLetsOthersGoFirst: what cannot be in time at its engine makes nobody
+// else late there.
+func TestLateRequestLetsOthersGoFirst(t *testing.T) {
+	b := newBench(t, config(2), []string{"x"})
+	submit := func(tokens int) int {
+		b.ticket++
+		b.take(b.s.Submit(b.now, Request{
+			Key: Key{VM: "vm", Ticket: b.ticket}, Ref: ref("x"), PromptTokens: tokens, Priority: 1,
+			Objective: 800 * time.Millisecond, Deadline: b.now.Add(15 * time.Second),
+		}))
+		return b.want(ActGrant)[0].Priority
+	}
+	inTime := submit(1000)
+	late := submit(100_000)
+	assert.Assert(t, late > inTime)
+	assert.Equal(t, submit(1000), inTime, "the late one is not in front")
+	for _, priority := range []int{0, 1, 2} {
+		assert.Assert(t, enginePriority(priority, tierLate) < EnginePriority(priority+1), "classes keep their order")
+	}
+	assert.Equal(t, EnginePriority(50), lowestPriority)
+}
+
 // TestCallerThatWouldLeaveIsRefused: nobody waits for the first event then.
 func TestCallerThatWouldLeaveIsRefused(t *testing.T) {
 	b := newBench(t, config(0), []string{})
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -102,6 +102,8 @@
 	Target  string
 	Ref     coord.AdapterRef
 	Version int64
+	// Priority of a granted request at Target; 0 is the most urgent.
+	Priority int
 	// Expect is how many orders Target must have taken so far for this one to be
 	// obeyed; nil: any number.
 	Expect     *uint64
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -172,7 +172,7 @@
 func verdictFromProto(r *gateway.AdmitRequest, ticket uint64, from coord.VMID, v *schema.Verdict) gateway.Verdict {
 	return gateway.Verdict{
 		Service: r.Service, Ticket: ticket, From: string(from),
-		Target: v.Target, Address: v.Address, AdapterVersion: v.AdapterVersion,
+		Target: v.Target, Address: v.Address, AdapterVersion: v.AdapterVersion, Priority: int(v.Priority),
 		RetryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, Reason: v.Reason,
 	}
 }
@@ -215,7 +215,10 @@
 // lastKnown sends requests where they were sent before, and those for a base model
 // to any target that holds it.
 func (n *Node) lastKnown(r *gateway.AdmitRequest) gateway.Verdict {
-	v := gateway.Verdict{Service: r.Service, From: n.settings.Vm.Id, Ticket: n.tickets.Add(1)}
+	v := gateway.Verdict{
+		Service: r.Service, From: n.settings.Vm.Id, Ticket: n.tickets.Add(1),
+		Priority: scheduler.EnginePriority(r.Route.Priority),
+	}
 	if t, version := n.knownHome(r); t != nil {
 		v.Target, v.Address, v.AdapterVersion = t.ID, t.Address, version
 		return v
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -287,7 +287,7 @@
 	}
 	delete(sc.waiters, a.Key)
 	v := &schema.Verdict{
-		Target: a.Target, AdapterVersion: a.Version, RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
+		Target: a.Target, AdapterVersion: a.Version, Priority: int32(a.Priority), RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
 	}
 	if t := sc.targets[a.Target]; t != nil {
 		v.Address = t.Address
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,8 +60,10 @@
 	Target         string
 	Address        string
 	AdapterVersion int64
-	RetryAfter     time.Duration
-	Reason         string
+	// Priority at the target; 0 is the most urgent.
+	Priority   int
+	RetryAfter time.Duration
+	Reason     string
 }
 
 // Directory is what is known of the surroundings.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -13,9 +13,6 @@
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
-// lowestPriority at engines; 0 is the most urgent.
-const lowestPriority = 9
-
 // serveModel serves a request for a model or an adapter: the scheduler names a
 // target, and the request goes there.
 func (x *exchange) serveModel() {
@@ -63,7 +60,7 @@
 	sent := x.g.cfg.Now()
 	answer, err := x.send(x.ctx, destination{
 		target: v.Target, address: v.Address, adapterVersion: v.AdapterVersion,
-		priority: min(x.route.Priority, lowestPriority), after: x.stream.lastEvent,
+		priority: v.Priority, after: x.stream.lastEvent,
 	})
 	if err != nil {
 		return x.modelFailed(v, err)
