Compress long updates of the store's copy between VMs

Change: updates above 1,400 bytes are compressed with zstd.

Tests: TestUpdateOverTheWire (1,700 routes in under 50 KB; failed first), TestDamagedUpdateIsRefused.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,7 +9,6 @@
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/feed"
-	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/peer"
 	"github.com/junctionfold/junctionfold/schema"
 )
@@ -39,7 +38,11 @@
 		n.mergeRoster(body.Roster)
 		return &schema.Reply{Body: &schema.Reply_Roster{Roster: n.wholeRoster()}}
 	case *schema.Call_Feed:
-		n.feed.TakeFrom(from, updateFromProto(body.Feed))
+		u, err := updateFromProto(body.Feed)
+		if err != nil {
+			return &schema.Reply{Error: err.Error()}
+		}
+		n.feed.TakeFrom(from, u)
 		return emptyReply()
 	case *schema.Call_FeedPull:
 		u, ok := n.feed.Since(body.FeedPull.After)
@@ -216,7 +219,7 @@
 	if reply.GetFeed() == nil {
 		return feed.Update{}, errors.Newf("%s answered without an update", vm)
 	}
-	return updateFromProto(reply.GetFeed()), nil
+	return updateFromProto(reply.GetFeed())
 }
 
 // others returns the live VMs but this one.
@@ -239,23 +242,3 @@
 		n.log.PeerCallFailed("tell", string(vm), err)
 	}
 }
-
-func updateToProto(u feed.Update) *schema.FeedUpdate {
-	out := &schema.FeedUpdate{From: u.From, To: u.To, Snapshot: u.Snapshot, AgeMs: u.Age.Milliseconds()}
-	for _, i := range u.Items {
-		out.Items = append(out.Items, &schema.StoreItem{
-			Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted,
-		})
-	}
-	return out
-}
-
-func updateFromProto(u *schema.FeedUpdate) feed.Update {
-	out := feed.Update{
-		From: u.From, To: u.To, Snapshot: u.Snapshot, Age: time.Duration(u.AgeMs) * time.Millisecond,
-	}
-	for _, i := range u.Items {
-		out.Items = append(out.Items, fleet.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
-	}
-	return out
-}
