Let who reads a change by itself pass it on

Cause: where all readers have lost the store, other VMs read by themselves once their copy is stale, and told nobody; each of the others found out by its own read or by a heartbeat later. The time from the word of a leaving target to all VMs had no bound of its own.

Change: a change that was read is passed on by whoever read it. The bound: staleAfter (0.45 of the time for a configuration), staleJitter and idleCheck, 1.2 s where 2 s are allowed and 1.65 s where 3 s are, a read, and one message.

Test: TestWhoReadsByItselfPassesOn (failed first).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -16,7 +16,9 @@
 
 // Times of the reading. A new configuration has to be in force within 2 s and a
 // leaving target left alone within 2 s: a change waits for pollGap at most, then
-// for one message; a VM whose readers are cut off notices after staleAfter.
+// for one message. Where all readers are cut off, some other VM reads within staleAfter,
+// staleJitter and idleCheck (1.2 s where 2 s are allowed, 1.65 s where 3 s are) and
+// passes on what it finds.
 const (
 	// watchWait is how long a watch waits for a change, which is how often a
 	// reader can say that nothing changed.
@@ -179,7 +181,7 @@
 	return f.cfg.Peers.Pull(ctx, after)
 }
 
-// watch asks the store for changes and passes them on if this VM is a reader.
+// watch asks the store for changes and passes them on.
 func (f *Feed) watch(ctx context.Context, wait, gap time.Duration) time.Duration {
 	began := f.cfg.Now()
 	from := f.Revision()
@@ -200,12 +202,15 @@
 	return max(gap-f.cfg.Now().Sub(began), 0)
 }
 
-// takeAndPassOn takes what this VM has read, and as a reader tells the others
-// what changed by it. That nothing changed they learn from the roster.
+// takeAndPassOn takes what this VM has read, and tells the others what changed by it.
+// That nothing changed they learn from the roster. A VM that is no reader reads only when
+// it has heard nothing fresh: its readers have lost the store, and those of others
+// probably have too. Who reads a change first passes it on, so that it is no change to
+// those who read after.
 func (f *Feed) takeAndPassOn(u Update) {
 	before, _, _ := f.State()
 	changed, _ := f.take(u)
-	if len(changed) > 0 && f.cfg.Peers.Reader() {
+	if len(changed) > 0 {
 		f.cfg.Peers.PassOn(Update{From: before, To: u.To, Items: changed})
 	}
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -260,6 +260,20 @@
 	assert.Equal(t, x.feed.Directory().Config.Version, uint64(2))
 }
 
+// TestWhoReadsByItselfPassesOn: the readers have lost the store, and the others with them.
+func TestWhoReadsByItselfPassesOn(t *testing.T) {
+	x := newFixture()
+	x.step(t)
+	x.store.items = append(x.store.items, removal("t1", 6))
+	x.store.revision = 6
+	x.now = x.now.Add(x.feed.staleAfter() + staleJitter)
+	x.step(t)
+	assert.Equal(t, len(x.peers.passed), 1)
+	x.now = x.now.Add(x.feed.staleAfter() + staleJitter)
+	x.step(t)
+	assert.Equal(t, len(x.peers.passed), 1, "what is known is not passed on again")
+}
+
 func TestOthersReadOnlyWhenStale(t *testing.T) {
 	x := newFixture()
 	x.step(t)
