Bound the read of the revision for the duty by half a second

Change: a time-out of its own for this read.

Test: TestDutyIsTakenWhileTheStoreIsSilent (whole VMs; the hand-over itself failed before the round on the duty without the store).

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -41,6 +41,9 @@
 	minReaders = 2
 	// vmsPerReader bounds how far word of a reader has to go in a large fleet.
 	vmsPerReader = 30
+	// revisionTimeout bounds one read of the store's revision: nobody orders
+	// meanwhile. Answers take 4 ms, and a quarter of a second in slow spells.
+	revisionTimeout = 500 * time.Millisecond
 	// readerName is hashed to choose them.
 	readerName = "reader"
 )
@@ -304,7 +307,9 @@
 
 // takeDuty reads the store's revision for the fencing number.
 func (n *Node) takeDuty() {
-	revision, err := n.platform.Store.Revision(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), revisionTimeout)
+	defer cancel()
+	revision, err := n.platform.Store.Revision(ctx)
 	if err != nil {
 		n.log.DutyNotTaken(err)
 	}
