Count prompts that wait for a load where the next adapter is loaded

Cause: a request whose adapter has to be loaded is sent a quarter of a second later. In that time its engine looks idle, and the next first-time adapters were loaded there too; their prompts then queued behind each other.

Change: a place that loads knows the tokens of the prompts that wait for it; the choice of a home counts their reading.

Test: TestPromptsThatWaitForALoadCount (failed first).

--- a/coord/scheduler/homes.go
+++ b/coord/scheduler/homes.go
@@ -41,6 +41,7 @@
 	s.searches--
 	if t, _ := s.newHome(now, r); t != nil {
 		s.loadAt(now, t, r.Ref)
+		t.promise(r)
 	}
 }
 
@@ -119,6 +120,7 @@
 		}
 		d := s.delay(now, t, r) + t.loadTime(r.Ref)
 		cost := d + time.Duration(t.crowd.now(now)*float64(crowdCost))
+		cost += s.speed.Reading(t.promised())
 		cost += time.Duration(rendezvous.Mix(t.hash, key) % uint64(tieSpan))
 		if best != nil && cost >= least {
 			continue
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -113,6 +113,7 @@
 		s.spread(now, r, homeDelay)
 	}
 	if sl := home.slots[r.Ref]; sl.state != resident || now.Before(sl.readyAt) {
+		home.promise(r)
 		return false
 	}
 	s.grant(now, home, r)
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -590,6 +590,26 @@
 	assert.Equal(t, acts[len(acts)-1].Kind, ActRefuse)
 }
 
+// TestPromptsThatWaitForALoadCount: the next adapter is loaded at another engine, though
+// nothing has been sent to the first one yet.
+func TestPromptsThatWaitForALoadCount(t *testing.T) {
+	b := newBench(t, config(4), []string{}, []string{})
+	submit := func(name string, tokens int) string {
+		b.ticket++
+		b.take(b.s.Submit(b.now, Request{
+			Key: Key{VM: "vm", Ticket: b.ticket}, Ref: ref(name), PromptTokens: tokens,
+			Objective: 800 * time.Millisecond, Deadline: b.now.Add(15 * time.Second),
+		}))
+		load := b.want(ActLoad)[0]
+		b.ordered(load, OrderBegun)
+		return load.Target
+	}
+	busy := submit("long", 20_000)
+	for _, name := range []string{"a", "b", "c"} {
+		assert.Assert(t, submit(name, 500) != busy, name)
+	}
+}
+
 // TestLateRequestLetsOthersGoFirst: what cannot be in time at its engine makes nobody
 // else late there.
 func TestLateRequestLetsOthersGoFirst(t *testing.T) {
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -40,6 +40,8 @@
 	// way. Until then, and for the lag of reports after it, a report says nothing
 	// about this place. Also zero where nothing was ordered.
 	answered time.Time
+	// promised is how many tokens of prompts wait for the load, to be read after it.
+	promised int
 	// fromStore loads count towards Config.MaxLoads.
 	fromStore bool
 }
@@ -89,6 +91,27 @@
 	health health
 }
 
+// promise counts the prompt of a request that waits for a load at the target.
+func (t *target) promise(r *Request) {
+	sl := t.slots[r.Ref]
+	if sl == nil || sl.state != loading || r.waitsFor == sl {
+		return
+	}
+	r.waitsFor = sl
+	sl.promised += t.uncached(r)
+}
+
+// promised is how many tokens of prompts wait for loads at the target.
+func (t *target) promised() int {
+	n := 0
+	for _, sl := range t.slots {
+		if sl.state == loading {
+			n += sl.promised
+		}
+	}
+	return n
+}
+
 // told reports whether a report whose reading began then shows what came of the
 // last order for the place.
 func (sl *slot) told(began time.Time) bool {
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -48,6 +48,8 @@
 	FirstBy time.Time
 
 	arrived time.Time
+	// waitsFor is the place whose load it waits for, as far as that is counted.
+	waitsFor *slot
 	// late and heat are what the last ranking went by.
 	late bool
 	heat float64
