Tell the roster quickly after a start

They are up after 0.6 to 1.1 s, but each looks at the fleet only every 0.2 s, so that a scheduler was asked 0.4 s after the last start and the lease taken 0.2 s later still.

Change: for its first 1.5 s a VM tells its roster, and looks at the duty, every 50 ms.

Test: TestHeartbeatIsQuickAtTheStart.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,6 +48,11 @@
 	heartbeat = 200 * time.Millisecond
 	// slowHeartbeat is the same in large fleets, where what is told is longer.
 	slowHeartbeat = 300 * time.Millisecond
+	// startHeartbeat is the time between two tellings, and looks at the duty, of a VM
+	// that has just started: after a loss of all nobody decides until the VMs know
+	// each other. startTime is how long a start takes at most, with its lease.
+	startHeartbeat = 50 * time.Millisecond
+	startTime      = 1500 * time.Millisecond
 	// largeFleet is the number of VMs from which on a fleet is large.
 	largeFleet = 24
 	// fanout is how many VMs each telling goes to: with it, word reaches seven
@@ -90,6 +95,8 @@
 	log      *events.Log
 	platform Platform
 	now      func() time.Time
+	// began is when the process started.
+	began time.Time
 
 	metrics   *gateway.Metrics
 	feed      *feed.Feed
@@ -136,12 +143,12 @@
 		orders: pond.NewPool(orderWorkers), reports: pond.NewPool(reportWorkers), shown: &feed.Directory{},
 	}
 	self := coord.VMID(s.Vm.Id)
-	began := n.now()
-	incarnation := uint64(began.UnixNano())
+	n.began = n.now()
+	incarnation := uint64(n.began.UnixNano())
 	n.tickets.Store(incarnation)
 	n.roster = roster.New(roster.Config{
 		SuspectAfter: suspectAfter, SuspectGrowth: suspectGrowth, ForgetAfter: forgetAfter, AbandonAfter: abandonAfter,
-		Seeds: s.Listen.Seeds, Start: began,
+		Seeds: s.Listen.Seeds, Start: n.began,
 	}, roster.Entry{
 		ID: self, Address: advertised(s.Listen), Zone: s.Vm.Zone, Incarnation: incarnation,
 		Capacity: uint32(hundredths * s.Vm.CpuShare * s.Vm.CpuCores),
@@ -150,7 +157,7 @@
 	if s.Orders.EnginesCheckFence {
 		wait = min(wait, fencedWait)
 	}
-	n.duty = duty.New(began, self, dutyName, wait, s.Orders.EnginesCheckFence)
+	n.duty = duty.New(n.began, self, dutyName, wait, s.Orders.EnginesCheckFence)
 	n.acting.Store(new(coord.VMID))
 	n.vms.Store(1)
 	homes, err := lru.New[coord.AdapterRef, lastHome](maxLastHomes)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -174,6 +174,9 @@
 }
 
 func (n *Node) heartbeat() time.Duration {
+	if n.now().Sub(n.began) < startTime {
+		return startHeartbeat
+	}
 	if n.vms.Load() >= largeFleet {
 		return slowHeartbeat
 	}
