Close a session between VMs that fell silent

Cause: an open connection may fall silent without an end while new ones work. Sessions had no keep-alive of their own; a call on such a session was given up by its sender, but the session stayed, for 5 s until its layer below noticed a call that nobody acknowledged.

Change: the edge role bounds that by 1.5 s (the serve role, whose sessions carry answers, keeps 5 s). Every call asks for such an acknowledgement, also one that waits long for its answer.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,6 +72,9 @@
 	abandonAfter = time.Minute
 	// peerDial bounds the making of a session.
 	peerDial = 800 * time.Millisecond
+	// peerSilence bounds how long a session that fell silent is used: some times the
+	// way there and back, and what a full link holds up.
+	peerSilence = 1500 * time.Millisecond
 	// fencedWait is how long no claim to the duty was heard before it is taken
 	// where engines check fencing numbers: some rounds of the roster. Two VMs that
 	// take it at once do no harm, see scheduler.SetLease.
@@ -169,7 +172,7 @@
 	n.silence = newSilence()
 	n.schedules = newSchedules(n)
 	n.mesh = peer.New(peer.Config{
-		Self: self, Hall: s.Vm.Zone, Incarnation: incarnation, DialTimeout: peerDial,
+		Self: self, Hall: s.Vm.Zone, Incarnation: incarnation, DialTimeout: peerDial, SilenceTimeout: peerSilence,
 	}, (*peerHandler)(n), n.peerAddress)
 	n.feed = feed.New(feed.Config{
 		Store: p.Store, Peers: (*feedPeers)(n), Prefixes: p.Prefixes, Decode: p.Decode, Trim: p.Trim,
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -49,6 +49,10 @@
 	TLS *tls.Config
 	// DialTimeout bounds the making of a session.
 	DialTimeout time.Duration
+	// SilenceTimeout is how long the other side of a session may take to acknowledge
+	// that a call was begun, before the session is closed: a connection may fall
+	// silent without an end. Zero: 5 s.
+	SilenceTimeout time.Duration
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -146,16 +150,20 @@
 	}
 }
 
-// yamuxConfig keeps the session's own keep-alive off: heartbeats do its work.
-func yamuxConfig() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.EnableKeepAlive = false
-	c.LogOutput = io.Discard
-	c.StreamOpenTimeout = streamOpenTimeout
-	c.ConnectionWriteTimeout = writeTimeout
-	return c
+// yamuxConfig keeps the session's own keep-alive off: each call asks for a sign of life.
+func (c *Config) yamuxConfig() *yamux.Config {
+	y := yamux.DefaultConfig()
+	y.EnableKeepAlive = false
+	y.LogOutput = io.Discard
+	y.StreamOpenTimeout = streamOpenTimeout
+	if c.SilenceTimeout > 0 {
+		y.StreamOpenTimeout = c.SilenceTimeout
+	}
+	y.ConnectionWriteTimeout = writeTimeout
+	return y
 }
 
+// Bounds of a session, many times what a loaded VM takes.
 const (
 	streamOpenTimeout = 5 * time.Second
 	writeTimeout      = 5 * time.Second
@@ -173,9 +181,9 @@
 	s := newSession(want)
 	batched := newBatchConn(secured, s.end)
 	if dialled {
-		s.mux, err = yamux.Client(batched, yamuxConfig())
+		s.mux, err = yamux.Client(batched, m.cfg.yamuxConfig())
 	} else {
-		s.mux, err = yamux.Server(batched, yamuxConfig())
+		s.mux, err = yamux.Server(batched, m.cfg.yamuxConfig())
 	}
 	if err != nil {
 		return nil, errors.Wrap(err, "start session")
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,10 +6,12 @@
 	"crypto/tls"
 	"crypto/x509"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/internal/certs"
@@ -210,6 +212,53 @@
 	}
 }
 
+// swallowing is a connection that may fall silent: what is written is lost, and nothing
+// comes any more.
+type swallowing struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *swallowing) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// TestSilentSessionIsReplaced: a connection falls silent without an end while new ones
+// work.
+func TestSilentSessionIsReplaced(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	b := New(Config{Self: "b", DialTimeout: 2 * time.Second}, echo{}, nil)
+	go b.Serve(l)
+	var last atomic.Pointer[swallowing]
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialTCP(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &swallowing{Conn: conn}
+		last.Store(c)
+		return c, nil
+	}
+	a := New(Config{Self: "a", DialTimeout: 2 * time.Second, SilenceTimeout: 50 * time.Millisecond, Dial: dial}, echo{},
+		func(coord.VMID) string { return l.Addr().String() })
+	defer func() { a.Close(); b.Close(); _ = l.Close() }()
+	_, err = a.Call(t.Context(), "b", &schema.Call{})
+	assert.NilError(t, err)
+	last.Load().silent.Store(true)
+	_, err = a.Call(t.Context(), "b", &schema.Call{})
+	assert.Assert(t, err != nil, "it ends though nobody gives it a deadline")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := a.Call(t.Context(), "b", &schema.Call{}); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
 func FuzzFrames(f *testing.F) {
 	var wire bytes.Buffer
 	assert.NilError(f, writeFrame(&wire, head("r", 1)))
