Ask the targets of kept connections for a sign of life

Cause: a target's connection may fall silent without an end. What was sent and not acknowledged failed after 3 s, but a request that waited for its answer, or a stream midway, was held until the caller's patience or deadline.

Change: TCP keep-alive after 1 s of silence, every second; with the bound on unacknowledged bytes such a connection fails within 4 s.

--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -61,6 +61,11 @@
 	maxForeignBody = 1 << 20
 )
 
+// keepAlive asks a target for a sign of life where nothing comes for a while: with
+// unacknowledged, a connection that fell silent fails within 4 s, also while its request
+// waits for the answer.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // Pool keeps connections to targets.
 type Pool struct {
 	mu      sync.Mutex
@@ -185,7 +190,7 @@
 func (p *Pool) dial(ctx context.Context, r *Request) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := net.Dialer{Control: setUserTimeout}
+	d := net.Dialer{Control: setUserTimeout, KeepAliveConfig: keepAlive}
 	if p.OnDial != nil {
 		p.OnDial()
 	}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -306,3 +307,28 @@
 	p.Forget("t")
 	assert.Equal(t, len(p.targets), 0)
 }
+
+// TestConnectionsAreAskedForASignOfLife: a target's connection may fall silent without an
+// end.
+func TestConnectionsAreAskedForASignOfLife(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	p := New(nil)
+	c, err := p.dial(t.Context(), &Request{Key: "k", Address: l.Addr().String()})
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	for name, row := range map[string]struct{ level, option, want int }{
+		"keep-alive":           {unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		"idle time in s":       {unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(keepAlive.Idle.Seconds())},
+		"interval in s":        {unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(keepAlive.Interval.Seconds())},
+		"unacknowledged in ms": {unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds())},
+	} {
+		got := 0
+		assert.NilError(t, raw.Control(func(fd uintptr) { got, err = unix.GetsockoptInt(int(fd), row.level, row.option) }))
+		assert.NilError(t, err, name)
+		assert.Equal(t, got, row.want, name)
+	}
+}
