Split the files that had grown large: connections, one VM, sessions, the door

Cause: internal/hop/hop.go, internal/edge/run.go, internal/peer/mesh.go, internal/gateway/gateway.go and internal/edge/schedule.go had 350 to 440 lines with several duties each.

Change: moved, not changed: hop/pool.go and answer.go, edge/beats.go, leader.go and orders.go, peer/handshake.go, gateway/answers.go; constants with what they bound; the package pages say what stands where.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,9 +2,11 @@
 // platform's store, the sessions with other edge VMs, and the scheduler of model
 // requests, which one VM runs for all.
 //
-// edge.go builds the parts, run.go drives and stops them, peers.go speaks with
-// other VMs, schedule.go runs the scheduler and carries out its orders,
-// admit.go asks for its verdicts.
+// edge.go builds the parts and run.go drives and stops them. beats.go keeps the roster,
+// leader.go finds who reads the store and who orders, peers.go and update.go speak with
+// other VMs. schedule.go runs the scheduler, orders.go carries out its orders, admit.go
+// asks for its verdicts, running.go remembers what runs and silence.go notices a
+// scheduler that does not answer.
 package edge
 
 import (
--- /dev/null
+++ b/internal/edge/leader.go
@@ -0,0 +1,101 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/rendezvous"
+)
+
+// Figures of who reads and who orders.
+const (
+	// minReaders is how many VMs watch the store for all: two, so that one may be
+	// cut off unnoticed.
+	minReaders = 2
+	// vmsPerReader bounds how far word of a reader has to go in a large fleet.
+	vmsPerReader = 30
+	// revisionTimeout bounds one read of the store's revision: nobody orders
+	// meanwhile. Answers take 4 ms, and a quarter of a second in slow spells.
+	revisionTimeout = 500 * time.Millisecond
+	// readerName is hashed to choose them.
+	readerName = "reader"
+)
+
+// updateReaders finds who reads the store for all.
+func (n *Node) updateReaders() {
+	n.mu.Lock()
+	live := n.roster.Strong()
+	n.vms.Store(int64(max(n.roster.Size(), 1)))
+	n.mu.Unlock()
+	hashes := make([]uint64, len(live))
+	for i, e := range live {
+		hashes[i] = rendezvous.Hash(string(e.ID))
+	}
+	best := make([]int, max(minReaders, int(n.vms.Load())/vmsPerReader))
+	top := best[:rendezvous.Top(hashes, rendezvous.Hash(readerName), best)]
+	n.reader.Store(slices.ContainsFunc(top, func(i int) bool { return string(live[i].ID) == n.settings.Vm.Id }))
+}
+
+// updateDuty finds who gives orders, and takes the duty when it falls to this VM.
+func (n *Node) updateDuty() {
+	n.mu.Lock()
+	before := n.duty.Phase()
+	take := n.duty.Update(n.now(), n.roster)
+	after := n.duty.Phase()
+	acting := n.duty.Acting()
+	n.roster.SetFence(n.duty.Fence())
+	fence := n.duty.Fence()
+	vms, majority := n.roster.Size(), n.roster.HasMajority()
+	n.mu.Unlock()
+	if old := *n.acting.Load(); old != acting {
+		n.acting.Store(&acting)
+		n.watchSilence(acting)
+		n.schedules.setActing(acting == coord.VMID(n.settings.Vm.Id), n.others())
+		n.tellRunning(acting)
+		n.log.SchedulerMoved(string(old), string(acting))
+	}
+	if before != after {
+		n.log.DutyChanged(before.String(), after.String(), vms, majority)
+	}
+	n.schedules.setLease(fence)
+	if take {
+		go n.takeDuty()
+	}
+}
+
+// takeDuty reads the store's revision for the fencing number.
+func (n *Node) takeDuty() {
+	ctx, cancel := context.WithTimeout(context.Background(), revisionTimeout)
+	defer cancel()
+	revision, err := n.platform.Store.Revision(ctx)
+	if err != nil {
+		n.log.DutyNotTaken(err)
+	}
+	n.mu.Lock()
+	n.duty.Take(n.now(), revision, err == nil)
+	fence := n.duty.Fence()
+	n.roster.SetFence(fence)
+	n.mu.Unlock()
+	if fence == 0 {
+		return
+	}
+	n.log.DutyTaken(fence, revision)
+	n.schedules.setLease(fence)
+	n.beatAll()
+}
+
+// maxTickAge is how old the last look at the fleet may be for an order: a VM that
+// stood still must look again first.
+const maxTickAge = 2*slowHeartbeat + 100*time.Millisecond
+
+// orderFence returns the number to order under; 0 when this VM may not order.
+func (n *Node) orderFence() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.now().Sub(n.lastTick) > maxTickAge {
+		return 0
+	}
+	return n.duty.Fence()
+}
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -7,7 +7,6 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
-	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/schema"
@@ -294,69 +293,3 @@
 	}
 	waiter <- v
 }
-
-// order gives one order and feeds the answer back.
-func (ss *schedules) order(sc *schedule, t *fleet.Target, a scheduler.Action) {
-	n := ss.node
-	fence := n.orderFence()
-	result := fleet.OrderConflict // not given: as if not taken
-	var err error
-	began := n.now()
-	if fence != 0 {
-		result, err = n.platform.Engines.Order(context.Background(), fleet.Order{
-			Target: t.ID, Address: t.Address, Unload: a.Kind == scheduler.ActUnload, Ref: a.Ref,
-			Version: a.Version, Holder: n.settings.Vm.Id, Fence: fence, Expect: a.Expect,
-		})
-	}
-	n.logOrder(t, a, fence, result, err, n.now().Sub(began))
-	if result == fleet.OrderFenced {
-		n.mu.Lock()
-		n.duty.Refused(fence)
-		n.mu.Unlock()
-	}
-	ss.each(func(other *schedule, now time.Time) []scheduler.Action {
-		if other != sc {
-			return nil
-		}
-		return sc.s.Ordered(now, t.ID, a.Kind == scheduler.ActUnload, a.Ref, orderResult(result))
-	})
-}
-
-func orderResult(r fleet.OrderResult) scheduler.OrderResult {
-	switch r {
-	case fleet.OrderBegun:
-		return scheduler.OrderBegun
-	case fleet.OrderHolds:
-		return scheduler.OrderHolds
-	case fleet.OrderUnknown:
-		return scheduler.OrderUnknown
-	}
-	return scheduler.OrderRejected
-}
-
-func (n *Node) logOrder(t *fleet.Target, a scheduler.Action, fence uint64, r fleet.OrderResult, err error, took time.Duration) {
-	kind := "load"
-	if a.Kind == scheduler.ActUnload {
-		kind = "unload"
-	}
-	n.metrics.Orders.Add(kind+"."+r.String(), 1)
-	n.log.OrderAnswered(n.now(), events.Order{
-		Kind: kind, Target: t.ID, Adapter: a.Ref.String(), Version: a.Version,
-		Fence: fence, Result: r.String(), Took: took, Err: err,
-	})
-}
-
-// read reads a target's report and feeds it back.
-func (ss *schedules) read(sc *schedule, t *fleet.Target) {
-	report, err := ss.node.platform.Engines.Report(context.Background(), t.ID, t.Address)
-	if err != nil {
-		ss.node.log.ReportFailed(t.ID, err)
-	}
-	r := scheduler.Report{Resident: holdings(report.Resident), Pending: report.Pending, Orders: report.Orders}
-	ss.each(func(other *schedule, now time.Time) []scheduler.Action {
-		if other != sc {
-			return nil
-		}
-		return sc.s.Report(now, t.ID, r, err == nil)
-	})
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,8 +1,9 @@
 // Package gateway is the callers' front door of an edge VM: it reads a request,
 // finds its route, gets it a target, sends it there and returns the answer.
 //
-// gateway.go reads and refuses, routes.go finds routes, plain.go and model.go
-// choose targets and repeat attempts, relay.go carries answers back.
+// gateway.go reads requests and answers.go answers them without a target, routes.go finds
+// routes, plain.go and model.go choose targets and repeat attempts, relay.go carries
+// answers back, and resume.go goes on with a stream that broke off.
 //
 // What a caller is told is what is known: 503 and 429 say that the request has
 // not run and never will; 502 and 504 leave it open; an answer that broke off
@@ -17,8 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/junctionfold/junctionfold/coord/balance"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
@@ -313,52 +312,6 @@
 	return false
 }
 
-// refuse answers that the request has not run.
-func (x *exchange) refuse(reason string, retryAfter time.Duration) {
-	x.g.cfg.Codec.Refuse(x.w.Header(), retryAfter)
-	x.answer(http.StatusServiceUnavailable, reason)
-	x.end("refused", http.StatusServiceUnavailable, reason, nil)
-}
-
-// deny answers that the request cannot be served.
-func (x *exchange) deny(status int, reason string) { x.denyBecause(status, reason, nil) }
-
-func (x *exchange) denyBecause(status int, reason string, err error) {
-	x.answer(status, reason)
-	x.end("denied", status, reason, err)
-}
-
-// fail answers that the request may have run.
-func (x *exchange) fail(reason string, err error) {
-	status := http.StatusBadGateway
-	if x.ctx != nil && errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
-		status = http.StatusGatewayTimeout
-	}
-	x.answer(status, reason)
-	x.end("failed", status, reason, err)
-}
-
-func (x *exchange) answer(status int, reason string) {
-	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.WriteHeader(status)
-	_, _ = io.WriteString(x.w, reason+"\n") // a caller that left is seen by its context
-}
-
-// callerLeft reports whether nobody waits for the answer.
-func (x *exchange) callerLeft() bool { return x.r.Context().Err() != nil }
-
-// end writes the line that closes a request, and counts it.
-func (x *exchange) end(outcome string, status int, reason string, err error) {
-	x.g.cfg.Metrics.ended(outcome, reason)
-	now := x.g.cfg.Now()
-	x.line.ID, x.line.Outcome, x.line.Reason, x.line.Status = x.req.ID, outcome, reason, status
-	x.line.Adapter, x.line.Took, x.line.Err = x.req.Adapter.String(), now.Sub(x.began), err
-	if x.route != nil {
-		x.line.Route = x.route.Name
-	}
-	x.g.cfg.Log.RequestEnded(now, x.line)
-}
-
 // Tidy forgets what is no longer needed. It is to be called now and then.
 func (g *Gateway) Tidy() {
 	now := g.cfg.Now()
