--- a/coord/doc.go
+++ b/coord/doc.go
@@ -39,6 +39,14 @@
 //   - outcome: records of keyed requests, so that a repeated one does not run
 //     twice.
 //   - confver: bundle versions that never go back.
+//
+// The edge role uses these instead of ownership, placement and dispatch:
+//
+//   - roster: which VMs are live, by gossip.
+//   - duty: which VM gives orders, and under which number.
+//   - scheduler: which engine serves a model request, and which adapters each holds.
+//   - enginecost: how fast engines are, learnt from their first events.
+//   - balance and retry: targets of plain services, and the budget of repeats.
 package coord
 
 import (
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -447,6 +447,24 @@
 	assert.Equal(t, b.want(ActGrant)[0].Version, int64(7))
 }
 
+// TestNextVersionDuringTheLoadOfTheLast: no request runs on the one between.
+func TestNextVersionDuringTheLoadOfTheLast(t *testing.T) {
+	b := newBench(t, config(2), []string{"x"})
+	b.take(b.s.SetVersion(b.now, ref("x"), 2))
+	second := b.want(ActLoad)[0]
+	assert.Equal(t, second.Version, int64(2))
+	b.ordered(second, OrderBegun)
+	b.take(b.s.SetVersion(b.now, ref("x"), 3))
+	b.submit("x")
+	b.want()
+	b.after(coldLoadTime + loadMargin)
+	third := b.want(ActLoad)[0]
+	assert.Equal(t, third.Version, int64(3))
+	b.ordered(third, OrderBegun)
+	b.after(coldLoadTime + loadMargin)
+	assert.Equal(t, b.want(ActGrant)[0].Version, int64(3))
+}
+
 func TestFailingTargetIsLeftAlone(t *testing.T) {
 	for _, row := range []struct {
 		name  string
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -106,10 +106,17 @@
 }
 
 // decode reads "t:ID" as a target and "c:N" as configuration version N.
+// leaving is the value of a target that leaves.
+const leaving = "l"
+
 func decode(i fleet.Item) (fleet.Decoded, error) {
 	switch i.Key[0] {
 	case 't':
-		return fleet.Decoded{Target: &fleet.Target{ID: string(i.Value), Service: "s"}}, nil
+		t := &fleet.Target{ID: string(i.Value), Service: "s"}
+		if string(i.Value) == leaving {
+			t.State = fleet.TargetDraining
+		}
+		return fleet.Decoded{Target: t}, nil
 	case 'c':
 		return fleet.Decoded{Config: &fleet.Config{Version: uint64(i.Value[0] - '0')}}, nil
 	}
@@ -274,6 +281,23 @@
 	assert.Equal(t, len(x.peers.passed), 1, "what is known is not passed on again")
 }
 
+// TestLeavingTargetStaysSoWhileTheStoreIsAway: a VM is bound by what it has read itself.
+func TestLeavingTargetStaysSoWhileTheStoreIsAway(t *testing.T) {
+	x := newFixture()
+	x.step(t)
+	x.peers.reader = true
+	x.store.items = []fleet.Item{put("t1", leaving, 6)}
+	x.store.revision = 6
+	x.step(t)
+	x.store.err = errors.New("away")
+	for range 20 {
+		x.now = x.now.Add(time.Second)
+		x.step(t)
+		x.feed.Expire()
+		assert.Equal(t, x.feed.Directory().Targets[leaving].State, fleet.TargetDraining)
+	}
+}
+
 func TestOthersReadOnlyWhenStale(t *testing.T) {
 	x := newFixture()
 	x.step(t)
