Count a caller's patience from the last event that it has

Cause: found in the last read of the change: a stream that was cut asked for another engine with the patience of its begin, which had passed for every stream of more than two seconds; the scheduler refused it as one whose caller leaves. Such a refusal also said to come back at once.

Change: once the caller has a part of the stream, its patience counts from the break; refusals of this kind name 0.3 s.

Test: TestPatienceCountsFromTheLastEvent.

--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -90,7 +90,7 @@
 		return true
 	}
 	if now.Add(s.quickest(r)).After(r.FirstBy) {
-		s.refuse(r, "caller_leaves", 0)
+		s.refuse(r, "caller_leaves", noTargetPause)
 		return true
 	}
 	home, homeDelay, any := s.bestHome(now, r)
@@ -129,8 +129,8 @@
 	return s.speed.Overhead() + s.speed.Reading(r.PromptTokens)
 }
 
-// noTargetPause is when to come back if no target can be used: targets come back
-// within seconds.
+// noTargetPause is when to come back if no target can be used, or none has room: targets
+// come back, and streams end, within seconds.
 const noTargetPause = 300 * time.Millisecond
 
 func (s *Scheduler) refuse(r *Request, reason string, retry time.Duration) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -122,11 +122,13 @@
 	mu      sync.Mutex
 	targets []*fleet.Target
 	endings []scheduler.Ending
+	asked   []AdmitRequest
 }
 
 func (a *fixedAdmission) Admit(_ context.Context, r *AdmitRequest) Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.asked = append(a.asked, *r)
 	if len(a.targets) == 0 {
 		return Verdict{RetryAfter: time.Second, Reason: "none_left"}
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -17,15 +17,11 @@
 // target, and the request goes there.
 func (x *exchange) serveModel() {
 	var exclude []string
-	firstBy := x.deadline
-	if p := x.route.Patience; p > 0 && x.began.Add(p).Before(firstBy) {
-		firstBy = x.began.Add(p)
-	}
 	for {
 		asked := x.g.cfg.Now()
 		v := x.g.cfg.Admission.Admit(x.ctx, &AdmitRequest{
-			Service: x.service.Name, Request: &x.req, Route: x.route, Deadline: x.deadline, FirstBy: firstBy,
-			Exclude: exclude,
+			Service: x.service.Name, Request: &x.req, Route: x.route, Deadline: x.deadline,
+			FirstBy: x.firstBy(asked), Exclude: exclude,
 		})
 		x.line.Admit += x.g.cfg.Now().Sub(asked)
 		x.line.DecidedBy = v.From
@@ -54,6 +50,19 @@
 	}
 }
 
+// firstBy returns when the caller leaves if no event comes. A caller that has a part of the
+// stream waits from the last event, which came as good as now.
+func (x *exchange) firstBy(now time.Time) time.Time {
+	since := x.began
+	if x.stream.head != nil {
+		since = now
+	}
+	if p := x.route.Patience; p > 0 && since.Add(p).Before(x.deadline) {
+		return since.Add(p)
+	}
+	return x.deadline
+}
+
 // tryModel makes one attempt. It returns true if the request was not run and
 // nothing was answered.
 func (x *exchange) tryModel(v Verdict) (again bool) {
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -116,6 +117,24 @@
 	}
 }
 
+// TestPatienceCountsFromTheLastEvent: a stream that was cut after more than the caller's
+// patience may still go on.
+func TestPatienceCountsFromTheLastEvent(t *testing.T) {
+	const patience = time.Millisecond
+	a, b := newBackend(t, "a"), newBackend(t, "b")
+	a.handler = sends("id: 1\ndata: a\n\n", drops)
+	b.handler = continues
+	x := resumableFixture(t, a, b)
+	for i := range x.directory.dir.Config.Routes {
+		x.directory.dir.Config.Routes[i].Patience = patience
+	}
+	began := time.Now()
+	answer, _ := x.send(t, "POST", "/stream/x", "prompt")
+	assert.Equal(t, answer.StatusCode, 200)
+	first, second := x.admission.asked[0].FirstBy, x.admission.asked[1].FirstBy
+	assert.Assert(t, !first.Before(began.Add(patience)) && first.Before(second))
+}
+
 // TestFailureBeforeTheFirstEventIsNoRefusal: the request may have run.
 func TestFailureBeforeTheFirstEventIsNoRefusal(t *testing.T) {
 	a := newBackend(t, "a")
