--- a/internal/edge/update_test.go
+++ b/internal/edge/update_test.go
@@ -14,12 +14,12 @@
 	"github.com/junctionfold/junctionfold/schema"
 )
 
-// routes is a configuration with so many routes, as its store's JSON.
+// routes is as long as a configuration with so many routes.
 func routes(n int) []byte {
 	var b strings.Builder
 	for i := range n {
-		fmt.Fprintf(&b, `{"name":"r-%d","host":"h%d.example","prefix":"/p%x/","route_kind":"idempotent","timeout_ms":800,`+
-			`"target_latency_ms":300,"priority":2,"service":"s","max_attempts":2},`, i, i%7, i*7919)
+		fmt.Fprintf(&b, `{"id":"r-%d","from":"h%d.example","path":"/p%x/","type":"may run again","timeout":800,`+
+			`"objective":300,"rank":2,"to":"s","attempts":2},`, i, i%7, i*7919)
 	}
 	return []byte(b.String())
 }
