One place for the end of an attempt; keep to tests what only tests ask

Cause: found in a last read of the change. The end of an attempt after which another follows was told and logged twice, in modelNotRun and in resumes. Engine.Slowness and Engine.Queued were asked by tests only.

Ruled out: an end of its own for resumption; it differs by its counter alone.

Change: exchange.attemptEnded serves both; the two questions moved to the test file. Behaviour, bounds and assertions are as before.

--- a/coord/enginecost/engine.go
+++ b/coord/enginecost/engine.go
@@ -180,11 +180,3 @@
 	late := now.Sub(e.queue[0].due)
 	return time.Duration(overdueShare * float64(max(late, 0)))
 }
-
-// Slowness is how many times longer than an ordinary engine it takes, as believed.
-func (e *Engine) Slowness(now time.Time, s *Speed) float64 {
-	return e.perToken(now, s) / s.perToken.value()
-}
-
-// Queued is how many prompts have had no first event.
-func (e *Engine) Queued() int { return len(e.queue) }
--- a/coord/enginecost/enginecost_test.go
+++ b/coord/enginecost/enginecost_test.go
@@ -15,6 +15,14 @@
 
 func at(ms float64) time.Time { return start.Add(duration(ms)) }
 
+// slowness is how many times longer than an ordinary engine it takes, as believed.
+func (e *Engine) slowness(now time.Time, s *Speed) float64 {
+	return e.perToken(now, s) / s.perToken.value()
+}
+
+// queued is how many prompts have had no first event.
+func (e *Engine) queued() int { return len(e.queue) }
+
 // model is an engine as doc.go describes it, in ms.
 type model struct {
 	perToken, overhead float64
@@ -133,7 +141,7 @@
 		for range 5 {
 			f.play(20, 0.5)
 			for i, e := range f.engines {
-				believed[i] = append(believed[i], e.Slowness(at(f.now), f.speed))
+				believed[i] = append(believed[i], e.slowness(at(f.now), f.speed))
 			}
 		}
 		for i, of := range believed {
@@ -154,16 +162,16 @@
 	f.models[0].perToken *= 5
 	f.models[0].overhead *= 5
 	f.play(40, 0.4) // eight at the slow one
-	assert.Assert(t, f.engines[0].Slowness(at(f.now), f.speed) > 2.5)
-	assert.Assert(t, f.engines[1].Slowness(at(f.now), f.speed) < 1.3)
+	assert.Assert(t, f.engines[0].slowness(at(f.now), f.speed) > 2.5)
+	assert.Assert(t, f.engines[1].slowness(at(f.now), f.speed) < 1.3)
 }
 
 func TestWhatAnEngineShowedFades(t *testing.T) {
 	f := newFleet(2, 0.03, 20, 4, 1, 1)
 	f.play(60, 0.4)
 	now := at(f.now)
-	shown := f.engines[0].Slowness(now, f.speed)
-	later := f.engines[0].Slowness(now.Add(5*ownHalfLife), f.speed)
+	shown := f.engines[0].slowness(now, f.speed)
+	later := f.engines[0].slowness(now.Add(5*ownHalfLife), f.speed)
 	assert.Assert(t, shown > 2.5)
 	assert.Assert(t, later < 1.4, "an engine that was not tried for long is tried again")
 }
@@ -199,11 +207,11 @@
 	first := e.Begin(at(0), s, 1000, 1)
 	second := e.Begin(at(0), s, 1000, 1)
 	e.First(at(50), s, first) // twice as fast as believed
-	assert.Equal(t, e.Queued(), 1)
+	assert.Equal(t, e.queued(), 1)
 	assert.Assert(t, e.FirstEvent(at(50), s, 10, 1) < duration(140))
 	e.Drop(at(60), s, second)
 	e.Drop(at(60), s, second)
-	assert.Equal(t, e.Queued(), 0, "a request ends once")
+	assert.Equal(t, e.queued(), 0, "a request ends once")
 	assert.Assert(t, e.FirstEvent(at(60), s, 10, 1) < duration(40))
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -87,8 +87,13 @@
 }
 
 func (x *exchange) modelNotRun(v Verdict, how scheduler.Ending, status int, err error) {
-	x.g.cfg.Admission.Done(v, how)
 	x.g.cfg.Metrics.NotRun.Add(how.String(), 1)
+	x.attemptEnded(v, how, status, err)
+}
+
+// attemptEnded tells and logs the end of an attempt after which another one may follow.
+func (x *exchange) attemptEnded(v Verdict, how scheduler.Ending, status int, err error) {
+	x.g.cfg.Admission.Done(v, how)
 	x.g.cfg.Log.AttemptFailed(events.Attempt{
 		ID: x.req.ID, Target: v.Target, DecidedBy: v.From, Adapter: x.req.Adapter.String(),
 		Class: how.String(), Status: status, Err: err,
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/coord/scheduler"
-	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
@@ -85,13 +84,9 @@
 
 // resumes ends an attempt after which another target is to go on.
 func (x *exchange) resumes(v Verdict, err error) {
-	x.g.cfg.Admission.Done(v, scheduler.EndedFailed)
 	x.stream.rest = nil
 	x.g.cfg.Metrics.Resumed.Add(1)
-	x.g.cfg.Log.AttemptFailed(events.Attempt{
-		ID: x.req.ID, Target: v.Target, DecidedBy: v.From, Adapter: x.req.Adapter.String(),
-		Class: scheduler.EndedFailed.String(), Err: err,
-	})
+	x.attemptEnded(v, scheduler.EndedFailed, 0, err)
 }
 
 // giveUp ends a request for which no further attempt is made: it is refused if it has
