Log on what an attempt was placed and sent

Cause: three ways in which a request may reach a target long after its word that it leaves could not be told apart from logs: the VM that placed it had not heard; the verdict was long under way; its bytes were.

Tests of the packages touched pass.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -10,6 +10,7 @@
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/gateway"
 	"github.com/junctionfold/junctionfold/schema"
@@ -84,9 +85,13 @@
 		return v, false, unknownPatience
 	}
 	a := n.admitMessage(r)
+	asked := n.now()
 	verdict, err := n.verdictOf(ctx, acting, r, a)
 	if err == nil && verdict.Reason != scheduler.ReasonMoved {
-		return verdictFromProto(r, a.Ticket, acting, verdict), true, 0
+		out := verdictFromProto(r, a.Ticket, acting, verdict)
+		out.Lag = max(n.now().Sub(asked)-time.Duration(verdict.WaitedMs)*time.Millisecond, 0)
+		n.metrics.VerdictLag.Observe(out.Lag)
+		return out, true, 0
 	}
 	if err == nil {
 		return v, false, unknownPatience
@@ -174,6 +179,7 @@
 		Service: r.Service, Ticket: ticket, From: string(from),
 		Target: v.Target, Address: v.Address, AdapterVersion: v.AdapterVersion, Priority: int(v.Priority),
 		RetryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, Reason: v.Reason,
+		Placed: events.Copy{Revision: v.FeedRevision, Age: time.Duration(v.FeedAgeMs) * time.Millisecond},
 	}
 }
 
@@ -218,6 +224,7 @@
 	v := gateway.Verdict{
 		Service: r.Service, From: n.settings.Vm.Id, Ticket: n.tickets.Add(1),
 		Priority: scheduler.EnginePriority(r.Route.Priority),
+		Placed:   events.Copy{Revision: n.feed.Revision(), Age: n.feed.Age()},
 	}
 	if t, version := n.knownHome(r); t != nil {
 		v.Target, v.Address, v.AdapterVersion = t.ID, t.Address, version
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -30,6 +30,8 @@
 	s       *scheduler.Scheduler
 	waiters map[scheduler.Key]chan *schema.Verdict
 	targets map[string]*fleet.Target
+	// revision of the store that targets show.
+	revision uint64
 }
 
 func newSchedules(n *Node) *schedules {
@@ -64,6 +66,7 @@
 	}
 	sc.s.Configure(cfg)
 	sc.targets = map[string]*fleet.Target{}
+	sc.revision = d.Revision
 	var listed []scheduler.Listed
 	for _, t := range d.Of(name) {
 		sc.targets[t.ID] = t
@@ -188,6 +191,7 @@
 	runAll(work)
 	select {
 	case v := <-verdict:
+		v.WaitedMs = ss.node.now().Sub(now).Milliseconds()
 		return v
 	case <-ctx.Done():
 		ss.done(from, &schema.Done{Ticket: a.Ticket, Service: a.Service, Ending: schema.Ending_ENDING_ABANDONED})
@@ -259,9 +263,9 @@
 	for _, a := range acts {
 		switch a.Kind {
 		case scheduler.ActGrant:
-			sc.verdict(a)
+			sc.verdict(a, ss.node.feed.Age())
 		case scheduler.ActRefuse:
-			sc.verdict(a)
+			sc.verdict(a, ss.node.feed.Age())
 			if a.Reason != scheduler.ReasonMoved {
 				st := sc.s.Stats()
 				ss.node.log.VerdictRefused(string(a.Key.VM), a.Key.Ticket, sc.service, a.Reason, st.Waiting, st.Loads)
@@ -279,7 +283,8 @@
 	return work
 }
 
-func (sc *schedule) verdict(a scheduler.Action) {
+// verdict answers the VM that waits for it. age is that of this VM's copy of the store.
+func (sc *schedule) verdict(a scheduler.Action, age time.Duration) {
 	waiter := sc.waiters[a.Key]
 	if waiter == nil {
 		return
@@ -287,6 +292,7 @@
 	delete(sc.waiters, a.Key)
 	v := &schema.Verdict{
 		Target: a.Target, AdapterVersion: a.Version, Priority: int32(a.Priority), RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
+		FeedRevision: sc.revision, FeedAgeMs: age.Milliseconds(),
 	}
 	if t := sc.targets[a.Target]; t != nil {
 		v.Address = t.Address
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -88,7 +88,40 @@
 	// Took is the whole time, Admit that for verdicts of the scheduler, First
 	// that from sending to the first event.
 	Took, Admit, First time.Duration
-	Err                error
+	// Sent is what the last attempt was sent on.
+	Sent Sent
+	Err  error
+}
+
+// Copy is a copy of the store by which a VM decided.
+type Copy struct {
+	Revision uint64
+	// Age is the time since it was known to be current.
+	Age time.Duration
+}
+
+// Sent tells what was known when an attempt was placed and when it was sent. A request
+// that reaches a target after its word that it leaves is explained by one of them: Placed
+// older than that word, a long VerdictLag, a long Connect, or else bytes that a link held.
+type Sent struct {
+	// Placed is the copy of the VM that chose the target.
+	Placed Copy
+	// VerdictLag is the time that question and verdict were under way.
+	VerdictLag time.Duration
+	// Connect is the time until a connection to the target was at hand.
+	Connect time.Duration
+	// Sender is the copy of the entry VM then, and TargetState what that says of the
+	// target: ready, draining or unknown.
+	Sender      Copy
+	TargetState string
+}
+
+func (s Sent) fields(f log.Fields) log.Fields {
+	f["placed_revision"], f["placed_age_ms"] = s.Placed.Revision, s.Placed.Age.Milliseconds()
+	f["verdict_lag_ms"], f["connect_ms"] = s.VerdictLag.Milliseconds(), s.Connect.Milliseconds()
+	f["sender_revision"], f["sender_age_ms"] = s.Sender.Revision, s.Sender.Age.Milliseconds()
+	f["target_state"] = s.TargetState
+	return f
 }
 
 // RequestEnded is the one line that closes each request.
@@ -96,13 +129,13 @@
 	if r.Outcome == "ok" && !l.ordinary(now) {
 		return
 	}
-	l.info("request_ended", log.Fields{
+	l.info("request_ended", r.Sent.fields(log.Fields{
 		"id": r.ID, "route": r.Route, "outcome": r.Outcome, "reason": r.Reason, "status": r.Status,
 		"config": r.ConfigVersion, "feed_age_ms": r.FeedAge.Milliseconds(),
 		"sends": r.Sends, "target": r.Target, "decided_by": r.DecidedBy, "adapter": r.Adapter,
 		"took_ms": r.Took.Milliseconds(), "admit_ms": r.Admit.Milliseconds(), "first_ms": r.First.Milliseconds(),
 		"error": text(r.Err),
-	})
+	}))
 }
 
 // Attempt is an attempt that gave no answer to return.
@@ -112,16 +145,17 @@
 	Class  string
 	Status int
 	Took   time.Duration
+	Sent   Sent
 	Err    error
 }
 
 // AttemptFailed is written for each attempt after which the request may be tried
 // elsewhere.
 func (l *Log) AttemptFailed(a Attempt) {
-	l.info("attempt_failed", log.Fields{
+	l.info("attempt_failed", a.Sent.fields(log.Fields{
 		"id": a.ID, "target": a.Target, "decided_by": a.DecidedBy, "adapter": a.Adapter,
 		"class": a.Class, "status": a.Status, "took_ms": a.Took.Milliseconds(), "error": text(a.Err),
-	})
+	}))
 }
 
 // RetryDenied says that the retry budget of a service is empty.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,10 @@
 	Priority   int
 	RetryAfter time.Duration
 	Reason     string
+	// Placed is the copy of the store on which the target was chosen.
+	Placed events.Copy
+	// Lag is the time that question and verdict were under way; 0: decided here.
+	Lag time.Duration
 }
 
 // Directory is what is known of the surroundings.
@@ -70,6 +74,8 @@
 	Directory() *feed.Directory
 	// Age is how long ago that was known to be current.
 	Age() time.Duration
+	// Revision of the store up to which it is complete.
+	Revision() uint64
 }
 
 // Config holds what a Gateway needs.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -159,6 +159,7 @@
 
 func (d *fixedDirectory) Directory() *feed.Directory { return d.dir }
 func (d *fixedDirectory) Age() time.Duration         { return d.age }
+func (d *fixedDirectory) Revision() uint64           { return d.dir.Revision }
 
 type fixture struct {
 	gateway   *Gateway
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -67,6 +67,7 @@
 // nothing was answered.
 func (x *exchange) tryModel(v Verdict) (again bool) {
 	sent := x.g.cfg.Now()
+	x.line.Sent = events.Sent{Placed: v.Placed, VerdictLag: v.Lag}
 	answer, err := x.send(x.ctx, destination{
 		target: v.Target, address: v.Address, adapterVersion: v.AdapterVersion,
 		priority: v.Priority, after: x.stream.lastEvent,
@@ -96,7 +97,7 @@
 	x.g.cfg.Admission.Done(v, how)
 	x.g.cfg.Log.AttemptFailed(events.Attempt{
 		ID: x.req.ID, Target: v.Target, DecidedBy: v.From, Adapter: x.req.Adapter.String(),
-		Class: how.String(), Status: status, Err: err,
+		Class: how.String(), Status: status, Sent: x.line.Sent, Err: err,
 	})
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -107,6 +107,7 @@
 	ctx, cancel := context.WithTimeout(x.ctx, limit)
 	began := x.g.cfg.Now()
 	a := &attempt{sent: true, cancel: cancel}
+	x.line.Sent = events.Sent{Placed: x.copyOfStore()}
 	a.answer, a.err = x.send(ctx, destination{target: id, address: address, priority: noPriority})
 	if a.err == nil {
 		a.class = x.g.cfg.Codec.Classify(x.req.ID, a.answer.Status, a.answer.Header)
@@ -124,7 +125,7 @@
 }
 
 func (x *exchange) logPlain(id string, how balance.Ending, a *attempt, took time.Duration) {
-	line := events.Attempt{ID: x.req.ID, Target: id, DecidedBy: x.g.cfg.VM, Class: how.String(), Took: took, Err: a.err}
+	line := events.Attempt{ID: x.req.ID, Target: id, DecidedBy: x.g.cfg.VM, Class: how.String(), Took: took, Sent: x.line.Sent, Err: a.err}
 	if a.answer != nil {
 		line.Status = a.answer.Status
 	}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -69,6 +69,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Connected is called when a connection is at hand, before anything is sent on it.
+	Connected func()
 	// Mine reports whether an answer is to this request.
 	Mine func(status int, h http.Header) bool
 }
@@ -80,6 +82,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Connected != nil {
+		r.Connected()
+	}
 	a := &Answer{pool: p, conn: c}
 	a.stop = context.AfterFunc(ctx, func() { p.abandon(c) })
 	if err := a.send(r); err != nil {
