--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -123,6 +123,7 @@
 	targets []*fleet.Target
 	endings []scheduler.Ending
 	asked   []AdmitRequest
+	placed  events.Copy
 }
 
 func (a *fixedAdmission) Admit(_ context.Context, r *AdmitRequest) Verdict {
@@ -134,7 +135,7 @@
 	}
 	t := a.targets[0]
 	a.targets = a.targets[1:]
-	return Verdict{Service: r.Service, Ticket: 1, Target: t.ID, Address: t.Address}
+	return Verdict{Service: r.Service, Ticket: 1, Target: t.ID, Address: t.Address, Placed: a.placed}
 }
 
 func (a *fixedAdmission) Done(_ Verdict, how scheduler.Ending) {
