Look at a target once more just before a request is sent to it

Cause: a target was checked only by the VM that places a request. The entry VM acted on the verdict whenever it came and a connection was there, also where its own copy of the store said by then that the target leaves or is gone.

Ruled out: refusing every late verdict, since one that rests on a newer copy is right however late; a check where the verdict arrives, which leaves the connection; a check by the scheduler alone, which cannot see the way.

Change: hop.Request.Check is asked once a connection is at hand. A target that drains by this VM's own copy, or that is missing there though the copy is not older than the one on which it was chosen, gets nothing: the attempt is withdrawn, takes no part of the retry budget (nothing arrives), teaches nothing about the target's health, and another one is asked for; after four attempts the request is refused as not run. The ending is told to the scheduler; attempts_withdrawn_total counts.

The test of a stream that goes on lacked its third target in the directory, so that it could not pass; it has it now, its assertions are as they were.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -35,7 +35,7 @@
 	Hung
 	// Unreachable: no connection.
 	Unreachable
-	// Abandoned: the caller left; nothing is learnt.
+	// Abandoned: the caller left, or nothing was sent; nothing is learnt.
 	Abandoned
 )
 
--- a/coord/scheduler/health.go
+++ b/coord/scheduler/health.go
@@ -33,7 +33,7 @@
 		h.fail(now, 1)
 	case EndedUnreachable:
 		h.fail(now, ejectAfter)
-	case EndedBusy, EndedMisplaced, EndedAbandoned:
+	case EndedBusy, EndedMisplaced, EndedAbandoned, EndedWithdrawn:
 		h.trial = false
 	}
 }
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -72,11 +72,13 @@
 	EndedUnreachable
 	// EndedAbandoned: the caller left or the time was over.
 	EndedAbandoned
+	// EndedWithdrawn: nothing was sent, since the VM that was to send knew better.
+	EndedWithdrawn
 )
 
 // String gives the ending's name for logs.
 func (e Ending) String() string {
-	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned"}[e]
+	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned", "withdrawn"}[e]
 }
 
 // ActionKind tells what to do.
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -265,6 +265,7 @@
 	scheduler.EndedFailed:      schema.Ending_ENDING_FAILED,
 	scheduler.EndedUnreachable: schema.Ending_ENDING_UNREACHABLE,
 	scheduler.EndedAbandoned:   schema.Ending_ENDING_ABANDONED,
+	scheduler.EndedWithdrawn:   schema.Ending_ENDING_WITHDRAWN,
 }
 
 // Done tells the VM that gave the verdict how the request ended.
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -229,6 +229,7 @@
 	schema.Ending_ENDING_FAILED:      scheduler.EndedFailed,
 	schema.Ending_ENDING_UNREACHABLE: scheduler.EndedUnreachable,
 	schema.Ending_ENDING_ABANDONED:   scheduler.EndedAbandoned,
+	schema.Ending_ENDING_WITHDRAWN:   scheduler.EndedWithdrawn,
 }
 
 // done takes the first event of a request, or its end.
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -100,6 +100,7 @@
 	x, a, b := leavingFixture(t, drains, func(*fixture, *backend) {})
 	c := newBackend(t, "c")
 	c.handler = continues
+	x.directory.setTarget("c", c.target())
 	b.handler = sends("id: 1\ndata: a\n\n", drops)
 	x.admission.targets = []*fleet.Target{b.target(), a.target(), c.target()}
 	answer, body := x.send(t, "POST", "/stream/x", "prompt")
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,8 @@
 	Ended *expvar.Map
 	// NotRun counts attempts that a target did not run, by class.
 	NotRun *expvar.Map
+	// Withdrawn counts attempts that were not sent, since their target leaves.
+	Withdrawn *expvar.Int
 	// Resumed counts model requests that another target was to go on with.
 	Resumed *expvar.Int
 	// BudgetEmpty counts retries that the budget did not allow.
@@ -35,11 +37,12 @@
 func NewMetrics() *Metrics {
 	m := &Metrics{
 		Map: new(expvar.Map).Init(), Ended: new(expvar.Map).Init(), NotRun: new(expvar.Map).Init(),
-		Resumed: new(expvar.Int), BudgetEmpty: new(expvar.Int), Dials: new(expvar.Int), StoreCalls: new(expvar.Map).Init(),
+		Withdrawn: new(expvar.Int), Resumed: new(expvar.Int), BudgetEmpty: new(expvar.Int), Dials: new(expvar.Int), StoreCalls: new(expvar.Map).Init(),
 		Orders: new(expvar.Map).Init(), FirstEvent: &Histogram{}, VerdictLag: &Histogram{},
 	}
 	m.Map.Set("requests_ended_total", m.Ended)
 	m.Map.Set("attempts_not_run_total", m.NotRun)
+	m.Map.Set("attempts_withdrawn_total", m.Withdrawn)
 	m.Map.Set("model_requests_resumed_total", m.Resumed)
 	m.Map.Set("retry_budget_empty_total", m.BudgetEmpty)
 	m.Map.Set("target_connections_total", m.Dials)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -42,11 +42,11 @@
 		if !x.tryModel(v) {
 			return
 		}
-		if x.line.Sends >= maxSends {
+		exclude = append(exclude, v.Target)
+		if len(exclude) >= maxAttempts {
 			x.giveUp(Verdict{RetryAfter: busyPause}, "not_run")
 			return
 		}
-		exclude = append(exclude, v.Target)
 	}
 }
 
@@ -107,6 +107,9 @@
 		x.g.cfg.Admission.Done(v, scheduler.EndedAbandoned)
 		x.end("abandoned", 0, "caller_left", err)
 		abort()
+	case errors.Is(err, hop.ErrWithdrawn):
+		x.modelNotRun(v, scheduler.EndedWithdrawn, 0, err)
+		return true
 	case errors.Is(err, hop.ErrNoConnection):
 		x.modelNotRun(v, scheduler.EndedBusy, 0, err)
 		return true
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -13,8 +13,9 @@
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
-// maxSends bounds the attempts for one request, those that were not run included.
-const maxSends = 4
+// maxAttempts bounds the attempts for one request, those that were not run or not even
+// sent included.
+const maxAttempts = 4
 
 // hangShare of the objective is how long an attempt may take that can be repeated
 // elsewhere: the rest must do for another one.
@@ -49,7 +50,7 @@
 	var exclude []string
 	runs := 0
 	var last *attempt
-	for x.line.Sends < maxSends && x.ctx.Err() == nil {
+	for len(exclude) < maxAttempts && x.ctx.Err() == nil {
 		id, address := x.pickPlain(exclude)
 		if id == "" {
 			break
@@ -141,6 +142,8 @@
 	switch {
 	case x.callerLeft():
 		return balance.Abandoned
+	case errors.Is(a.err, hop.ErrWithdrawn):
+		return balance.Abandoned
 	case errors.Is(a.err, hop.ErrNoConnection):
 		return balance.Busy
 	case !a.sent:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
@@ -41,28 +40,13 @@
 	return x.g.cfg.Pool.Do(ctx, &hop.Request{
 		Key: d.target, Address: d.address, MaxConns: x.connectionShare(),
 		Method: x.r.Method, Path: x.target, Host: x.r.Host, Header: h, Body: x.body,
-		Connected: func() { x.noteSending(d.target, x.g.cfg.Now().Sub(began)) },
+		Check: func() error { return x.beforeSending(d.target, x.g.cfg.Now().Sub(began)) },
 		Mine: func(status int, h http.Header) bool {
 			return x.g.cfg.Codec.Classify(x.req.ID, status, h) != fleet.Foreign
 		},
 	})
 }
 
-// noteSending takes down for the log what this VM knows of a target as it sends to it.
-func (x *exchange) noteSending(target string, connect time.Duration) {
-	x.line.Sent.Connect = connect
-	x.line.Sent.Sender = x.copyOfStore()
-	x.line.Sent.TargetState = "unknown"
-	if t := x.g.cfg.Directory.Directory().Targets[target]; t != nil {
-		x.line.Sent.TargetState = t.State.String()
-	}
-}
-
-// copyOfStore is this VM's copy now.
-func (x *exchange) copyOfStore() events.Copy {
-	return events.Copy{Revision: x.g.cfg.Directory.Revision(), Age: x.g.cfg.Directory.Age()}
-}
-
 // connectionReserve of a target's connections is left for orders and for VMs
 // that are not known yet.
 const connectionReserve = 0.1
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -26,11 +26,13 @@
 	ErrUnreachable = errors.New("the target cannot be reached")
 	// ErrNoConnection: all of the caller's share of connections is in use.
 	ErrNoConnection = errors.New("no connection to the target is free")
+	// ErrWithdrawn: Request.Check did not let the request go.
+	ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
 )
 
 // NotSent reports whether an error of Do says that nothing was sent.
 func NotSent(err error) bool {
-	return errors.IsAny(err, ErrUnreachable, ErrNoConnection)
+	return errors.IsAny(err, ErrUnreachable, ErrNoConnection, ErrWithdrawn)
 }
 
 // Times and sizes of connections.
@@ -69,12 +71,23 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Connected is called when a connection is at hand, before anything is sent on it.
-	Connected func()
+	// Check is asked once a connection is at hand, just before anything is sent on it: a
+	// new connection may take dialTimeout. An error of it is returned as ErrWithdrawn.
+	Check func() error
 	// Mine reports whether an answer is to this request.
 	Mine func(status int, h http.Header) bool
 }
 
+func (r *Request) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	if err := r.Check(); err != nil {
+		return errors.Mark(err, ErrWithdrawn)
+	}
+	return nil
+}
+
 // Do sends a request and returns its answer. When the context ends, the
 // connection is closed, which makes the target stop work.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
@@ -82,8 +95,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.Connected != nil {
-		r.Connected()
+	if err := r.check(); err != nil {
+		p.keepUnused(c)
+		return nil, err
 	}
 	a := &Answer{pool: p, conn: c}
 	a.stop = context.AfterFunc(ctx, func() { p.abandon(c) })
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -308,6 +308,34 @@
 	assert.Equal(t, len(p.targets), 0)
 }
 
+// TestWithdrawnRequestSendsNothing: the connection that was made for it is kept.
+func TestWithdrawnRequestSendsNothing(t *testing.T) {
+	got := make(chan string, 2)
+	x := newTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, body, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			got <- body
+			_, _ = io.WriteString(c, answer(req.Header.Get("Id"), body))
+		}
+	})
+	p := New(nil)
+	withdrawn := request(x, "1", "first")
+	withdrawn.Check = func() error { return errors.New("no longer") }
+	_, err := do(t, p, withdrawn)
+	assert.Assert(t, errors.Is(err, ErrWithdrawn) && NotSent(err), "%v", err)
+	assert.ErrorContains(t, err, "no longer")
+	allowed := request(x, "2", "second")
+	allowed.Check = func() error { return nil }
+	body, err := do(t, p, allowed)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "second")
+	assert.Equal(t, <-got, "second")
+	assert.Equal(t, x.conns.Load(), int32(1))
+}
+
 // TestConnectionsAreAskedForASignOfLife: a target's connection may fall silent without an
 // end.
 func TestConnectionsAreAskedForASignOfLife(t *testing.T) {
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -201,6 +201,14 @@
 	}
 }
 
+// keepUnused keeps a connection on which nothing was sent.
+func (p *Pool) keepUnused(c *conn) {
+	if c.expires.IsZero() {
+		c.expires = time.Now().Add(idleDefault)
+	}
+	p.keep(c)
+}
+
 // keep makes a connection available again, unless it was closed meanwhile.
 func (p *Pool) keep(c *conn) {
 	p.mu.Lock()
