Ask again where a verdict is old and the entry VM does not know better

Cause: the last look before a request is sent rests on the entry VM's own copy of the store. A VM that heard nothing for longer than word of a leaving target takes, as one that stood still or has a full link, knows nothing newer, and a verdict that waited for it, or in a VM that stood still, may be from before that word. Nothing bounded its age.

Ruled out: refusing old verdicts where this VM's copy is current (it knows), or old copies with verdicts in time (the store is away: serve on); clocks, which differ.

Change: the time that question and verdict were under way is known without clocks, as the scheduler says how long the request waited there. Beyond what the bound for leaving targets leaves after the word (1.25 of 3 s, 0.7 of 2 s), with a copy older than the word takes, the verdict is withdrawn and asked for again; nothing is held against its target.

Test: TestOldVerdicts; its row of a late verdict fails with the check taken out.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -186,13 +186,24 @@
 	n.gateway = gateway.New(gateway.Config{
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: n.pool,
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
-		VMs:   func() int { return int(n.vms.Load()) },
+		VMs:   func() int { return int(n.vms.Load()) }, Bounds: leavingBounds(s.Times),
 		Log:   l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
 	return n, n.listen()
 }
 
+// leavingBounds divides the time that the deployment gives for a target that leaves.
+func leavingBounds(t *schema.EdgeTimes) gateway.Bounds {
+	drain := time.Duration(t.DrainMs) * time.Millisecond
+	word := feed.WordWithin(time.Duration(t.ConfigApplyMs)*time.Millisecond, drain)
+	return gateway.Bounds{Word: word, Way: max(drain-word, leastWay)}
+}
+
+// leastWay is the least time that verdicts and the bytes of requests have: two
+// retransmissions of a lost packet, after 0.2 and 0.6 s.
+const leastWay = 650 * time.Millisecond
+
 // advertised is the address that other VMs know this one by.
 func advertised(l *schema.EdgeListen) string {
 	if l.Advertise != "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,9 @@
 	// Retry is what the deployment allows.
 	Retry retry.Config
 	// VMs returns how many VMs share budgets and connections.
-	VMs     func() int
+	VMs func() int
+	// Bounds are for targets that leave.
+	Bounds  Bounds
 	Log     *events.Log
 	Metrics *Metrics
 	Now     func() time.Time
@@ -146,10 +148,11 @@
 	body    []byte
 	// deadline is when the caller or the route gives up.
 	deadline time.Time
-	// runs is how many targets may have run a model request, and stream what the
-	// caller has of its answer.
-	runs   int
-	stream stream
+	// runs is how many targets may have run a model request, exclude those that it must
+	// not go to again, and stream what the caller has of its answer.
+	runs    int
+	exclude []string
+	stream  stream
 	// line closes the request in the log.
 	line events.Request
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -124,6 +124,7 @@
 	endings []scheduler.Ending
 	asked   []AdmitRequest
 	placed  events.Copy
+	lags    []time.Duration // of the next verdicts; 0 after them
 }
 
 func (a *fixedAdmission) Admit(_ context.Context, r *AdmitRequest) Verdict {
@@ -135,7 +136,11 @@
 	}
 	t := a.targets[0]
 	a.targets = a.targets[1:]
-	return Verdict{Service: r.Service, Ticket: 1, Target: t.ID, Address: t.Address, Placed: a.placed}
+	var lag time.Duration
+	if len(a.lags) > 0 {
+		lag, a.lags = a.lags[0], a.lags[1:]
+	}
+	return Verdict{Lag: lag, Service: r.Service, Ticket: 1, Target: t.ID, Address: t.Address, Placed: a.placed}
 }
 
 func (a *fixedAdmission) Done(_ Verdict, how scheduler.Ending) {
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -9,8 +9,31 @@
 	"github.com/junctionfold/junctionfold/internal/fleet"
 )
 
-// errLeaving ends an attempt at a target that is known to leave. Nothing was sent.
-var errLeaving = errors.New("the target leaves")
+// Errors that end an attempt before anything is sent.
+var (
+	errLeaving = errors.New("the target leaves")
+	// errOldVerdict: nobody can tell any more that the target has not left.
+	errOldVerdict = errors.New("the verdict is old, and so is this VM's copy of the store")
+)
+
+// Bounds divide the time in which a leaving target must be left alone. The zero value
+// sets none.
+type Bounds struct {
+	// Word is how long the word of a leaving target takes to every VM that is in touch;
+	// a copy of the store that is older says nothing of it.
+	Word time.Duration
+	// Way is what is left of the time after Word: how old a verdict may be, and how long
+	// the bytes of a request may be under way.
+	Way time.Duration
+}
+
+// tooOld reports whether a verdict that was under way for lag is no ground any more, given
+// the age of this VM's own copy. A VM that hears nothing, or stood still, may get verdicts
+// from before a target's word. While the store is away all copies are old, and verdicts
+// that come in time are acted on.
+func (b Bounds) tooOld(lag, age time.Duration) bool {
+	return b.Way > 0 && lag > b.Way && age > b.Word
+}
 
 // states of a target as this VM knows it, for logs, beside those of fleet.TargetState.
 const (
@@ -28,15 +51,23 @@
 	sent.Connect = connect
 	sent.Sender = x.copyOfStore()
 	sent.TargetState = x.stateOf(target, sent.Placed.Revision)
-	switch sent.TargetState {
-	case stateGone, fleet.TargetDraining.String():
-		x.line.Sends-- // nothing arrives at the target, so it needs no retry budget
-		x.g.cfg.Metrics.Withdrawn.Add(1)
-		return errLeaving
+	switch {
+	case sent.TargetState == stateGone || sent.TargetState == fleet.TargetDraining.String():
+		return x.withdrawn(errLeaving)
+	case x.g.cfg.Bounds.tooOld(sent.VerdictLag, sent.Sender.Age):
+		return x.withdrawn(errOldVerdict)
 	}
 	return nil
 }
 
+// withdrawn counts an attempt that is not sent. It takes nothing of the retry budget, as
+// nothing arrives at the target.
+func (x *exchange) withdrawn(err error) error {
+	x.line.Sends--
+	x.g.cfg.Metrics.Withdrawn.Add(1)
+	return err
+}
+
 // stateOf returns what this VM knows of a target that was chosen on a copy of the store
 // at revision placed. A target that this VM lacks is gone if its own copy is not older;
 // else it is one that the other VM heard of first.
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -130,3 +131,39 @@
 	assert.Equal(t, answer.StatusCode, 200)
 	assert.Equal(t, a.runs(), 1)
 }
+
+// TestOldVerdicts: a verdict from before a target's word that it leaves may come late to a
+// VM that hears nothing, as one that stood still or has a full link.
+func TestOldVerdicts(t *testing.T) {
+	bounds := Bounds{Word: 1750 * time.Millisecond, Way: 1250 * time.Millisecond}
+	for _, row := range []struct {
+		name     string
+		bounds   Bounds
+		lag, age time.Duration
+		asked    int // how often for a verdict
+	}{
+		{"in time", bounds, 100 * time.Millisecond, 100 * time.Millisecond, 1},
+		{"late, but this VM knows", bounds, 2 * time.Second, time.Second, 1},
+		{"the store is away", bounds, 100 * time.Millisecond, time.Minute, 1},
+		{"late, and this VM does not know", bounds, 2 * time.Second, 2 * time.Second, 2},
+		{"no bounds", Bounds{}, time.Minute, time.Minute, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			a := newBackend(t, "a")
+			a.handler = continues
+			x := resumableFixture(t, a)
+			x.gateway.cfg.Bounds = row.bounds
+			x.directory.age = row.age
+			x.admission.targets = []*fleet.Target{a.target(), a.target()}
+			x.admission.lags = []time.Duration{row.lag}
+			answer, body := x.send(t, "POST", "/stream/x", "prompt")
+			assert.Equal(t, answer.StatusCode, 200)
+			assert.Equal(t, body, allEvents)
+			assert.Equal(t, a.runs(), 1)
+			assert.Equal(t, len(x.admission.asked), row.asked)
+			for _, r := range x.admission.asked {
+				assert.Equal(t, len(r.Exclude), 0, "nothing is held against the target")
+			}
+		})
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,7 +14,8 @@
 	Ended *expvar.Map
 	// NotRun counts attempts that a target did not run, by class.
 	NotRun *expvar.Map
-	// Withdrawn counts attempts that were not sent, since their target leaves.
+	// Withdrawn counts attempts that were not sent, since their target leaves or their
+	// verdict was old.
 	Withdrawn *expvar.Int
 	// Resumed counts model requests that another target was to go on with.
 	Resumed *expvar.Int
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -16,12 +16,11 @@
 // serveModel serves a request for a model or an adapter: the scheduler names a
 // target, and the request goes there.
 func (x *exchange) serveModel() {
-	var exclude []string
-	for {
+	for attempts := 1; ; attempts++ {
 		asked := x.g.cfg.Now()
 		v := x.g.cfg.Admission.Admit(x.ctx, &AdmitRequest{
 			Service: x.service.Name, Request: &x.req, Route: x.route, Deadline: x.deadline,
-			FirstBy: x.firstBy(asked), Exclude: exclude,
+			FirstBy: x.firstBy(asked), Exclude: x.exclude,
 		})
 		x.line.Admit += x.g.cfg.Now().Sub(asked)
 		x.line.DecidedBy = v.From
@@ -42,8 +41,7 @@
 		if !x.tryModel(v) {
 			return
 		}
-		exclude = append(exclude, v.Target)
-		if len(exclude) >= maxAttempts {
+		if attempts >= maxAttempts {
 			x.giveUp(Verdict{RetryAfter: busyPause}, "not_run")
 			return
 		}
@@ -92,8 +90,12 @@
 	x.attemptEnded(v, how, status, err)
 }
 
-// attemptEnded tells and logs the end of an attempt after which another one may follow.
+// attemptEnded tells and logs the end of an attempt after which another one may follow,
+// elsewhere unless nothing is held against the target.
 func (x *exchange) attemptEnded(v Verdict, how scheduler.Ending, status int, err error) {
+	if !errors.Is(err, errOldVerdict) {
+		x.exclude = append(x.exclude, v.Target)
+	}
 	x.g.cfg.Admission.Done(v, how)
 	x.g.cfg.Log.AttemptFailed(events.Attempt{
 		ID: x.req.ID, Target: v.Target, DecidedBy: v.From, Adapter: x.req.Adapter.String(),
