Bound how long the bytes of a request may go unacknowledged by the time left

Cause: a request written to a kept connection could stay unacknowledged for 3 s and be delivered then. That is the whole time in which a leaving target is to be left alone on the large sites, and more than it on the small ones, whatever was known when it was sent.

Ruled out: the shorter bound for the whole life of a connection, since with keep-alive probes each second a single lost probe would then end a stream whose target is silent for 1 s; asking the kernel how many bytes are unsent and resetting when the target's word comes, which needs a look at every request under way.

Change: hop.Request.AckWithin sets the bound as the request is sent and takes it back when it is over. It is what the word of a leaving target leaves of the time: 0.7 of 2 s, 1.25 of 3 s, that is at least two retransmissions.

Test: TestBytesOfARequestAreAcknowledgedInTime, TestKeptConnectionGetsTheLongerBoundBack.

--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -24,6 +24,8 @@
 	close   bool
 	stop    func() bool
 	written chan error
+	// relax ends the request's own bound for unacknowledged bytes; nil: it had none.
+	relax *time.Timer
 }
 
 // send writes the request. A long body goes on being written while the answer
@@ -106,6 +108,9 @@
 	if a.stop != nil {
 		a.stop()
 	}
+	if a.relax != nil {
+		a.relax.Stop()
+	}
 	if !a.ended {
 		a.pool.abandon(a.conn)
 		return
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -44,7 +44,8 @@
 	idleMargin = 700 * time.Millisecond
 	// idleDefault holds where a target announces no timeout.
 	idleDefault = 4 * time.Second
-	// unacknowledged is how long sent bytes may go unacknowledged.
+	// unacknowledged is how long sent bytes may go unacknowledged, but for those of a
+	// request that sets AckWithin.
 	unacknowledged = 3 * time.Second
 	// readBuffer of a connection, in bytes; an event has some dozens.
 	readBuffer = 2 << 10
@@ -74,6 +75,11 @@
 	// Check is asked once a connection is at hand, just before anything is sent on it: a
 	// new connection may take dialTimeout. An error of it is returned as ErrWithdrawn.
 	Check func() error
+	// AckWithin is how long the request's bytes may go unacknowledged; 0: unacknowledged.
+	// A link that held them back for longer would deliver them to a target that may have
+	// been leaving for long by then: its word and this time together are to stay within
+	// the time in which a leaving target must be left alone.
+	AckWithin time.Duration
 	// Mine reports whether an answer is to this request.
 	Mine func(status int, h http.Header) bool
 }
@@ -99,7 +105,7 @@
 		p.keepUnused(c)
 		return nil, err
 	}
-	a := &Answer{pool: p, conn: c}
+	a := &Answer{pool: p, conn: c, relax: p.limitAck(c, r.AckWithin)}
 	a.stop = context.AfterFunc(ctx, func() { p.abandon(c) })
 	if err := a.send(r); err != nil {
 		a.Close()
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -360,3 +360,66 @@
 		assert.Equal(t, got, row.want, name)
 	}
 }
+
+// userTimeout reads the bound for unacknowledged bytes of a connection.
+func userTimeout(t *testing.T, c net.Conn) time.Duration {
+	t.Helper()
+	raw, err := c.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	got, failed := 0, error(nil)
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		got, failed = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	assert.NilError(t, failed)
+	return time.Duration(got) * time.Millisecond
+}
+
+// TestBytesOfARequestAreAcknowledgedInTime: a link may hold a request back and deliver it
+// after its target was to be left alone.
+func TestBytesOfARequestAreAcknowledgedInTime(t *testing.T) {
+	const within = 700 * time.Millisecond
+	x := newTarget(t, echo)
+	p := New(nil)
+	var relax func()
+	p.after = func(d time.Duration, f func()) *time.Timer {
+		assert.Equal(t, d, within)
+		relax = f
+		return time.AfterFunc(time.Hour, f)
+	}
+	r := request(x, "1", "a")
+	r.AckWithin = within
+	a, err := p.Do(t.Context(), r)
+	assert.NilError(t, err)
+	assert.Equal(t, userTimeout(t, a.conn.Conn), within)
+	relax()
+	assert.Equal(t, userTimeout(t, a.conn.Conn), unacknowledged, "the target may be silent for longer")
+	_, err = io.ReadAll(a)
+	assert.NilError(t, err)
+	a.Close()
+	for _, longer := range []time.Duration{0, unacknowledged} {
+		r.AckWithin = longer
+		a, err = p.Do(t.Context(), r)
+		assert.NilError(t, err)
+		assert.Equal(t, userTimeout(t, a.conn.Conn), unacknowledged)
+		_, err = io.ReadAll(a)
+		assert.NilError(t, err)
+		a.Close()
+	}
+}
+
+// TestKeptConnectionGetsTheLongerBoundBack: a request that ends before its bound leaves the
+// shorter one on its connection; the next request on it sets its own.
+func TestKeptConnectionGetsTheLongerBoundBack(t *testing.T) {
+	x := newTarget(t, echo)
+	p := New(nil)
+	r := request(x, "1", "a")
+	r.AckWithin = time.Second
+	_, err := do(t, p, r)
+	assert.NilError(t, err)
+	r.AckWithin = 0
+	a, err := p.Do(t.Context(), r)
+	assert.NilError(t, err)
+	assert.Equal(t, userTimeout(t, a.conn.Conn), unacknowledged)
+	a.Close()
+	assert.Equal(t, x.conns.Load(), int32(1))
+}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +24,8 @@
 	targets map[string]*targetConns
 	// OnDial counts new connections.
 	OnDial func()
+	// after is time.AfterFunc.
+	after func(time.Duration, func()) *time.Timer
 }
 
 // targetConns is the connections to one target. Pool.mu guards it.
@@ -38,11 +41,13 @@
 	key     string
 	expires time.Time
 	closed  bool // guarded by Pool.mu
+	// short says that a request's own bound for unacknowledged bytes is set.
+	short atomic.Bool
 }
 
 // New returns an empty Pool.
 func New(onDial func()) *Pool {
-	return &Pool{targets: map[string]*targetConns{}, OnDial: onDial}
+	return &Pool{targets: map[string]*targetConns{}, OnDial: onDial, after: time.AfterFunc}
 }
 
 // get returns a kept connection, or a new one.
@@ -87,7 +92,7 @@
 func (p *Pool) dial(ctx context.Context, r *Request) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := net.Dialer{Control: setUserTimeout, KeepAliveConfig: keepAlive}
+	d := net.Dialer{Control: dialControl, KeepAliveConfig: keepAlive}
 	if p.OnDial != nil {
 		p.OnDial()
 	}
@@ -99,15 +104,46 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), key: r.Key}, nil
 }
 
-// setUserTimeout makes a connection to a machine without power fail.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// dialControl makes a connection to a machine without power fail.
+func dialControl(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unacknowledged) }
+
+// setUserTimeout bounds how long sent bytes may go unacknowledged on a connection.
+func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
 	})
 	return errors.CombineErrors(err, failed)
 }
 
+// limitAck bounds how long what is sent next may go unacknowledged. A connection that is
+// alive when the bound is over has had its bytes acknowledged and returns to the longer
+// one, since the shorter one would end it with a single probe lost while its target is
+// silent. The timer is to be stopped before the connection is used for another request.
+func (p *Pool) limitAck(c *conn, within time.Duration) *time.Timer {
+	short := within > 0 && within < unacknowledged
+	if !short {
+		if c.short.Load() {
+			c.setAckLimit(unacknowledged, false)
+		}
+		return nil
+	}
+	if !c.short.Load() {
+		c.setAckLimit(within, true)
+	}
+	return p.after(within, func() { c.setAckLimit(unacknowledged, false) })
+}
+
+// setAckLimit sets the bound for unacknowledged bytes. It fails only on a closed
+// connection, on which nothing can be sent.
+func (c *conn) setAckLimit(limit time.Duration, short bool) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil || setUserTimeout(raw, limit) != nil {
+		return
+	}
+	c.short.Store(short)
+}
+
 func (p *Pool) forgetOne(key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
