Show that a removal which is heard late counts from when it is heard

The VM that placed the request had stood still until 19.2 s, heard of the removal only then, and kept the engine in use for 1.3 s from there, or 2.3 s as if the store had been away. Its copy was newer by two revisions than the entry VM's, which therefore took the engine for one that it had not heard of yet.

Ruled out: a late verdict (it was 0.8 s under way, and the entry VM's copy was 1.1 s old, within bounds) and bytes held on the way (first event after 83 ms).

--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -16,6 +16,8 @@
 	// Targets by id. Those whose announcement is gone stay for a moment.
 	Targets  map[string]*fleet.Target
 	Versions []fleet.AdapterVersion
+	// Gone are ids of targets that were dropped lately and have not come back.
+	Gone map[string]bool
 	// Revision of the store that this shows.
 	Revision uint64
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -195,6 +195,57 @@
 	}
 }
 
+// TestRemovalIsHeardLate: what is known to have been removed must not stay in use as if it
+// had been removed only now, or as if its announcement had lapsed while the store was away.
+//
+// The story: a VM that placed requests stood still for 3.2 s. When it woke it heard that an
+// engine's announcement had been removed 3.2 s before, and placed requests there on. An
+// entry VM had left the engine alone 1.6 s before; it sent a request there all the same,
+// 3.375 s after the engine's word, since the verdict rested on a newer copy than its own.
+func TestRemovalIsHeardLate(t *testing.T) {
+	word := WordWithin(3*time.Second, 3*time.Second)
+	for _, row := range []struct {
+		name   string
+		within time.Duration
+		// age is that of the copy before, ticked how long before the removal was heard
+		// the VM last looked at its timers.
+		age, ticked time.Duration
+		// stays is how long the target stays then; 0: not at all.
+		stays time.Duration
+	}{
+		{"heard at once", 2 * time.Second, 300 * time.Millisecond, 0, goneAfter},
+		{"heard late, small fleets", 2 * time.Second, 1200 * time.Millisecond, 0, 700 * time.Millisecond},
+		{"heard late, large fleets", 3 * time.Second, word, 0, 1150 * time.Millisecond},
+		{"the store was away, small fleets", 2 * time.Second, awayAfter + 1, 0, lapseGrace},
+		{"the store was away, large fleets", 3 * time.Second, word + 1, 0, lapseGrace},
+		{"this VM stood still", 3 * time.Second, 3200 * time.Millisecond, 3200 * time.Millisecond, 0},
+		{"this VM stood still for a moment", 3 * time.Second, 2 * time.Second, 2 * time.Second, 900 * time.Millisecond},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			x := newFixture()
+			x.feed.cfg.ApplyWithin, x.feed.cfg.DrainWithin = row.within, row.within
+			x.feed.dir = newDirectory(decode, row.within)
+			x.step(t)
+			x.now = x.now.Add(row.age - row.ticked)
+			x.feed.Expire()
+			x.now = x.now.Add(row.ticked)
+			x.feed.Take(Update{From: 5, To: 6, Items: []fleet.Item{removal("t1", 6)}, Reads: 9})
+			held := func() bool { return x.feed.Directory().Targets["x"] != nil }
+			if row.stays > 0 {
+				x.now = x.now.Add(row.stays - 1)
+				x.feed.Expire()
+				assert.Assert(t, held(), "stays for a moment")
+				x.now = x.now.Add(1)
+				x.feed.Expire()
+			}
+			assert.Assert(t, !held())
+			assert.Assert(t, x.feed.Directory().Gone["x"])
+			x.feed.Take(Update{From: 6, To: 7, Items: []fleet.Item{put("t1", "x", 7)}, Reads: 10})
+			assert.Assert(t, held() && !x.feed.Directory().Gone["x"], "it is back")
+		})
+	}
+}
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	d := newDirectory(decode, 2*time.Second)
 	assert.NilError(t, d.take(start, put("c", "5", 1)))
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -53,6 +53,7 @@
 	v := a.fixedAdmission.Admit(ctx, r)
 	if v.Target == "a" {
 		a.meanwhile()
+		v.Placed = a.placed
 	}
 	return v
 }
@@ -74,6 +75,12 @@
 	nothing := func(*fixture, *backend) {}
 	drains := func(x *fixture, a *backend) { x.directory.setTarget("a", draining(a)) }
 	gone := func(x *fixture, _ *backend) { x.directory.setTarget("a", nil) }
+	// goneHere: the verdict rests on a newer copy, of a VM that was told late.
+	goneHere := func(x *fixture, _ *backend) {
+		x.directory.setTarget("a", nil)
+		x.directory.dir.Gone = map[string]bool{"a": true}
+		x.admission.placed = events.Copy{Revision: x.directory.Revision() + 1}
+	}
 	for _, row := range []struct {
 		name                  string
 		path                  string
@@ -81,6 +88,7 @@
 	}{
 		{"drains while the verdict is under way", "/stream/x", drains, nothing},
 		{"is gone while the verdict is under way", "/stream/x", gone, nothing},
+		{"is gone here, though the verdict rests on a newer copy", "/stream/x", goneHere, nothing},
 		{"drains while a connection is made", "/stream/x", nothing, drains},
 		{"drains while a connection is made, idempotent", "/again/x", nothing, drains},
 		{"drains while a connection is made, not idempotent", "/once/x", nothing, drains},
