Count a removed target's grace from when it was last known to be there

Cause: the grace of a target whose announcement was removed began when the removal was heard, however long ago it was made; and where the copy was old, it was lengthened as if the store had been away, also when only this VM had stood still or all readers were cut off. An entry VM took a target that it had dropped itself for one that it had not heard of yet when the verdict rested on a newer copy.

Ruled out: no grace at all after a standstill (a short one needs none of that); refusing to schedule until the copy is current (it is, some ms after the standstill, and still holds the removed target).

Change: a removal that is heard drops its target by the bound for leaving targets less one message, counted from when the copy was last known to be current. The store counts as away only if this VM ran meanwhile, and for longer than the word from any VM that it serves takes. Dropped targets are remembered for a minute, and verdicts for them are withdrawn.

--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -45,29 +45,39 @@
 	// lapseGrace is how long after the store's return announcements may still be
 	// missing that lapsed while it was away, as the platform states.
 	lapseGrace = 2300 * time.Millisecond
-	// awayAfter is how long the store must have been silent for that.
+	// awayAfter is how long the store must have been silent for that at least.
 	awayAfter = 1500 * time.Millisecond
+	// rememberGone is how long ids of dropped targets are remembered, which verdicts of
+	// VMs that stood still may name: longer than the deadlines of requests.
+	rememberGone = time.Minute
 )
 
 // directory builds Directories from items.
 type directory struct {
-	// grace is how long a target whose announcement is gone stays.
-	grace    time.Duration
-	decode   func(fleet.Item) (fleet.Decoded, error)
-	config   *fleet.Config
-	targets  map[string]*fleet.Target // by key
-	gone     map[string]time.Time     // when to drop a target, by key
-	versions map[fleet.AdapterRef]fleet.AdapterVersion
+	// grace is how long a target whose announcement is gone stays, and left how long at
+	// most after the announcement was last known to be there.
+	grace, left time.Duration
+	decode      func(fleet.Item) (fleet.Decoded, error)
+	config      *fleet.Config
+	targets     map[string]*fleet.Target // by key
+	gone        map[string]time.Time     // when to drop a target, by key
+	versions    map[fleet.AdapterRef]fleet.AdapterVersion
+	// dropped are the ids of targets that are gone, and since when.
+	dropped map[string]time.Time
 	// away is until when removals may be lapses of the store's absence.
 	away time.Time
+	// known is when the copy before the changes that are taken was known to be current.
+	known time.Time
 }
 
 func newDirectory(decode func(fleet.Item) (fleet.Decoded, error), drainWithin time.Duration) *directory {
 	return &directory{
 		grace:    min(goneAfter, time.Duration(goneShare*float64(drainWithin))),
+		left:     drainWithin - spreadTime,
 		decode:   decode,
 		targets:  map[string]*fleet.Target{},
 		gone:     map[string]time.Time{},
+		dropped:  map[string]time.Time{},
 		versions: map[fleet.AdapterRef]fleet.AdapterVersion{},
 	}
 }
@@ -80,11 +90,7 @@
 func (d *directory) take(now time.Time, item fleet.Item) error {
 	if item.Deleted {
 		if _, held := d.targets[item.Key]; held {
-			drop := now.Add(d.grace)
-			if d.away.After(drop) {
-				drop = d.away
-			}
-			d.gone[item.Key] = drop
+			d.gone[item.Key] = d.dropAt(now)
 		}
 		return nil
 	}
@@ -100,12 +106,27 @@
 	case decoded.Target != nil:
 		d.targets[item.Key] = decoded.Target
 		delete(d.gone, item.Key)
+		delete(d.dropped, decoded.Target.ID)
 	case decoded.Version != nil:
 		d.versions[decoded.Version.Ref] = *decoded.Version
 	}
 	return nil
 }
 
+// dropAt is when to drop a target whose removal is heard now. It may have been removed as
+// long ago as the copy is old: a VM that stood still for 3.2 s used an engine for 1.3 s more
+// from when it woke, and others sent there on its word, 3.4 s after the engine's.
+func (d *directory) dropAt(now time.Time) time.Time {
+	drop := now.Add(d.grace)
+	if latest := d.known.Add(d.left); !d.known.IsZero() && latest.Before(drop) {
+		drop = latest
+	}
+	if d.away.After(drop) {
+		drop = d.away
+	}
+	return drop
+}
+
 // expire drops targets whose grace is over. It returns their ids.
 func (d *directory) expire(now time.Time) []string {
 	var out []string
@@ -113,10 +134,13 @@
 		if now.Before(at) {
 			continue
 		}
-		out = append(out, d.targets[key].ID)
+		id := d.targets[key].ID
+		out = append(out, id)
+		d.dropped[id] = now
 		delete(d.targets, key)
 		delete(d.gone, key)
 	}
+	maps.DeleteFunc(d.dropped, func(_ string, at time.Time) bool { return now.Sub(at) > rememberGone })
 	return out
 }
 
@@ -125,6 +149,10 @@
 		Config: d.config, Revision: revision,
 		Targets:  make(map[string]*fleet.Target, len(d.targets)),
 		Versions: slices.Collect(maps.Values(d.versions)),
+		Gone:     make(map[string]bool, len(d.dropped)),
+	}
+	for id := range d.dropped {
+		out.Gone[id] = true
 	}
 	for _, t := range d.targets {
 		out.Targets[t.ID] = t
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -99,6 +99,9 @@
 	dir    *directory
 	down   bool // the store failed when last read
 	asking bool // a question to another VM is under way
+	// looked is when this VM last looked at its copy, resumed when it did so after it
+	// had stood still.
+	looked, resumed time.Time
 
 	current atomic.Pointer[Directory]
 }
@@ -277,25 +280,58 @@
 	defer f.notify.Unlock()
 	now := f.cfg.Now()
 	f.mu.Lock()
-	if !f.cache.fresh.IsZero() && now.Sub(f.cache.fresh) > awayAfter {
-		f.dir.returned(now)
-	}
+	f.look(now)
+	f.dir.known = f.cache.fresh
 	changed, gap = f.cache.apply(now, u)
 	for _, item := range changed {
 		if err := f.dir.take(now, item); err != nil {
 			f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
 		}
 	}
-	var d *Directory
-	if len(changed) > 0 {
-		d = f.dir.publish(f.cache.revision)
+	f.publish(now, len(changed) > 0)
+	return changed, gap
+}
+
+// publish drops targets whose grace is over and publishes the directory if it changed.
+// f.notify and f.mu are held; f.mu is released.
+func (f *Feed) publish(now time.Time, changed bool) {
+	gone := f.dir.expire(now)
+	if !changed && len(gone) == 0 {
+		f.mu.Unlock()
+		return
 	}
+	d := f.dir.publish(f.cache.revision)
 	f.mu.Unlock()
-	if d != nil {
-		f.current.Store(d)
-		f.cfg.OnChange(d)
+	f.current.Store(d)
+	if len(gone) > 0 {
+		f.cfg.OnGone(gone)
 	}
-	return changed, gap
+	f.cfg.OnChange(d)
+}
+
+// standstill is the time without a look at the copy after which this VM stood still: some
+// heartbeats.
+const standstill = time.Second
+
+// look notes that this VM looks at its copy, and the return of a store that was away.
+// f.mu is held.
+func (f *Feed) look(now time.Time) {
+	if !f.looked.IsZero() && now.Sub(f.looked) > standstill {
+		f.resumed = now
+	}
+	f.looked = now
+	if !f.cache.fresh.IsZero() && f.silence(now) > max(awayAfter, WordWithin(f.cfg.ApplyWithin, f.cfg.DrainWithin)) {
+		f.dir.returned(now)
+	}
+}
+
+// silence is how long this VM has heard nothing of the store while it ran. f.mu is held.
+func (f *Feed) silence(now time.Time) time.Duration {
+	since := f.cache.fresh
+	if f.resumed.After(since) {
+		since = f.resumed
+	}
+	return now.Sub(since)
 }
 
 // State is what a VM tells others of its copy.
@@ -331,9 +367,7 @@
 func (f *Feed) Heard(vm coord.VMID, other State) {
 	f.mu.Lock()
 	now := f.cfg.Now()
-	if !f.cache.fresh.IsZero() && now.Sub(f.cache.fresh) > awayAfter {
-		f.dir.returned(now)
-	}
+	f.look(now)
 	ask := f.cache.confirm(now, other) && f.cache.loaded() && !f.asking
 	f.asking = f.asking || ask
 	f.mu.Unlock()
@@ -386,17 +420,8 @@
 func (f *Feed) Expire() {
 	f.notify.Lock()
 	defer f.notify.Unlock()
+	now := f.cfg.Now()
 	f.mu.Lock()
-	ids := f.dir.expire(f.cfg.Now())
-	var d *Directory
-	if len(ids) > 0 {
-		d = f.dir.publish(f.cache.revision)
-	}
-	f.mu.Unlock()
-	if d == nil {
-		return
-	}
-	f.current.Store(d)
-	f.cfg.OnGone(ids)
-	f.cfg.OnChange(d)
+	f.look(now)
+	f.publish(now, false)
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -226,8 +226,7 @@
 			x.feed.cfg.ApplyWithin, x.feed.cfg.DrainWithin = row.within, row.within
 			x.feed.dir = newDirectory(decode, row.within)
 			x.step(t)
-			x.now = x.now.Add(row.age - row.ticked)
-			x.feed.Expire()
+			x.run(row.age - row.ticked)
 			x.now = x.now.Add(row.ticked)
 			x.feed.Take(Update{From: 5, To: 6, Items: []fleet.Item{removal("t1", 6)}, Reads: 9})
 			held := func() bool { return x.feed.Directory().Targets["x"] != nil }
@@ -321,6 +320,15 @@
 	return x
 }
 
+// run lets time pass on a VM that runs.
+func (x *fixture) run(d time.Duration) {
+	const heartbeat = 200 * time.Millisecond
+	for end := x.now.Add(d); x.now.Before(end); {
+		x.now = x.now.Add(min(heartbeat, end.Sub(x.now)))
+		x.feed.Expire()
+	}
+}
+
 func (x *fixture) step(t *testing.T) { x.feed.step(t.Context()) }
 
 func TestFirstReadIsOfEverything(t *testing.T) {
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -69,13 +69,16 @@
 }
 
 // stateOf returns what this VM knows of a target that was chosen on a copy of the store
-// at revision placed. A target that this VM lacks is gone if its own copy is not older;
-// else it is one that the other VM heard of first.
+// at revision placed. A target that this VM lacks is gone if it was dropped here or if the
+// own copy is not older; else it is one that the other VM heard of first.
 func (x *exchange) stateOf(target string, placed uint64) string {
-	t := x.g.cfg.Directory.Directory().Targets[target]
+	dir := x.g.cfg.Directory.Directory()
+	t := dir.Targets[target]
 	switch {
 	case t != nil:
 		return t.State.String()
+	case dir.Gone[target]:
+		return stateGone
 	case x.g.cfg.Directory.Revision() >= placed:
 		return stateGone
 	}
