Split the feed: reading, other VMs, what they bring

Change: peers.go tells and asks other VMs, copy.go takes updates and keeps the directory published; nothing else.

--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -5,8 +5,8 @@
 // store counts every call. Copies never go back: of two values of a key the one
 // with the higher revision stays.
 //
-// cache.go is the copy, directory.go what it means, feed.go the reading and the
-// passing on.
+// feed.go reads the store and peers.go tells and asks other VMs, copy.go takes what they
+// bring; cache.go is the copy and directory.go what it means.
 package feed
 
 import (
--- /dev/null
+++ b/internal/feed/copy.go
@@ -0,0 +1,84 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/junctionfold/junctionfold/internal/fleet"
+)
+
+// Take takes an update of the store or of another VM. gap reports that changes
+// before it are missing.
+func (f *Feed) Take(u Update) (gap bool) {
+	_, gap = f.take(u)
+	return gap
+}
+
+func (f *Feed) take(u Update) (changed []fleet.Item, gap bool) {
+	f.notify.Lock()
+	defer f.notify.Unlock()
+	now := f.cfg.Now()
+	f.mu.Lock()
+	f.look(now)
+	f.dir.known = f.cache.fresh
+	changed, gap = f.cache.apply(now, u)
+	for _, item := range changed {
+		if err := f.dir.take(now, item); err != nil {
+			f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
+		}
+	}
+	f.publish(now, len(changed) > 0)
+	return changed, gap
+}
+
+// publish drops targets whose grace is over and publishes the directory if it changed.
+// f.notify and f.mu are held; f.mu is released.
+func (f *Feed) publish(now time.Time, changed bool) {
+	gone := f.dir.expire(now)
+	if !changed && len(gone) == 0 {
+		f.mu.Unlock()
+		return
+	}
+	d := f.dir.publish(f.cache.revision)
+	f.mu.Unlock()
+	f.current.Store(d)
+	if len(gone) > 0 {
+		f.cfg.OnGone(gone)
+	}
+	f.cfg.OnChange(d)
+}
+
+// standstill is the time without a look at the copy after which this VM stood still: some
+// heartbeats.
+const standstill = time.Second
+
+// look notes that this VM looks at its copy, and the return of a store that was away.
+// f.mu is held.
+func (f *Feed) look(now time.Time) {
+	if !f.looked.IsZero() && now.Sub(f.looked) > standstill {
+		f.resumed = now
+	}
+	f.looked = now
+	if !f.cache.fresh.IsZero() && f.silence(now) > max(awayAfter, WordWithin(f.cfg.ApplyWithin, f.cfg.DrainWithin)) {
+		f.dir.returned(now)
+	}
+}
+
+// silence is how long this VM has heard nothing of the store while it ran. f.mu is held.
+func (f *Feed) silence(now time.Time) time.Duration {
+	since := f.cache.fresh
+	if f.resumed.After(since) {
+		since = f.resumed
+	}
+	return now.Sub(since)
+}
+
+// Expire drops targets whose announcement has been gone for long enough. It is
+// to be called several times a second.
+func (f *Feed) Expire() {
+	f.notify.Lock()
+	defer f.notify.Unlock()
+	now := f.cfg.Now()
+	f.mu.Lock()
+	f.look(now)
+	f.publish(now, false)
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 )
@@ -57,18 +56,6 @@
 	return time.Duration(staleShare * float64(min(applyWithin, drainWithin)))
 }
 
-// Peers reaches the other VMs.
-type Peers interface {
-	// Reader reports whether this VM is to read the store for the others.
-	Reader() bool
-	// PassOn sends an update to all other VMs, without waiting.
-	PassOn(u Update)
-	// Pull asks any other VM for what changed after a revision.
-	Pull(ctx context.Context, after uint64) (Update, error)
-	// PullFrom asks one.
-	PullFrom(ctx context.Context, vm coord.VMID, after uint64) (Update, error)
-}
-
 // Config holds what a Feed needs.
 type Config struct {
 	Store    fleet.Store
@@ -219,29 +206,6 @@
 	return max(gap-f.cfg.Now().Sub(began), 0)
 }
 
-// takeAndPassOn takes what this VM has read, and tells the others what changed by it.
-// That nothing changed they learn from the roster. A VM that is no reader reads only when
-// it has heard nothing fresh: its readers have lost the store, and those of others
-// probably have too. Who reads a change first passes it on, so that it is no change to
-// those who read after.
-func (f *Feed) takeAndPassOn(u Update) {
-	before := f.State()
-	changed, _ := f.take(u)
-	if len(changed) > 0 {
-		f.cfg.Peers.PassOn(Update{From: before.LastChange, To: u.To, Items: changed, Reads: u.Reads})
-	}
-}
-
-// catchUpFromPeer is for a VM that the store turns away while it serves others.
-func (f *Feed) catchUpFromPeer(ctx context.Context, from uint64) {
-	u, err := f.pull(ctx, from)
-	if err != nil {
-		f.cfg.Log.PeerCallFailed("feed_pull", "any", err)
-		return
-	}
-	f.Take(u)
-}
-
 // relist reads everything anew when the history is gone.
 func (f *Feed) relist(ctx context.Context) time.Duration {
 	u, err := f.list(ctx)
@@ -267,161 +231,3 @@
 		f.cfg.Log.StoreRegained(revision)
 	}
 }
-
-// Take takes an update of the store or of another VM. gap reports that changes
-// before it are missing.
-func (f *Feed) Take(u Update) (gap bool) {
-	_, gap = f.take(u)
-	return gap
-}
-
-func (f *Feed) take(u Update) (changed []fleet.Item, gap bool) {
-	f.notify.Lock()
-	defer f.notify.Unlock()
-	now := f.cfg.Now()
-	f.mu.Lock()
-	f.look(now)
-	f.dir.known = f.cache.fresh
-	changed, gap = f.cache.apply(now, u)
-	for _, item := range changed {
-		if err := f.dir.take(now, item); err != nil {
-			f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
-		}
-	}
-	f.publish(now, len(changed) > 0)
-	return changed, gap
-}
-
-// publish drops targets whose grace is over and publishes the directory if it changed.
-// f.notify and f.mu are held; f.mu is released.
-func (f *Feed) publish(now time.Time, changed bool) {
-	gone := f.dir.expire(now)
-	if !changed && len(gone) == 0 {
-		f.mu.Unlock()
-		return
-	}
-	d := f.dir.publish(f.cache.revision)
-	f.mu.Unlock()
-	f.current.Store(d)
-	if len(gone) > 0 {
-		f.cfg.OnGone(gone)
-	}
-	f.cfg.OnChange(d)
-}
-
-// standstill is the time without a look at the copy after which this VM stood still: some
-// heartbeats.
-const standstill = time.Second
-
-// look notes that this VM looks at its copy, and the return of a store that was away.
-// f.mu is held.
-func (f *Feed) look(now time.Time) {
-	if !f.looked.IsZero() && now.Sub(f.looked) > standstill {
-		f.resumed = now
-	}
-	f.looked = now
-	if !f.cache.fresh.IsZero() && f.silence(now) > max(awayAfter, WordWithin(f.cfg.ApplyWithin, f.cfg.DrainWithin)) {
-		f.dir.returned(now)
-	}
-}
-
-// silence is how long this VM has heard nothing of the store while it ran. f.mu is held.
-func (f *Feed) silence(now time.Time) time.Duration {
-	since := f.cache.fresh
-	if f.resumed.After(since) {
-		since = f.resumed
-	}
-	return now.Sub(since)
-}
-
-// State is what a VM tells others of its copy.
-type State struct {
-	// LastChange is the revision of its newest change, To the one up to which it is
-	// complete.
-	LastChange, To uint64
-	// Age is the time since it was known to be current, by the read with the count
-	// Reads; negative: unknown.
-	Age   time.Duration
-	Reads uint64
-}
-
-// State returns the state of this VM's copy.
-func (f *Feed) State() State {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := State{LastChange: f.cache.lastChange, To: f.cache.revision, Reads: f.cache.read.count, Age: unknownAge}
-	if !f.cache.fresh.IsZero() {
-		s.Age = f.cfg.Now().Sub(f.cache.fresh)
-	}
-	return s
-}
-
-// nextRead is the count of a read of the store that this VM makes now.
-func (f *Feed) nextRead() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cache.read.count + 1
-}
-
-// Heard takes another VM's State, and asks it for what is missing here.
-func (f *Feed) Heard(vm coord.VMID, other State) {
-	f.mu.Lock()
-	now := f.cfg.Now()
-	f.look(now)
-	ask := f.cache.confirm(now, other) && f.cache.loaded() && !f.asking
-	f.asking = f.asking || ask
-	f.mu.Unlock()
-	if ask {
-		go f.askFor(vm)
-	}
-}
-
-// askFor asks a VM for what is missing here, one question at a time.
-func (f *Feed) askFor(vm coord.VMID) {
-	defer func() {
-		f.mu.Lock()
-		f.asking = false
-		f.mu.Unlock()
-	}()
-	f.pullFrom(vm)
-}
-
-// TakeFrom takes an update that another VM passed on; what is missing before it
-// is asked of that VM.
-func (f *Feed) TakeFrom(vm coord.VMID, u Update) {
-	if f.Take(u) {
-		f.pullFrom(vm)
-	}
-}
-
-func (f *Feed) pullFrom(vm coord.VMID) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	missing, err := f.cfg.Peers.PullFrom(ctx, vm, f.Revision())
-	if err != nil {
-		f.cfg.Log.FeedGap(string(vm), f.Revision(), err)
-		return
-	}
-	f.Take(missing)
-}
-
-// Since answers another VM's Pull.
-func (f *Feed) Since(after uint64) (Update, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.cache.loaded() {
-		return Update{}, false
-	}
-	return f.cache.since(f.cfg.Now(), after), true
-}
-
-// Expire drops targets whose announcement has been gone for long enough. It is
-// to be called several times a second.
-func (f *Feed) Expire() {
-	f.notify.Lock()
-	defer f.notify.Unlock()
-	now := f.cfg.Now()
-	f.mu.Lock()
-	f.look(now)
-	f.publish(now, false)
-}
--- /dev/null
+++ b/internal/feed/peers.go
@@ -0,0 +1,124 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+)
+
+// Peers reaches the other VMs.
+type Peers interface {
+	// Reader reports whether this VM is to read the store for the others.
+	Reader() bool
+	// PassOn sends an update to all other VMs, without waiting.
+	PassOn(u Update)
+	// Pull asks any other VM for what changed after a revision.
+	Pull(ctx context.Context, after uint64) (Update, error)
+	// PullFrom asks one.
+	PullFrom(ctx context.Context, vm coord.VMID, after uint64) (Update, error)
+}
+
+// takeAndPassOn takes what this VM has read, and tells the others what changed by it.
+// That nothing changed they learn from the roster. A VM that is no reader reads only when
+// it has heard nothing fresh: its readers have lost the store, and those of others
+// probably have too. Who reads a change first passes it on, so that it is no change to
+// those who read after.
+func (f *Feed) takeAndPassOn(u Update) {
+	before := f.State()
+	changed, _ := f.take(u)
+	if len(changed) > 0 {
+		f.cfg.Peers.PassOn(Update{From: before.LastChange, To: u.To, Items: changed, Reads: u.Reads})
+	}
+}
+
+// catchUpFromPeer is for a VM that the store turns away while it serves others.
+func (f *Feed) catchUpFromPeer(ctx context.Context, from uint64) {
+	u, err := f.pull(ctx, from)
+	if err != nil {
+		f.cfg.Log.PeerCallFailed("feed_pull", "any", err)
+		return
+	}
+	f.Take(u)
+}
+
+// State is what a VM tells others of its copy.
+type State struct {
+	// LastChange is the revision of its newest change, To the one up to which it is
+	// complete.
+	LastChange, To uint64
+	// Age is the time since it was known to be current, by the read with the count
+	// Reads; negative: unknown.
+	Age   time.Duration
+	Reads uint64
+}
+
+// State returns the state of this VM's copy.
+func (f *Feed) State() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := State{LastChange: f.cache.lastChange, To: f.cache.revision, Reads: f.cache.read.count, Age: unknownAge}
+	if !f.cache.fresh.IsZero() {
+		s.Age = f.cfg.Now().Sub(f.cache.fresh)
+	}
+	return s
+}
+
+// nextRead is the count of a read of the store that this VM makes now.
+func (f *Feed) nextRead() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cache.read.count + 1
+}
+
+// Heard takes another VM's State, and asks it for what is missing here.
+func (f *Feed) Heard(vm coord.VMID, other State) {
+	f.mu.Lock()
+	now := f.cfg.Now()
+	f.look(now)
+	ask := f.cache.confirm(now, other) && f.cache.loaded() && !f.asking
+	f.asking = f.asking || ask
+	f.mu.Unlock()
+	if ask {
+		go f.askFor(vm)
+	}
+}
+
+// askFor asks a VM for what is missing here, one question at a time.
+func (f *Feed) askFor(vm coord.VMID) {
+	defer func() {
+		f.mu.Lock()
+		f.asking = false
+		f.mu.Unlock()
+	}()
+	f.pullFrom(vm)
+}
+
+// TakeFrom takes an update that another VM passed on; what is missing before it
+// is asked of that VM.
+func (f *Feed) TakeFrom(vm coord.VMID, u Update) {
+	if f.Take(u) {
+		f.pullFrom(vm)
+	}
+}
+
+func (f *Feed) pullFrom(vm coord.VMID) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	missing, err := f.cfg.Peers.PullFrom(ctx, vm, f.Revision())
+	if err != nil {
+		f.cfg.Log.FeedGap(string(vm), f.Revision(), err)
+		return
+	}
+	f.Take(missing)
+}
+
+// Since answers another VM's Pull.
+func (f *Feed) Since(after uint64) (Update, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.cache.loaded() {
+		return Update{}, false
+	}
+	return f.cache.since(f.cfg.Now(), after), true
+}
