Name the bounds for leaving targets by the field's terms

Change: names and comments only: propagation and in flight for the two parts of the time, readID, noteRunning, storeSilence.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -196,13 +196,13 @@
 // leavingBounds divides the time that the deployment gives for a target that leaves.
 func leavingBounds(t *schema.EdgeTimes) gateway.Bounds {
 	drain := time.Duration(t.DrainMs) * time.Millisecond
-	word := feed.WordWithin(time.Duration(t.ConfigApplyMs)*time.Millisecond, drain)
-	return gateway.Bounds{Word: word, Way: max(drain-word, leastWay)}
+	propagation := feed.PropagationBound(time.Duration(t.ConfigApplyMs)*time.Millisecond, drain)
+	return gateway.Bounds{Propagation: propagation, InFlight: max(drain-propagation, minInFlight)}
 }
 
-// leastWay is the least time that verdicts and the bytes of requests have: two
+// minInFlight is the least time that verdicts and the bytes of requests have: two
 // retransmissions of a lost packet, after 0.2 and 0.6 s.
-const leastWay = 650 * time.Millisecond
+const minInFlight = 650 * time.Millisecond
 
 // advertised is the address that other VMs know this one by.
 func advertised(l *schema.EdgeListen) string {
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -24,7 +24,7 @@
 	Items    []fleet.Item
 	// Age is how long ago the sender knew this to be current; negative: unknown.
 	Age time.Duration
-	// Reads is the count of the read of the store that Age is from, see reading.
+	// Reads is the count of the read of the store that Age is from, see readID.
 	Reads uint64
 }
 
@@ -36,7 +36,7 @@
 	lastChange uint64
 	// fresh is the latest time at which the copy is known to have been current, by read.
 	fresh time.Time
-	read  reading
+	read  readID
 	// changes are the newest ones, in order; all after logFrom are there.
 	changes []fleet.Item
 	logFrom uint64
@@ -77,18 +77,18 @@
 	}
 	if u.To >= c.revision {
 		c.revision = u.To
-		c.refresh(now, u.Age, reading{u.To, u.Reads})
+		c.refresh(now, u.Age, readID{u.To, u.Reads})
 	}
 	c.remember(u, changed)
 	return changed, false
 }
 
-// reading names one read of the store: by its revision, and by a count above that of
+// readID names one read of the store: by its revision, and by a count above that of
 // every read which the reader knew of.
-type reading struct{ to, count uint64 }
+type readID struct{ revision, count uint64 }
 
-func (r reading) after(other reading) bool {
-	return r.to > other.to || r.to == other.to && r.count > other.count
+func (r readID) after(other readID) bool {
+	return r.revision > other.revision || r.revision == other.revision && r.count > other.count
 }
 
 // refresh takes the word that a read of the store was made age ago. The time that the word
@@ -98,7 +98,7 @@
 // messages of 100 ms in a fleet of 66 VMs without readers, word of a leaving target took
 // 2.69 to 3.46 s so, and takes 1.18 to 1.55 s (worst of 20 seeds in virtual time, several
 // series).
-func (c *cache) refresh(now time.Time, age time.Duration, r reading) {
+func (c *cache) refresh(now time.Time, age time.Duration, r readID) {
 	if age < 0 {
 		return
 	}
@@ -118,7 +118,7 @@
 		return false // it is behind itself
 	}
 	c.revision = max(c.revision, other.To)
-	c.refresh(now, other.Age, reading{other.To, other.Reads})
+	c.refresh(now, other.Age, readID{other.To, other.Reads})
 	return false
 }
 
--- a/internal/feed/copy.go
+++ b/internal/feed/copy.go
@@ -18,7 +18,7 @@
 	defer f.notify.Unlock()
 	now := f.cfg.Now()
 	f.mu.Lock()
-	f.look(now)
+	f.noteRunning(now)
 	f.dir.known = f.cache.fresh
 	changed, gap = f.cache.apply(now, u)
 	for _, item := range changed {
@@ -47,27 +47,27 @@
 	f.cfg.OnChange(d)
 }
 
-// standstill is the time without a look at the copy after which this VM stood still: some
+// standstill is the time without a sign of running after which this VM stood still: some
 // heartbeats.
 const standstill = time.Second
 
-// look notes that this VM looks at its copy, and the return of a store that was away.
+// noteRunning notes that this VM runs, and the return of a store that was away.
 // f.mu is held.
-func (f *Feed) look(now time.Time) {
-	if !f.looked.IsZero() && now.Sub(f.looked) > standstill {
-		f.resumed = now
+func (f *Feed) noteRunning(now time.Time) {
+	if !f.ranAt.IsZero() && now.Sub(f.ranAt) > standstill {
+		f.resumedAt = now
 	}
-	f.looked = now
-	if !f.cache.fresh.IsZero() && f.silence(now) > max(awayAfter, WordWithin(f.cfg.ApplyWithin, f.cfg.DrainWithin)) {
+	f.ranAt = now
+	if !f.cache.fresh.IsZero() && f.storeSilence(now) > max(awayAfter, PropagationBound(f.cfg.ApplyWithin, f.cfg.DrainWithin)) {
 		f.dir.returned(now)
 	}
 }
 
-// silence is how long this VM has heard nothing of the store while it ran. f.mu is held.
-func (f *Feed) silence(now time.Time) time.Duration {
+// storeSilence is how long this VM has heard nothing of the store while it ran. f.mu is held.
+func (f *Feed) storeSilence(now time.Time) time.Duration {
 	since := f.cache.fresh
-	if f.resumed.After(since) {
-		since = f.resumed
+	if f.resumedAt.After(since) {
+		since = f.resumedAt
 	}
 	return now.Sub(since)
 }
@@ -79,6 +79,6 @@
 	defer f.notify.Unlock()
 	now := f.cfg.Now()
 	f.mu.Lock()
-	f.look(now)
+	f.noteRunning(now)
 	f.publish(now, false)
 }
--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -54,14 +54,14 @@
 
 // directory builds Directories from items.
 type directory struct {
-	// grace is how long a target whose announcement is gone stays, and left how long at
+	// grace is how long a target whose announcement is gone stays, and latest how long at
 	// most after the announcement was last known to be there.
-	grace, left time.Duration
-	decode      func(fleet.Item) (fleet.Decoded, error)
-	config      *fleet.Config
-	targets     map[string]*fleet.Target // by key
-	gone        map[string]time.Time     // when to drop a target, by key
-	versions    map[fleet.AdapterRef]fleet.AdapterVersion
+	grace, latest time.Duration
+	decode        func(fleet.Item) (fleet.Decoded, error)
+	config        *fleet.Config
+	targets       map[string]*fleet.Target // by key
+	gone          map[string]time.Time     // when to drop a target, by key
+	versions      map[fleet.AdapterRef]fleet.AdapterVersion
 	// dropped are the ids of targets that are gone, and since when.
 	dropped map[string]time.Time
 	// away is until when removals may be lapses of the store's absence.
@@ -73,7 +73,7 @@
 func newDirectory(decode func(fleet.Item) (fleet.Decoded, error), drainWithin time.Duration) *directory {
 	return &directory{
 		grace:    min(goneAfter, time.Duration(goneShare*float64(drainWithin))),
-		left:     drainWithin - spreadTime,
+		latest:   drainWithin - spreadTime,
 		decode:   decode,
 		targets:  map[string]*fleet.Target{},
 		gone:     map[string]time.Time{},
@@ -118,8 +118,8 @@
 // from when it woke, and others sent there on its word, 3.4 s after the engine's.
 func (d *directory) dropAt(now time.Time) time.Time {
 	drop := now.Add(d.grace)
-	if latest := d.known.Add(d.left); !d.known.IsZero() && latest.Before(drop) {
-		drop = latest
+	if at := d.known.Add(d.latest); !d.known.IsZero() && at.Before(drop) {
+		drop = at
 	}
 	if d.away.After(drop) {
 		drop = d.away
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -44,11 +44,11 @@
 	spreadTime = 100 * time.Millisecond
 )
 
-// WordWithin bounds the time from a change in the store until all VMs that reach each
+// PropagationBound bounds the time from a change in the store until all VMs that reach each
 // other know of it, as long as the store serves one of them: also where it turns all
 // readers away. Worst of 20 seeds of 66 VMs in virtual time, 45 in 100 turned away, four
 // series: 1.01 s where it is 1.3 s, 1.41 s where it is 1.75 s.
-func WordWithin(applyWithin, drainWithin time.Duration) time.Duration {
+func PropagationBound(applyWithin, drainWithin time.Duration) time.Duration {
 	return staleAfter(applyWithin, drainWithin) + staleJitter + idleCheck + spreadTime
 }
 
@@ -86,9 +86,9 @@
 	dir    *directory
 	down   bool // the store failed when last read
 	asking bool // a question to another VM is under way
-	// looked is when this VM last looked at its copy, resumed when it did so after it
+	// ranAt is when this VM was last seen to run, resumedAt when it ran again after it
 	// had stood still.
-	looked, resumed time.Time
+	ranAt, resumedAt time.Time
 
 	current atomic.Pointer[Directory]
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -203,7 +203,7 @@
 // entry VM had left the engine alone 1.6 s before; it sent a request there all the same,
 // 3.375 s after the engine's word, since the verdict rested on a newer copy than its own.
 func TestRemovalIsHeardLate(t *testing.T) {
-	word := WordWithin(3*time.Second, 3*time.Second)
+	word := PropagationBound(3*time.Second, 3*time.Second)
 	for _, row := range []struct {
 		name   string
 		within time.Duration
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -75,7 +75,7 @@
 func (f *Feed) Heard(vm coord.VMID, other State) {
 	f.mu.Lock()
 	now := f.cfg.Now()
-	f.look(now)
+	f.noteRunning(now)
 	ask := f.cache.confirm(now, other) && f.cache.loaded() && !f.asking
 	f.asking = f.asking || ask
 	f.mu.Unlock()
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -274,8 +274,8 @@
 				})
 			}
 			t.Logf("worst %v", worst)
-			assert.Assert(t, worst <= WordWithin(row.apply, row.drain)+gossipRounds*row.message, "%v", worst)
-			assert.Assert(t, WordWithin(row.apply, row.drain) < row.drain)
+			assert.Assert(t, worst <= PropagationBound(row.apply, row.drain)+gossipRounds*row.message, "%v", worst)
+			assert.Assert(t, PropagationBound(row.apply, row.drain) < row.drain)
 		})
 	}
 }
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -19,12 +19,12 @@
 // Bounds divide the time in which a leaving target must be left alone. The zero value
 // sets none.
 type Bounds struct {
-	// Word is how long the word of a leaving target takes to every VM that is in touch;
-	// a copy of the store that is older says nothing of it.
-	Word time.Duration
-	// Way is what is left of the time after Word: how old a verdict may be, and how long
-	// the bytes of a request may be under way.
-	Way time.Duration
+	// Propagation is how long the word that a target leaves takes to every VM that the
+	// others reach: a copy of the store that is older cannot tell that it stays.
+	Propagation time.Duration
+	// InFlight is what is left of the time: how long a verdict may be under way where this
+	// VM's copy is older than Propagation, and the bytes of a request always.
+	InFlight time.Duration
 }
 
 // tooOld reports whether a verdict that was under way for lag is no ground any more, given
@@ -32,10 +32,10 @@
 // from before a target's word. While the store is away all copies are old, and verdicts
 // that come in time are acted on.
 func (b Bounds) tooOld(lag, age time.Duration) bool {
-	return b.Way > 0 && lag > b.Way && age > b.Word
+	return b.InFlight > 0 && lag > b.InFlight && age > b.Propagation
 }
 
-// states of a target as this VM knows it, for logs, beside those of fleet.TargetState.
+// States of a target as this VM knows it, for logs, beside those of fleet.TargetState.
 const (
 	stateGone    = "gone"
 	stateUnknown = "unknown"
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -143,7 +143,7 @@
 // TestOldVerdicts: a verdict from before a target's word that it leaves may come late to a
 // VM that hears nothing, as one that stood still or has a full link.
 func TestOldVerdicts(t *testing.T) {
-	bounds := Bounds{Word: 1750 * time.Millisecond, Way: 1250 * time.Millisecond}
+	bounds := Bounds{Propagation: 1750 * time.Millisecond, InFlight: 1250 * time.Millisecond}
 	for _, row := range []struct {
 		name     string
 		bounds   Bounds
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,7 +40,7 @@
 	return x.g.cfg.Pool.Do(ctx, &hop.Request{
 		Key: d.target, Address: d.address, MaxConns: x.connectionShare(),
 		Method: x.r.Method, Path: x.target, Host: x.r.Host, Header: h, Body: x.body,
-		AckWithin: x.g.cfg.Bounds.Way,
+		AckWithin: x.g.cfg.Bounds.InFlight,
 		Check:     func() error { return x.beforeSending(d.target, x.g.cfg.Now().Sub(began)) },
 		Mine: func(status int, h http.Header) bool {
 			return x.g.cfg.Codec.Classify(x.req.ID, status, h) != fleet.Foreign
