Show that a VM may tell others less than it says

By reading: after a list of the store that is older than what the VM has heard meanwhile, its log of changes is emptied and said to begin at the list's revision; what was heard is then missing from its answers, which say that they are complete up to it. Who asks takes that for true and is never told again. The same where the log is cut and its changes are not in order.

Ruled out: ages of copies (they say when a copy was current, not what it holds).

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -83,6 +83,49 @@
 	assert.Equal(t, len(u.Items), 2)
 }
 
+// TestOlderSnapshotDoesNotHideChanges: a VM that starts lists the store, which takes several
+// calls, and hears of a change meanwhile. What it tells others afterwards must have that
+// change, since they take it for all that there is.
+func TestOlderSnapshotDoesNotHideChanges(t *testing.T) {
+	base := []fleet.Item{put("a", "1", 3), put("c", "1", 4)}
+	for _, row := range []struct {
+		name   string
+		listed uint64 // the revision of the list that comes last
+		asked  uint64 // the revision from which the other VM asks
+	}{
+		{"asked from the list's revision", 11, 11},
+		{"asked from between", 10, 11},
+		{"asked from before", 11, 10},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := newCache()
+			c.apply(start, Update{Snapshot: true, To: 10, Items: base, Reads: 1})
+			c.apply(start, Update{From: 10, To: 12, Items: []fleet.Item{put("c", "2", 12)}, Reads: 2})
+			c.apply(start, Update{Snapshot: true, To: row.listed, Items: base, Reads: 1})
+			other := newCache()
+			other.apply(start, Update{Snapshot: true, To: row.asked, Items: base, Reads: 1})
+			other.apply(start, c.since(start, row.asked))
+			assert.Equal(t, other.revision, uint64(12))
+			assert.Equal(t, string(other.items["c"].Value), "2")
+		})
+	}
+}
+
+// TestLogKeepsWhatCameOutOfOrder: of changes that came in another order than they were
+// made, those that are forgotten first may be the newer ones.
+func TestLogKeepsWhatCameOutOfOrder(t *testing.T) {
+	c := newCache()
+	c.apply(start, Update{Snapshot: true, To: 1})
+	c.apply(start, Update{From: 1, To: 5000, Items: []fleet.Item{put("newer", "1", 5000), put("older", "1", 2)}})
+	many := Update{From: 1, To: 3 + maxChanges}
+	for i := range uint64(maxChanges) {
+		many.Items = append(many.Items, put(fmt.Sprint("k", i), "1", 3+i))
+	}
+	c.apply(start, many)
+	u := c.since(start, 4000)
+	assert.Assert(t, u.Snapshot || len(u.Items) == 1, "the change at 5000 is told")
+}
+
 func TestSinceAfterManyChanges(t *testing.T) {
 	c := newCache()
 	c.apply(start, Update{Snapshot: true, To: 1})
