Let a VM tell others all that it says it tells

Besides, what a VM passes on after a read began where its copy stood before the read was taken, looked up under another lock: a change that came between was neither in it nor before it, and who had missed that change was told that it lacked nothing.

Ruled out: asking for a whole copy each time (400 KB of routes at the largest).

What is passed on begins at the change that was known under the lock of the read.

--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -11,6 +11,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -138,17 +139,24 @@
 	return out
 }
 
+// remember keeps the changes of an update for VMs that lag. What it forgets is after
+// logFrom no longer: others take what since tells them for all that there is, and a VM that
+// was told too little once would go on with an old configuration.
 func (c *cache) remember(u Update, changed []fleet.Item) {
 	if u.Snapshot {
 		c.changes = nil
-		c.logFrom = u.To
+		c.logFrom = max(u.To, c.lastChange) // a snapshot may be older than what was heard
 		return
 	}
 	c.changes = append(c.changes, changed...)
-	if extra := len(c.changes) - maxChanges; extra > 0 {
-		c.logFrom = max(c.logFrom, c.changes[extra-1].Revision)
-		c.changes = append([]fleet.Item(nil), c.changes[extra:]...)
+	extra := len(c.changes) - maxChanges
+	if extra <= 0 {
+		return
+	}
+	for _, item := range c.changes[:extra] { // in the order in which they came
+		c.logFrom = max(c.logFrom, item.Revision)
 	}
+	c.changes = slices.Clone(c.changes[extra:])
 }
 
 // since returns what changed after a revision, or a snapshot when that is no
--- a/internal/feed/copy.go
+++ b/internal/feed/copy.go
@@ -1,10 +1,6 @@
 package feed
 
-import (
-	"time"
-
-	"github.com/junctionfold/junctionfold/internal/fleet"
-)
+import "time"
 
 // Take takes an update of the store or of another VM. gap reports that changes
 // before it are missing.
@@ -13,21 +9,24 @@
 	return gap
 }
 
-func (f *Feed) take(u Update) (changed []fleet.Item, gap bool) {
+// take returns what u changed here, as an update for others, with the changes that were
+// known before it as its beginning.
+func (f *Feed) take(u Update) (news Update, gap bool) {
 	f.notify.Lock()
 	defer f.notify.Unlock()
 	now := f.cfg.Now()
 	f.mu.Lock()
 	f.noteRunning(now)
 	f.dir.known = f.cache.fresh
-	changed, gap = f.cache.apply(now, u)
-	for _, item := range changed {
+	news = Update{From: f.cache.lastChange, To: u.To, Reads: u.Reads}
+	news.Items, gap = f.cache.apply(now, u)
+	for _, item := range news.Items {
 		if err := f.dir.take(now, item); err != nil {
 			f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
 		}
 	}
-	f.publish(now, len(changed) > 0)
-	return changed, gap
+	f.publish(now, len(news.Items) > 0)
+	return news, gap
 }
 
 // publish drops targets whose grace is over and publishes the directory if it changed.
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -25,10 +25,8 @@
 // probably have too. Who reads a change first passes it on, so that it is no change to
 // those who read after.
 func (f *Feed) takeAndPassOn(u Update) {
-	before := f.State()
-	changed, _ := f.take(u)
-	if len(changed) > 0 {
-		f.cfg.Peers.PassOn(Update{From: before.LastChange, To: u.To, Items: changed, Reads: u.Reads})
+	if news, _ := f.take(u); len(news.Items) > 0 {
+		f.cfg.Peers.PassOn(news)
 	}
 }
 
