Trust a target inherited from another holder only when two reports agree

Ruled out: two reports for every target that has not obeyed yet, new ones as well: an engine that restarts would take its base model half a second later each time.

Change: for targets that were there when the lease was gained, reports a lag apart must agree until an order has been obeyed, however late that is; for others in the first second of the lease, as before.

TestFirstOrderExpectsWhatTheReportShowed wanted a second order on one report after the first had been refused; that is the case above, so it now wants the second report as well, which is stricter.

--- a/coord/scheduler/reports.go
+++ b/coord/scheduler/reports.go
@@ -60,7 +60,7 @@
 	}
 	s.adopt(now, t, r, began)
 	t.countOrders(began, r.Orders)
-	if s.contested(now) && !t.sealed && began.Sub(t.ordersSince) < reportLag {
+	if s.othersMayOrder(now, t) && began.Sub(t.ordersSince) < reportLag {
 		t.readFrom(t.ordersSince.Add(reportLag))
 		return s.take()
 	}
@@ -70,11 +70,19 @@
 	return s.take()
 }
 
+// othersMayOrder reports whether another VM may order a target that has not obeyed this one
+// yet. One that was there under the lease before may be ordered by its holder for as long as
+// that does not know of this lease, as after a cut. A target that came later is known to
+// the VMs that may order only, whose views agree after contestTime.
+func (s *Scheduler) othersMayOrder(now time.Time, t *target) bool {
+	return !t.sealed && (t.inherited || s.contested(now))
+}
+
 // contestTime is how long after it gained the lease this VM reckons with another one that
 // gained it too: by then the fleet's views agree.
 const contestTime = time.Second
 
-// contested reports whether another VM may be giving orders.
+// contested reports whether another VM may have gained the lease as well.
 func (s *Scheduler) contested(now time.Time) bool {
 	return s.mayOrder && now.Sub(s.leaseSince) < contestTime
 }
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -163,6 +163,7 @@
 			t := s.targets[id]
 			t.readFrom(now)
 			t.sealed = false
+			t.inherited = true
 			t.sealing = nil // its answer is to an order under the lease before
 		}
 		s.leaseSince = now
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -731,6 +731,10 @@
 	b.after(reportLag)
 	b.want(ActRead)
 	b.report("t0", Report{Resident: []Holding{{Ref: base}, {Ref: ref("z")}}, Orders: 6})
+	b.want()
+	b.after(reportLag)
+	b.want(ActRead)
+	b.report("t0", Report{Resident: []Holding{{Ref: base}, {Ref: ref("z")}}, Orders: 6})
 	second := b.want(ActLoad)[0]
 	assert.Equal(t, *second.Expect, uint64(6))
 	b.ordered(second, OrderBegun)
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -84,6 +84,9 @@
 	// sealed says that the target has obeyed this VM's number, so that no order of an
 	// earlier holder of the lease can follow.
 	sealed bool
+	// inherited says that the target was there when this VM gained its lease, so that
+	// the holder before may go on ordering it until it has obeyed this VM.
+	inherited bool
 	// sealing is the adapter of the order that is to bring that about; nil: none is
 	// under way.
 	sealing *coord.AdapterRef
