Read the own copy once before sending; no lock handed on; one list of sessions

Cause: found in a last read of the whole change. beforeSending read the copy's revision twice, the second time after the directory, so that a change between could make a target that the directory lacks look gone. Feed.publish released a lock that its caller held. Mesh.Drop went through the sessions by a loop of its own. The order of schedules.mu and Feed.mu, which a verdict's age brought about, was not stated.

Ruled out: one detection of a standstill for the roster and the feed: the feed needs it at the first message after, the roster at its next tick.

Bounds, checks and tests are as before.

--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -14,7 +14,7 @@
 
 // schedules holds a scheduler for each service with engines. Every VM keeps them
 // up to date; only the acting VM is asked, and only the holder of the duty gives
-// orders. Lock order: schedules.mu before Node.mu.
+// orders. Lock order: schedules.mu before Node.mu and before Feed.mu.
 type schedules struct {
 	node *Node
 
--- a/internal/feed/copy.go
+++ b/internal/feed/copy.go
@@ -25,20 +25,27 @@
 			f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
 		}
 	}
-	f.publish(now, len(news.Items) > 0)
+	d, gone := f.settle(now, len(news.Items) > 0)
+	f.mu.Unlock()
+	f.publish(d, gone)
 	return news, gap
 }
 
-// publish drops targets whose grace is over and publishes the directory if it changed.
-// f.notify and f.mu are held; f.mu is released.
-func (f *Feed) publish(now time.Time, changed bool) {
-	gone := f.dir.expire(now)
+// settle drops targets whose grace is over. It returns the directory if it changed, else
+// nil, and the ids of the targets that were dropped. f.mu is held.
+func (f *Feed) settle(now time.Time, changed bool) (d *Directory, gone []string) {
+	gone = f.dir.expire(now)
 	if !changed && len(gone) == 0 {
-		f.mu.Unlock()
+		return nil, nil
+	}
+	return f.dir.publish(f.cache.revision), gone
+}
+
+// publish puts a changed directory in place and tells of it. f.notify is held.
+func (f *Feed) publish(d *Directory, gone []string) {
+	if d == nil {
 		return
 	}
-	d := f.dir.publish(f.cache.revision)
-	f.mu.Unlock()
 	f.current.Store(d)
 	if len(gone) > 0 {
 		f.cfg.OnGone(gone)
@@ -79,5 +86,7 @@
 	now := f.cfg.Now()
 	f.mu.Lock()
 	f.noteRunning(now)
-	f.publish(now, false)
+	d, gone := f.settle(now, false)
+	f.mu.Unlock()
+	f.publish(d, gone)
 }
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -52,7 +52,7 @@
 	sent := &x.line.Sent
 	sent.Connect = connect
 	sent.Sender = x.copyOfStore()
-	sent.TargetState = x.stateOf(target, sent.Placed.Revision)
+	sent.TargetState = x.stateOf(target)
 	switch {
 	case sent.TargetState == stateGone || sent.TargetState == fleet.TargetDraining.String():
 		return x.withdrawn(errLeaving)
@@ -70,10 +70,11 @@
 	return err
 }
 
-// stateOf returns what this VM knows of a target that was chosen on a copy of the store
-// at revision placed. A target that this VM lacks is gone if it was dropped here or if the
-// own copy is not older; else it is one that the other VM heard of first.
-func (x *exchange) stateOf(target string, placed uint64) string {
+// stateOf returns what this VM knows of a target as it sends to it. A target that it lacks is
+// gone if it was dropped here or if the own copy, as taken down before the directory is
+// looked up, is not older than the one on which the target was chosen; else it is one that
+// the other VM heard of first.
+func (x *exchange) stateOf(target string) string {
 	dir := x.g.cfg.Directory.Directory()
 	t := dir.Targets[target]
 	switch {
@@ -81,7 +82,7 @@
 		return t.State.String()
 	case dir.Gone[target]:
 		return stateGone
-	case x.g.cfg.Directory.Revision() >= placed:
+	case x.line.Sent.Sender.Revision >= x.line.Sent.Placed.Revision:
 		return stateGone
 	}
 	return stateUnknown
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -123,17 +123,11 @@
 
 // Drop ends the sessions with a VM; answers under way on them are cut.
 func (m *Mesh) Drop(vm coord.VMID) {
-	m.mu.Lock()
-	var open []*session
-	for s := range m.all {
+	for _, s := range m.open() {
 		if s.vm == vm {
-			open = append(open, s)
+			s.close()
 		}
 	}
-	m.mu.Unlock()
-	for _, s := range open {
-		s.close()
-	}
 }
 
 // Drain lets what is under way on all sessions end, and takes nothing new. It is for the
