Tell a target's starts apart, and take no target from another writer's entry

Cause: a target may start again under its id; the id alone stood for "the same process" in the scheduler's table, the pool, the word of leaving and the orders. Of thirteen forms of an announcement by another writer eight were taken as a target to send to, and one that could not be decoded left what was there before in use for ever.

A later start replaces the earlier at once, an earlier announcement changes nothing. A report of a later start than the one announced ends what is believed of the earlier. An entry that names no target has the grace of a removed one (weighed: dropping at once loses an engine's state to one bad write, keeping it needs a word that is not there). Routes and services are read one by one; a route that is not understood is there and refused, a service keeps its description.

--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -119,6 +119,21 @@
 	delete(s.targets, t.id)
 }
 
+// Replaced takes the news that a target's process is gone and another one has its place,
+// which will announce itself under an id of its own. Nothing is sent to the target or
+// believed of it any more.
+func (s *Scheduler) Replaced(now time.Time, id string) []Action {
+	t := s.targets[id]
+	if t == nil {
+		return nil
+	}
+	s.forget(t)
+	t.replaced = true
+	t.ready = false
+	s.targets[id] = t // until it is listed no more: a late listing must not bring it back
+	return s.settle(now)
+}
+
 // adoptTime is how long after it began to be asked a scheduler waits for the others to
 // tell what they run: some rounds of the roster.
 const adoptTime = 1500 * time.Millisecond
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -51,6 +51,8 @@
 	id    string
 	hash  uint64 // of the id
 	ready bool
+	// replaced says that its process is gone and another one has its place.
+	replaced bool
 	// models that the target holds.
 	models map[string]bool
 	// modelLoad is when the base model under way is expected; zero: none is.
@@ -169,6 +171,9 @@
 // listed takes an announcement. Before the first report it is all there is to
 // know; later, reports and answers are newer.
 func (t *target) listed(now time.Time, l *Listed) {
+	if t.replaced {
+		return
+	}
 	t.ready = l.Ready
 	for _, h := range l.Resident {
 		if h.Ref.IsBase() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -241,6 +241,7 @@
 	n.metrics.Gauge("peer_bytes_out_total", func() int64 { _, out := n.mesh.Bytes(); return out })
 	n.metrics.Gauge("feed_revision", func() int64 { return int64(n.feed.Revision()) })
 	n.metrics.Gauge("feed_age_ms", func() int64 { return n.feed.Age().Milliseconds() })
+	n.metrics.Gauge("feed_items_refused", n.feed.Refused)
 	n.metrics.Gauge("fleet_vms", n.vms.Load)
 	n.metrics.Gauge("config_version", func() int64 {
 		if c := n.feed.Directory().Config; c != nil {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -60,16 +62,27 @@
 	})
 }
 
-// read reads a target's report and feeds it back.
+// errReborn marks a report of another incarnation than the one that was asked for.
+var errReborn = errors.New("the engine has started again")
+
+// read reads a target's report and feeds it back. The report of a later start says that the
+// incarnation asked for is gone; that of an earlier one says nothing.
 func (ss *schedules) read(sc *schedule, t *fleet.Target) {
 	report, err := ss.node.platform.Engines.Report(context.Background(), t.ID, t.Address)
+	reborn := err == nil && t.Started != 0 && report.Started > t.Started
+	if err == nil && t.Started != 0 && report.Started != 0 && report.Started != t.Started {
+		err = errReborn
+	}
 	if err != nil {
 		ss.node.log.ReportFailed(t.ID, err)
 	}
 	r := scheduler.Report{Resident: holdings(report.Resident), Pending: report.Pending, Orders: report.Orders}
 	ss.each(func(other *schedule, now time.Time) []scheduler.Action {
-		if other != sc {
+		switch {
+		case other != sc:
 			return nil
+		case reborn:
+			return sc.s.Replaced(now, t.ID)
 		}
 		return sc.s.Report(now, t.ID, r, err == nil)
 	})
--- a/internal/feed/copy.go
+++ b/internal/feed/copy.go
@@ -22,6 +22,7 @@
 	news.Items, gap = f.cache.apply(now, u)
 	for _, item := range news.Items {
 		if err := f.dir.take(now, item); err != nil {
+			f.refused.Add(1)
 			f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
 		}
 	}
--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/junctionfold/junctionfold/internal/fleet"
 )
 
@@ -64,6 +66,13 @@
 	versions      map[fleet.AdapterRef]fleet.AdapterVersion
 	// dropped are the ids of targets that are gone, and since when.
 	dropped map[string]time.Time
+	// replaced are ids of those that a later start replaced, not told yet.
+	replaced []string
+	// started is the latest start that the target of a key has said, in Unix ms, and
+	// when it was last heard.
+	started map[string]startHeard
+	// refused is why the value of a key could not be read, as far as it was logged.
+	refused map[string]string
 	// away is until when removals may be lapses of the store's absence.
 	away time.Time
 	// known is when the copy before the changes that are taken was known to be current.
@@ -78,6 +87,8 @@
 		targets:  map[string]*fleet.Target{},
 		gone:     map[string]time.Time{},
 		dropped:  map[string]time.Time{},
+		started:  map[string]startHeard{},
+		refused:  map[string]string{},
 		versions: map[fleet.AdapterRef]fleet.AdapterVersion{},
 	}
 }
@@ -85,34 +96,116 @@
 // returned says that the store was away and is back.
 func (d *directory) returned(now time.Time) { d.away = now.Add(lapseGrace) }
 
-// take carries one changed item in. The error says what could not be read; the
-// value before it stays.
+// startHeard is a target's start, in Unix ms, and when it was last heard of.
+type startHeard struct {
+	started int64
+	at      time.Time
+}
+
+// take carries one changed item in. The error says what could not be read, once for each
+// key and reason. A configuration or version before it stays. A target stays for the grace
+// of a removed one: a heartbeat of its own, 1.2 s later at most, mends an entry that
+// something else wrote over, and a key that goes on naming no target is not used on the word
+// of an entry that it no longer holds.
 func (d *directory) take(now time.Time, item fleet.Item) error {
 	if item.Deleted {
-		if _, held := d.targets[item.Key]; held {
-			d.gone[item.Key] = d.dropAt(now)
-		}
+		delete(d.refused, item.Key)
+		d.leave(now, item.Key)
 		return nil
 	}
 	decoded, err := d.decode(item)
 	if err != nil {
-		return err
+		d.leave(now, item.Key)
+		return d.refusal(item.Key, err)
+	}
+	if decoded.Config == nil {
+		delete(d.refused, item.Key)
 	}
 	switch {
 	case decoded.Config != nil:
-		if d.config == nil || decoded.Config.Version >= d.config.Version {
-			d.config = decoded.Config
-		}
+		return d.takeConfig(item.Key, decoded.Config)
 	case decoded.Target != nil:
-		d.targets[item.Key] = decoded.Target
-		delete(d.gone, item.Key)
-		delete(d.dropped, decoded.Target.ID)
+		d.takeTarget(now, item.Key, decoded.Target)
 	case decoded.Version != nil:
-		d.versions[decoded.Version.Ref] = *decoded.Version
+		d.takeVersion(*decoded.Version)
 	}
 	return nil
 }
 
+// refusal returns err unless the same was said of the key's last value.
+func (d *directory) refusal(key string, err error) error {
+	if d.refused[key] == err.Error() {
+		return nil
+	}
+	d.refused[key] = err.Error()
+	return err
+}
+
+// leave starts the grace of a key's target whose announcement is not there any more.
+func (d *directory) leave(now time.Time, key string) {
+	if _, held := d.targets[key]; !held {
+		return
+	}
+	if _, leaving := d.gone[key]; !leaving {
+		d.gone[key] = d.dropAt(now)
+	}
+}
+
+// takeConfig takes a configuration, also one of which a part could not be understood: that
+// must not keep back the rest. A service that its routes name and that was not understood
+// keeps its description from before.
+func (d *directory) takeConfig(key string, c *fleet.Config) error {
+	if d.config != nil && c.Version < d.config.Version {
+		return nil
+	}
+	before := d.config
+	d.config = c
+	if len(c.Findings) == 0 {
+		return nil
+	}
+	if before != nil {
+		keepServices(c, before)
+	}
+	return d.refusal(key, errors.Wrapf(errors.Join(c.Findings...), "left out of version %d", c.Version))
+}
+
+// keepServices adds the services that routes of c name and only before describes.
+func keepServices(c, before *fleet.Config) {
+	for _, r := range c.Routes {
+		for _, share := range r.Split {
+			if s := before.Services[share.Service]; s != nil && c.Services[share.Service] == nil {
+				c.Services[share.Service] = s
+			}
+		}
+	}
+}
+
+// takeVersion takes an adapter's newest version; one that is not newer changes nothing.
+func (d *directory) takeVersion(v fleet.AdapterVersion) {
+	if v.Version >= d.versions[v.Ref].Version {
+		d.versions[v.Ref] = v
+	}
+}
+
+// takeTarget takes an announcement. A later start under the key is another target: the one
+// before is gone at once, with all that it held and ran. An announcement of an earlier start
+// changes nothing.
+func (d *directory) takeTarget(now time.Time, key string, t *fleet.Target) {
+	if last := d.started[key].started; t.Started != 0 && t.Started < last {
+		return
+	}
+	if t.Started != 0 {
+		d.started[key] = startHeard{started: t.Started, at: now}
+	}
+	if before := d.targets[key]; before != nil && before.ID != t.ID {
+		d.replaced = append(d.replaced, before.ID)
+		d.dropped[before.ID] = now
+	}
+	d.targets[key] = t
+	delete(d.gone, key)
+	delete(d.dropped, t.ID)
+}
+
 // dropAt is when to drop a target whose removal is heard now. It may have been removed as
 // long ago as the copy is old: a VM that stood still for 3.2 s used an engine for 1.3 s more
 // from when it woke, and others sent there on its word, 3.4 s after the engine's.
@@ -129,7 +222,8 @@
 
 // expire drops targets whose grace is over. It returns their ids.
 func (d *directory) expire(now time.Time) []string {
-	var out []string
+	out := d.replaced
+	d.replaced = nil
 	for key, at := range d.gone {
 		if now.Before(at) {
 			continue
@@ -140,6 +234,9 @@
 		delete(d.targets, key)
 		delete(d.gone, key)
 	}
+	maps.DeleteFunc(d.started, func(key string, s startHeard) bool {
+		return d.targets[key] == nil && now.Sub(s.at) > rememberGone
+	})
 	maps.DeleteFunc(d.dropped, func(_ string, at time.Time) bool { return now.Sub(at) > rememberGone })
 	return out
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -90,6 +90,8 @@
 	// had stood still.
 	ranAt, resumedAt time.Time
 
+	// refused counts the items that could not be read, or not whole.
+	refused atomic.Int64
 	current atomic.Pointer[Directory]
 }
 
@@ -103,6 +105,10 @@
 // Directory returns what is known now.
 func (f *Feed) Directory() *Directory { return f.current.Load() }
 
+// Refused returns how many items of the store could not be read, or not whole; a key that
+// goes on for the same reason counts once.
+func (f *Feed) Refused() int64 { return f.refused.Load() }
+
 // Age returns how long ago the copy was known to be current.
 func (f *Feed) Age() time.Duration {
 	f.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,8 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
+	// Findings name the routes and services that could not be understood, by place.
+	Findings []error
 }
 
 // Limits bound what a caller may send.
@@ -65,7 +67,8 @@
 	Host   string
 	Prefix string
 	Kind   Kind
-	// Split is where requests go; at least one entry.
+	// Split is where requests go; empty if the route was not understood, so that its
+	// requests are refused.
 	Split []Share
 	// Timeout is how long a request may take in all; 0: no limit.
 	Timeout time.Duration
@@ -141,7 +144,9 @@
 // Target is one incarnation of a target, as it announces itself.
 type Target struct {
 	// ID changes with each start of the target.
-	ID       string
+	ID string
+	// Started is when it started, in Unix ms; 0: it does not say so.
+	Started  int64
 	Service  string
 	Address  string
 	Zone     string
@@ -322,6 +327,8 @@
 
 // Report is what an engine says of itself when asked; it lags by some hundred ms.
 type Report struct {
+	// Started is when the engine started, as in Target.
+	Started  int64
 	Resident []ResidentModel
 	Pending  []AdapterRef
 	Running  int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,9 +199,13 @@
 	target, path := requestTarget(x.r)
 	x.target = target
 	x.route = x.g.routes(dir.Config).find(x.r.Host, path)
-	if x.route != nil {
+	if x.route != nil && len(x.route.Split) > 0 {
 		return true
 	}
+	if x.route != nil {
+		x.refuse("route_not_understood", startPause)
+		return false
+	}
 	if x.line.FeedAge > staleConfig {
 		x.refuse("no_route_but_stale", startPause)
 		return false
