Count a load that is late as under way, and climb again after a false step back

Cause: an engine answers 421, not 503, while an adapter loads. A request that came too early was taken for a sign that the engine lacks the adapter: its place was believed free, the next load was its fifth on the way (409), and the limit of loads had no word of late loads at all.

Change: where the load was ordered here and its expected end is less than a second ago, such an answer puts the load back under way. An adapter believed to be kept that is not is expected after the time of a load from the store.

The stand-in answers as the engines do.

--- a/coord/loadlimit/loadlimit.go
+++ b/coord/loadlimit/loadlimit.go
@@ -7,18 +7,16 @@
 // part of the store's rate. How many it is, is published nowhere. It shows in the loads
 // themselves: beyond it nearly every load is late, below it nearly none.
 //
-// Limit answers a line of loads that is full for long. It begins with a guess, grows while
-// the line is full and loads come in time, and shrinks when most of a step's loads are late;
-// between a size that was in time and one that was late it closes in, and later probes
-// seldom. Single late loads, of a slow engine or a lost answer, change nothing.
+// Limit answers a line of loads that is full for long. It begins with a guess, grows by
+// steps while the line is full and loads come in time, and goes back when most loads of a
+// step are late; then it waits before it tries again, longer each time in a row. Single late
+// loads, of a slow engine or a lost answer, change nothing, and what a cluster of them takes
+// is regained within seconds.
 //
 // Limit has no clock and does no I/O. It is not safe for concurrent use.
 package loadlimit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Figures of the search.
 const (
@@ -32,20 +30,17 @@
 	// its first answer, some 0.4 s. In a played storm of new adapters, from 24 of 32 on,
 	// 0.977 of all requests of 20 s were in time with it, 0.970 with 1.35, 0.961 with 1.5.
 	startGrowth = 1.25
-	// closeIn is where the next step lies between one in time (0) and one too much (1):
-	// too much makes all loads late, too little only a part of the line wait.
-	closeIn = 0.33
-	// closeEnough is the ratio of the two at which the search ends: loads that take 6 in
-	// 100 longer than expected are noticed, since they are expected with a margin.
-	closeEnough = 1.1
-	// probeGrowth is a step of a search that has ended.
-	probeGrowth = 1.07
-	// probePause is the time between those; one too much doubles it, up to maxPause. A
-	// probe that is too much makes a second's loads late by a tenth.
-	probePause = 6 * time.Second
-	maxPause   = 24 * time.Second
-	// retreat is the step down where no size was in time, or the one that was no longer is.
-	retreat = 0.8
+	// laterGrowth is a step after that. Loads that take 6 in 100 longer than expected are
+	// noticed: they are expected with a margin of 15 ms to 250.
+	laterGrowth = 1.07
+	// firstPause is the time from a late step to the next try; it doubles with each in a
+	// row, up to maxPause. A try that is too much makes half a second's loads late by a
+	// tenth.
+	firstPause = 3 * time.Second
+	maxPause   = 16 * time.Second
+	// drainTime is how long after a step back the loads that were too many are still on
+	// their way and make others late.
+	drainTime = 300 * time.Millisecond
 	// least, and leastShare of the guess, are kept whatever loads show.
 	least      = 4
 	leastShare = 0.25
@@ -53,27 +48,34 @@
 
 // Limit is what is believed of one store.
 type Limit struct {
-	guess int
-	value float64
-	// good is the largest value whose loads came in time, bad the least that was too
-	// much; 0: none is known.
-	good, bad float64
-	// step counts the values; loads of earlier ones do not judge this one.
-	step int
+	guess  int
+	value  float64
+	growth float64
+	// step counts the values; loads of earlier ones do not judge this one, nor those begun
+	// before judgeFrom.
+	step      int
+	judgeFrom time.Time
 	// seen and late count this step's votes; full says that a load had to wait for room
 	// in the line meanwhile.
 	seen, late int
 	full       bool
-	// pause is the time until the next probe, growAt when that may be.
+	// inTime says that a step's loads came in time since the last late one.
+	inTime bool
+	// pause is the time from the next late step to the next try, growAt when that may be.
 	pause  time.Duration
 	growAt time.Time
 }
 
-// Start is what is remembered of a load from its beginning.
-type Start struct{ step int }
+// Start is what is remembered of a load from its beginning; the zero value judges nothing.
+type Start struct {
+	step   int
+	judges bool
+}
 
 // New returns a Limit that begins with a guess, in loads on their way at once.
-func New(guess int) *Limit { return &Limit{guess: guess, value: float64(guess), pause: probePause} }
+func New(guess int) *Limit {
+	return &Limit{guess: guess, value: float64(guess), growth: startGrowth, pause: firstPause}
+}
 
 // SetGuess begins anew if the guess has changed.
 func (l *Limit) SetGuess(guess int) {
@@ -86,14 +88,16 @@
 func (l *Limit) Max() int { return int(l.value + 0.5) }
 
 // Begin takes the beginning of a load.
-func (l *Limit) Begin() Start { return Start{l.step} }
+func (l *Limit) Begin(now time.Time) Start {
+	return Start{step: l.step, judges: !now.Before(l.judgeFrom)}
+}
 
 // Full takes that a load has to wait since Max are on their way.
 func (l *Limit) Full() { l.full = true }
 
 // Ended takes whether a load was there when it was expected.
 func (l *Limit) Ended(now time.Time, s Start, late bool) {
-	if s.step != l.step {
+	if s.step != l.step || !s.judges {
 		return
 	}
 	l.seen++
@@ -105,52 +109,39 @@
 	}
 	tooMuch, full := l.late >= lateVotes, l.full
 	l.seen, l.late, l.full = 0, 0, false
-	switch {
-	case tooMuch:
+	if tooMuch {
 		l.shrink(now)
-	case full:
-		l.grow(now)
+		return
+	}
+	l.inTime = true
+	if full && !now.Before(l.growAt) {
+		l.grow()
 	}
 }
 
+// shrink takes back the last step, and more where the one before was too much as well.
 func (l *Limit) shrink(now time.Time) {
-	l.bad = l.value
-	switch {
-	case l.good == 0 || l.good >= l.value:
-		l.good = 0
-		l.set(max(l.value*retreat, least, leastShare*float64(l.guess)))
-	case !l.closedIn():
-		l.set(l.between())
-	default:
-		l.settle(now)
-		l.pause = min(2*l.pause, maxPause)
+	back := startGrowth
+	if l.inTime {
+		back = l.growth
+		l.growth = laterGrowth
 	}
+	l.inTime = false
+	l.set(max(l.value/back, least, leastShare*float64(l.guess)))
+	l.growAt = now.Add(l.pause)
+	l.pause = min(2*l.pause, maxPause)
+	l.judgeFrom = now.Add(drainTime)
 }
 
-func (l *Limit) grow(now time.Time) {
-	l.good = max(l.good, l.value)
-	switch {
-	case l.bad == 0:
-		l.set(max(l.value*startGrowth, l.value+1))
-	case !l.closedIn():
-		l.set(l.between())
-	case now.After(l.growAt):
-		l.growAt = now.Add(l.pause)
-		l.set(max(l.good*probeGrowth, l.good+1))
+// grow makes a step up. Two in a row end the row of late ones.
+func (l *Limit) grow() {
+	if l.growAt.IsZero() {
+		l.pause = firstPause
 	}
+	l.growAt = time.Time{}
+	l.set(max(l.value*l.growth, l.value+1))
 }
 
-// settle ends the search at the value whose loads came in time.
-func (l *Limit) settle(now time.Time) {
-	l.growAt = now.Add(l.pause)
-	l.set(l.good)
-}
-
-// closedIn reports whether the sizes in time and too much are as good as next to each other.
-func (l *Limit) closedIn() bool { return l.bad <= closeEnough*l.good || l.bad <= l.good+1 }
-
-func (l *Limit) between() float64 { return math.Pow(l.good, 1-closeIn) * math.Pow(l.bad, closeIn) }
-
 func (l *Limit) set(value float64) {
 	l.value = value
 	l.step++
--- a/coord/loadlimit/loadlimit_test.go
+++ b/coord/loadlimit/loadlimit_test.go
@@ -80,7 +80,7 @@
 		}
 		for waiting >= 1 && len(underWay) < l.Max() {
 			waiting--
-			underWay = append(underWay, &load{began: now, ends: now.Add(loadTime), start: l.Begin()})
+			underWay = append(underWay, &load{began: now, ends: now.Add(loadTime), start: l.Begin(now)})
 		}
 		if waiting >= 1 {
 			l.Full()
@@ -147,12 +147,14 @@
 	l := New(16)
 	now := time.Unix(0, 0)
 	for range 500 {
-		l.Ended(now, l.Begin(), true)
+		now = now.Add(time.Second)
+		l.Ended(now, l.Begin(now), true)
 	}
 	assert.Equal(t, l.Max(), 4)
 	l = New(4)
 	for range 500 {
-		l.Ended(now, l.Begin(), true)
+		now = now.Add(time.Second)
+		l.Ended(now, l.Begin(now), true)
 	}
 	assert.Equal(t, l.Max(), least)
 	l.SetGuess(4)
@@ -168,7 +170,7 @@
 	for range b.N {
 		now = now.Add(time.Millisecond)
 		l.Full()
-		l.Ended(now, l.Begin(), false)
+		l.Ended(now, l.Begin(now), false)
 		if l.Max() > 1000 {
 			l = New(16)
 		}
--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -35,18 +35,15 @@
 	}
 	s.release(now, key, g)
 	g.target.health.learn(now, how)
-	if how == EndedBusy || how == EndedOK {
-		s.judge(now, g, how == EndedBusy)
+	if how == EndedOK {
+		s.judge(now, g, false)
 	}
 	if how == EndedOK && !g.firstAt.IsZero() {
 		s.speed.Ran(now.Sub(g.firstAt))
 	}
 	switch how {
-	case EndedMisplaced:
-		g.target.drop(g.ref)
-		g.target.distrust(now)
-	case EndedBusy:
-		g.target.notYet(now, g.ref)
+	case EndedMisplaced, EndedBusy:
+		s.notRun(now, g, how)
 	case EndedAbandoned, EndedFailed:
 		g.target.hold(now, g.ref)
 	}
@@ -65,6 +62,19 @@
 	}
 }
 
+// notRun takes a target's refusal of a request. Engines that have not loaded the adapter
+// yet and those that lack it answer alike.
+func (s *Scheduler) notRun(now time.Time, g *grant, how Ending) {
+	if s.notYet(now, g.target, g.ref) {
+		s.judge(now, g, true)
+		return
+	}
+	if how == EndedMisplaced {
+		g.target.drop(g.ref)
+		g.target.distrust(now)
+	}
+}
+
 // judge takes whether the load that a request was the first to use was late.
 func (s *Scheduler) judge(now time.Time, g *grant, late bool) {
 	if g.judges != nil {
--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -78,8 +78,9 @@
 		state: loading, version: s.versions[ref], since: now, lastUse: now,
 		readyAt: now.Add(t.loadTime(ref)), fromStore: !t.keeps(ref),
 	}
+	sl.due = sl.readyAt
 	if sl.fromStore {
-		begun := s.limit.Begin()
+		begun := s.limit.Begin(now)
 		sl.judged = &begun
 	}
 	s.countLoad(sl, 1)
@@ -252,6 +253,7 @@
 		sl.version = s.versions[ref]
 		sl.since = now
 		sl.readyAt = now.Add(coldLoadTime + loadMargin)
+		sl.due = sl.readyAt
 		s.order(t, Action{Kind: ActLoad, Ref: ref, Version: sl.version})
 	}
 }
--- a/coord/scheduler/play_test.go
+++ b/coord/scheduler/play_test.go
@@ -67,6 +67,8 @@
 	seconds [][2]int
 	loads   int // from the store
 	retries int // attempts that were not run
+	// conflicts are orders that an engine did not take.
+	conflicts int
 	// off is the error of the expected time to the first event, as a logarithm, by request.
 	off []float64
 }
@@ -88,8 +90,8 @@
 
 func (r *result) String() string {
 	t := r.total()
-	text := fmt.Sprintf("in time %.3f, late %.3f, refused %.3f (%d held long, longest %v), failed %d, loads %d, retries %d; by second",
-		share(t.inTime, t.asked), share(t.late, t.asked), share(t.refused, t.asked), t.heldLong, t.held.Round(time.Millisecond), t.failed, r.loads, r.retries)
+	text := fmt.Sprintf("in time %.3f, late %.3f, refused %.3f (%d held long, longest %v), failed %d, loads %d, retries %d, conflicts %d; by second",
+		share(t.inTime, t.asked), share(t.late, t.asked), share(t.refused, t.asked), t.heldLong, t.held.Round(time.Millisecond), t.failed, r.loads, r.retries, r.conflicts)
 	for _, s := range r.seconds {
 		text += fmt.Sprintf(" %.2f", share(s[0], s[1]))
 	}
@@ -337,6 +339,17 @@
 		p.ordered(a, OrderUnknown)
 		return
 	}
+	pending := 0
+	for _, there := range e.places {
+		if !there {
+			pending++
+		}
+	}
+	if pending >= maxInTransit || len(e.places) >= p.d.places {
+		p.out.conflicts++
+		p.ordered(a, OrderRejected)
+		return
+	}
 	e.orders++
 	l := &playedLoad{engine: e, ref: a.Ref, left: p.d.load, store: !slices.Contains(e.kept, a.Ref)}
 	if l.store {
@@ -363,12 +376,9 @@
 	case e.lost:
 		p.again(a, r, EndedUnreachable)
 		return
-	case !held:
+	case !held || !there:
 		p.again(a, r, EndedMisplaced)
 		return
-	case !there:
-		p.again(a, r, EndedBusy)
-		return
 	}
 	e.running[a.Ref]++
 	e.runs++
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -29,6 +29,8 @@
 	version int64
 	// readyAt is when a load is expected to be over.
 	readyAt time.Time
+	// due is when a load was expected to be over at first.
+	due time.Time
 	// since is when the state was entered.
 	since   time.Time
 	lastUse time.Time
@@ -229,12 +231,34 @@
 	freshFor = time.Second
 )
 
-// notYet takes a target's refusal of a request whose adapter was held for loaded.
-func (t *target) notYet(now time.Time, ref coord.AdapterRef) {
-	if sl := t.slots[ref]; sl != nil && sl.state == resident && now.Sub(sl.since) < freshFor {
-		sl.readyAt = now.Add(notYetPause)
-		sl.refused = true
+// notYet takes a target's refusal of a request whose adapter was held for loaded. It reports
+// whether its load, which this VM ordered, may not be over yet: then it counts as under way
+// again, so that neither the store nor the target is given more loads than it bears.
+func (s *Scheduler) notYet(now time.Time, t *target, ref coord.AdapterRef) bool {
+	sl := t.slots[ref]
+	if sl == nil || !sl.ordered || now.Sub(sl.due) >= freshFor {
+		return false
+	}
+	if sl.state != resident {
+		return sl.refused // the request was sent before the refusal of another
+	}
+	sl.state = loading
+	sl.refused = true
+	sl.readyAt = now.Add(notYetPause)
+	if !sl.fromStore { // it was not kept
+		delete(t.kept, ref)
+		sl.fromStore = true
+		sl.readyAt = later(sl.readyAt, sl.due.Add(coldLoadTime-warmLoadTime))
+	}
+	s.countLoad(sl, 1)
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // arriving reports whether t refused requests for an adapter since its load was not over:
@@ -243,7 +267,7 @@
 // requests were in time without this and 0.966 with it.
 func (t *target) arriving(now time.Time, ref coord.AdapterRef) bool {
 	sl := t.slots[ref]
-	return sl != nil && sl.refused && now.Sub(sl.since) < freshFor
+	return sl != nil && sl.refused && now.Sub(sl.due) < freshFor
 }
 
 // Times of an adapter load without others beside it, as the users stated them:
