Ask the store no more often than a large fleet needs

Change: the pause after a failed read grows with the fleet (20 tries a second over all VMs, up to half of the bound each); readers watch every eighth of the bound, 0.25 s at least.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -188,6 +188,9 @@
 // Reader reports whether this VM reads the store for the others.
 func (p *feedPeers) Reader() bool { return (*Node)(p).reader.Load() }
 
+// VMs returns the size of the fleet.
+func (p *feedPeers) VMs() int { return int((*Node)(p).vms.Load()) }
+
 // PassOn sends an update to all live VMs.
 func (p *feedPeers) PassOn(u feed.Update) {
 	n := (*Node)(p)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -22,9 +22,12 @@
 	// watchWait is how long a watch waits for a change, which is how often a
 	// reader can say that nothing changed.
 	watchWait = 500 * time.Millisecond
-	// pollGap is the least time between two watches of a reader: announcements
-	// change several times a second, and calls are charged for.
-	pollGap = 250 * time.Millisecond
+	// pollShare of the time in which word must be everywhere is the least time between two
+	// watches of a reader, leastPollGap at least: announcements change several times a
+	// second, and calls are charged for. It is 0.25 s where 2 s are allowed and 0.5 s where
+	// 4 s are.
+	pollShare    = 0.125
+	leastPollGap = 250 * time.Millisecond
 	// staleShare of the time in which a configuration must be in force, and of that in
 	// which a leaving target must be left alone, is the silence after which a VM reads by
 	// itself.
@@ -33,8 +36,14 @@
 	staleJitter = 200 * time.Millisecond
 	// ownGap is the least time between two reads of a VM that is no reader.
 	ownGap = 500 * time.Millisecond
-	// retryGap is the pause after a read that failed.
-	retryGap = 250 * time.Millisecond
+	// retryGap is the pause after a read that failed, for each VM of the fleet: 20 tries
+	// a second over all of them find out soon enough that the store is back, or serves
+	// some VM. The pause is leastRetryGap at least and maxRetryShare of the time in which
+	// word must be everywhere at most, for a VM that nobody tells anything. While a store
+	// reset connections for 10 s, 195 VMs made 10,156 calls of a day of 48 s with 250 ms.
+	retryGap      = 50 * time.Millisecond
+	leastRetryGap = 250 * time.Millisecond
+	maxRetryShare = 0.5
 	// pullTimeout bounds a question to another VM.
 	pullTimeout = 500 * time.Millisecond
 	// idleCheck is how often a VM that is no reader looks at its copy's age.
@@ -52,6 +61,22 @@
 	return staleAfter(applyWithin, drainWithin) + staleJitter + idleCheck + spreadTime
 }
 
+// wordWithin is the time in which word of the store must be everywhere.
+func (c *Config) wordWithin() time.Duration { return min(c.ApplyWithin, c.DrainWithin) }
+
+// pollGap is the least time between two watches of a reader.
+func (c *Config) pollGap() time.Duration {
+	return max(time.Duration(pollShare*float64(c.wordWithin())), leastPollGap)
+}
+
+// retryPause is the pause after a read that failed, drawn anew each time so that VMs that
+// failed together do not go on together.
+func (c *Config) retryPause() time.Duration {
+	most := time.Duration(maxRetryShare * float64(c.wordWithin()))
+	pause := max(min(time.Duration(c.Peers.VMs())*retryGap, most), leastRetryGap)
+	return pause/2 + rand.N(pause)
+}
+
 func staleAfter(applyWithin, drainWithin time.Duration) time.Duration {
 	return time.Duration(staleShare * float64(min(applyWithin, drainWithin)))
 }
@@ -143,7 +168,7 @@
 		return f.load(ctx)
 	}
 	if f.cfg.Peers.Reader() {
-		return f.watch(ctx, watchWait, pollGap)
+		return f.watch(ctx, watchWait, f.cfg.pollGap())
 	}
 	if f.Age() > f.staleAfter()+rand.N(staleJitter) {
 		return f.watch(ctx, 0, ownGap)
@@ -161,10 +186,10 @@
 		u, err = f.pull(ctx, 0)
 	}
 	if err != nil {
-		return retryGap
+		return f.cfg.retryPause()
 	}
 	f.Take(u)
-	return pollGap
+	return f.cfg.pollGap()
 }
 
 // list reads all prefixes. The lowest revision is the one to watch from.
@@ -203,7 +228,7 @@
 	f.note(err)
 	if err != nil {
 		f.catchUpFromPeer(ctx, from)
-		return retryGap
+		return f.cfg.retryPause()
 	}
 	for i := range items {
 		items[i] = f.cfg.Trim(items[i])
@@ -217,10 +242,10 @@
 	u, err := f.list(ctx)
 	f.note(err)
 	if err != nil {
-		return retryGap
+		return f.cfg.retryPause()
 	}
 	f.takeAndPassOn(u)
-	return pollGap
+	return f.cfg.pollGap()
 }
 
 // note logs when the store is lost and regained.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -332,6 +332,7 @@
 }
 
 func (p *fakePeers) Reader() bool    { return p.reader }
+func (p *fakePeers) VMs() int        { return 7 }
 func (p *fakePeers) PassOn(u Update) { p.passed = append(p.passed, u) }
 func (p *fakePeers) Pull(_ context.Context, after uint64) (Update, error) {
 	return p.pull(after)
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -11,6 +11,8 @@
 type Peers interface {
 	// Reader reports whether this VM is to read the store for the others.
 	Reader() bool
+	// VMs is how many VMs the fleet has, this one included.
+	VMs() int
 	// PassOn sends an update to all other VMs, without waiting.
 	PassOn(u Update)
 	// Pull asks any other VM for what changed after a revision.
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -48,6 +48,7 @@
 	turnedAway map[int]bool
 	silent     bool
 	message    time.Duration // how long a message between VMs takes
+	calls   int           // of watches
 	// heard is when each VM learnt that the target leaves.
 	heard map[int]time.Time
 }
@@ -103,6 +104,9 @@
 }
 
 func (v *vmOf) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]fleet.Item, uint64, error) {
+	v.fleet.mu.Lock()
+	v.fleet.calls++
+	v.fleet.mu.Unlock()
 	if err := v.serves(ctx, wait); err != nil {
 		return nil, 0, err
 	}
@@ -122,6 +126,8 @@
 
 func (v *vmOf) Reader() bool { return v.n < fleetReaders }
 
+func (v *vmOf) VMs() int { return fleetVMs }
+
 func (v *vmOf) PassOn(u Update) {
 	for n, other := range v.fleet.feeds {
 		if n != v.n {
@@ -279,3 +285,51 @@
 		})
 	}
 }
+
+// TestCallsWhileTheStoreIsAway: a store that turns everybody away for 10 s is not asked more
+// often than some 20 to 50 times a second by all 66 VMs, and word is in time when it is back.
+// Before, each VM asked four times a second: 2,300 calls.
+func TestCallsWhileTheStoreIsAway(t *testing.T) {
+	log := events.Discard()
+	defer log.Close()
+	const bound = 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newVMFleet(1, bound, bound, log)
+		f.message = quickMessage
+		for n, feed := range f.feeds {
+			go feed.Run(ctx)
+			go (&vmOf{fleet: f, n: n}).gossip(ctx)
+		}
+		time.Sleep(3 * time.Second)
+		away := func(is bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for n := range f.feeds {
+				f.turnedAway[n] = is
+			}
+		}
+		f.mu.Lock()
+		f.calls = 0
+		f.mu.Unlock()
+		away(true)
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		calls := f.calls
+		f.mu.Unlock()
+		t.Logf("%d calls in 10 s", calls)
+		assert.Assert(t, calls < 500, "%d calls", calls)
+		f.put("t1", leaving)
+		away(false)
+		back := time.Now()
+		time.Sleep(bound)
+		f.mu.Lock()
+		assert.Equal(t, len(f.heard), fleetVMs)
+		for _, at := range f.heard {
+			assert.Assert(t, at.Sub(back) < time.Second, "%v", at.Sub(back))
+		}
+		f.mu.Unlock()
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
