--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -10,16 +10,6 @@
 	"github.com/junctionfold/junctionfold/schema"
 )
 
-// Times of joining the fleet.
-const (
-	// seedEvery is the time between two tries to join through the seeds.
-	seedEvery = 500 * time.Millisecond
-	// firstSeedEvery is the same for a VM that knows no other yet.
-	firstSeedEvery = 100 * time.Millisecond
-	// seedTimeout bounds one try.
-	seedTimeout = 700 * time.Millisecond
-)
-
 // beatLoop tells others the roster and keeps view and duty current.
 func (n *Node) beatLoop(ctx context.Context) {
 	for {
@@ -124,48 +114,3 @@
 		n.updateReaders()
 	}
 }
-
-// seedLoop joins the fleet through the seeds, and joins parts of it again that
-// have lost each other.
-func (n *Node) seedLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		for _, address := range n.seeds() {
-			if address != advertised(n.settings.Listen) && !n.knows(address) {
-				n.join(ctx, address)
-			}
-		}
-		pause := seedEvery
-		if n.vms.Load() == 1 {
-			pause = firstSeedEvery
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-// knows reports whether a live VM has the address.
-func (n *Node) knows(address string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, m := range n.roster.Members() {
-		if m.Address == address && m.State != roster.Suspect {
-			return true
-		}
-	}
-	return false
-}
-
-func (n *Node) join(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
-	defer cancel()
-	reply, err := n.mesh.CallAddress(ctx, address, &schema.Call{Body: &schema.Call_Roster{Roster: n.wholeRoster()}})
-	if err != nil {
-		n.log.PeerCallFailed("join", address, err)
-		return
-	}
-	if reply.GetRoster() != nil {
-		n.mergeRoster(reply.GetRoster())
-	}
-}
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -48,7 +48,7 @@
 	turnedAway map[int]bool
 	silent     bool
 	message    time.Duration // how long a message between VMs takes
-	calls   int           // of watches
+	calls      int           // of watches
 	// heard is when each VM learnt that the target leaves.
 	heard map[int]time.Time
 }
