Tell one partner in each other zone, and let four VMs read for 195

Cause: each heartbeat told one VM drawn from the whole fleet, so that every VM of 195 came to hold a session with each of the 194 others; seven VMs read the store for all.

A reader for 40 VMs instead of 30: word of a reader goes to all directly.

--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/schema"
 )
@@ -53,28 +55,62 @@
 	}
 }
 
-// listeners picks the VMs to tell this time: most of them near, since bytes
-// between zones are charged for, and one anywhere.
+// listeners picks the VMs to tell this time.
 func (n *Node) listeners() []coord.VMID {
 	n.mu.Lock()
-	var near, all []coord.VMID
+	var live []roster.Entry
 	for _, m := range n.roster.Members() {
-		if m.State == roster.Suspect {
-			continue
-		}
-		all = append(all, m.ID)
-		if m.Zone == n.settings.Vm.Zone {
-			near = append(near, m.ID)
+		if m.State != roster.Suspect {
+			live = append(live, m.Entry)
 		}
 	}
 	n.mu.Unlock()
-	picked := shuffled(near, fanout-1)
-	for _, vm := range shuffled(all, fanout) {
-		if len(picked) < fanout && !slices.Contains(picked, vm) {
-			picked = append(picked, vm)
+	return pickListeners(n.settings.Vm.Id, n.settings.Vm.Zone, live)
+}
+
+// pickListeners picks most of the VMs to tell from this VM's zone, since bytes between zones
+// are charged for, and one anywhere. In a large fleet that one is this VM's partner in some
+// zone, always the same: with any of 194 others, each VM had a session open to each, and kept
+// it. Every zone has a partner in every other for each of its VMs.
+func pickListeners(self, zone string, live []roster.Entry) []coord.VMID {
+	var near, all []coord.VMID
+	for _, e := range live {
+		all = append(all, e.ID)
+		if e.Zone == zone {
+			near = append(near, e.ID)
+		}
+	}
+	if len(live) >= largeFleet {
+		all = partners(self, zone, live)
+	}
+	return firstDistinct(append(shuffled(near, fanout-1), shuffled(all, fanout)...), fanout)
+}
+
+// firstDistinct returns the first VMs of a list without repetitions, so many at most.
+func firstDistinct(vms []coord.VMID, most int) []coord.VMID {
+	var out []coord.VMID
+	for _, vm := range vms {
+		if len(out) < most && !slices.Contains(out, vm) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// partners returns one live VM of each other zone.
+func partners(self, zone string, live []roster.Entry) []coord.VMID {
+	best := map[string]coord.VMID{}
+	weight := map[string]uint64{}
+	key := rendezvous.Hash(self)
+	for _, e := range live {
+		if e.Zone == zone {
+			continue
+		}
+		if w := rendezvous.Mix(rendezvous.Hash(string(e.ID)), key); best[e.Zone] == "" || w > weight[e.Zone] {
+			best[e.Zone], weight[e.Zone] = e.ID, w
 		}
 	}
-	return picked
+	return slices.Sorted(maps.Values(best))
 }
 
 // beatAll tells every VM at once.
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -14,8 +14,9 @@
 	// minReaders is how many VMs watch the store for all: two, so that one may be
 	// cut off unnoticed.
 	minReaders = 2
-	// vmsPerReader bounds how far word of a reader has to go in a large fleet.
-	vmsPerReader = 30
+	// vmsPerReader bounds how far word of a reader has to go in a large fleet: 195 VMs have
+	// four readers, each of which makes a call to the store every half second there.
+	vmsPerReader = 40
 	// revisionTimeout bounds one read of the store's revision: nobody orders
 	// meanwhile. Answers take 4 ms, and a quarter of a second in slow spells.
 	revisionTimeout = 500 * time.Millisecond
