--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -295,12 +295,14 @@
 
 // Stats is a summary for metrics.
 type Stats struct {
-	Targets, Waiting, Running, Loads, Resident int
+	Targets, Waiting, Running, Resident int
+	// Loads from the weight store that are under way, and how many may be.
+	Loads, MaxLoads int
 }
 
 // Stats returns a summary.
 func (s *Scheduler) Stats() Stats {
-	st := Stats{Targets: len(s.targets), Waiting: len(s.waiting), Running: len(s.grants), Loads: s.loads}
+	st := Stats{Targets: len(s.targets), Waiting: len(s.waiting), Running: len(s.grants), Loads: s.loads, MaxLoads: s.limit.Max()}
 	for _, t := range s.targets {
 		st.Resident += len(t.slots)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -242,6 +242,9 @@
 	n.metrics.Gauge("feed_revision", func() int64 { return int64(n.feed.Revision()) })
 	n.metrics.Gauge("feed_age_ms", func() int64 { return n.feed.Age().Milliseconds() })
 	n.metrics.Gauge("feed_items_refused", n.feed.Refused)
+	n.metrics.Gauge("scheduler_waiting", func() int64 { return int64(n.schedules.stats().Waiting) })
+	n.metrics.Gauge("adapter_loads", func() int64 { return int64(n.schedules.stats().Loads) })
+	n.metrics.Gauge("adapter_loads_limit", func() int64 { return int64(n.schedules.stats().MaxLoads) })
 	n.metrics.Gauge("fleet_vms", n.vms.Load)
 	n.metrics.Gauge("config_version", func() int64 {
 		if c := n.feed.Directory().Config; c != nil {
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -170,6 +170,19 @@
 	runAll(work)
 }
 
+// stats sums the schedulers of all services.
+func (ss *schedules) stats() (sum scheduler.Stats) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	for _, sc := range ss.services {
+		st := sc.s.Stats()
+		sum.Waiting += st.Waiting
+		sum.Loads += st.Loads
+		sum.MaxLoads += st.MaxLoads
+	}
+	return sum
+}
+
 func runAll(work []func()) {
 	for _, f := range work {
 		f()
@@ -271,7 +284,7 @@
 			sc.verdict(a, ss.node.feed.Age())
 			if a.Reason != scheduler.ReasonMoved {
 				st := sc.s.Stats()
-				ss.node.log.VerdictRefused(string(a.Key.VM), a.Key.Ticket, sc.service, a.Reason, st.Waiting, st.Loads)
+				ss.node.log.VerdictRefused(string(a.Key.VM), a.Key.Ticket, sc.service, a.Reason, st.Waiting, st.Loads, st.MaxLoads)
 			}
 		case scheduler.ActLoad, scheduler.ActUnload:
 			if t := sc.targets[a.Target]; t != nil {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -169,9 +169,9 @@
 }
 
 // VerdictRefused is written where a scheduler refuses a request.
-func (l *Log) VerdictRefused(peer string, ticket uint64, service, reason string, waiting, loads int) {
+func (l *Log) VerdictRefused(peer string, ticket uint64, service, reason string, waiting, loads, maxLoads int) {
 	l.info("verdict_refused", log.Fields{
-		"peer": peer, "ticket": ticket, "service": service, "reason": reason, "waiting": waiting, "loads": loads,
+		"peer": peer, "ticket": ticket, "service": service, "reason": reason, "waiting": waiting, "loads": loads, "max_loads": maxLoads,
 	})
 }
 
@@ -218,8 +218,8 @@
 	})
 }
 
-// ItemRefused says that an item of the store could not be read; the value before
-// it stays.
+// ItemRefused says that an item of the store could not be read, or a part of it: once for
+// each key and reason in a row.
 func (l *Log) ItemRefused(key string, revision uint64, err error) {
 	l.warn("store_item_refused", log.Fields{"key": key, "revision": revision, "error": text(err)})
 }
