--- a/coord/loadlimit/loadlimit.go
+++ b/coord/loadlimit/loadlimit.go
@@ -122,20 +122,31 @@
 
 // shrink takes back the last step, and more where the one before was too much as well.
 func (l *Limit) shrink(now time.Time) {
-	back := startGrowth
+	back, overshot := startGrowth, l.inTime && l.growth == startGrowth
 	if l.inTime {
 		back = l.growth
-		l.growth = laterGrowth
 	}
-	if l.tried {
+	if !overshot { // else small steps follow at once
+		l.growAt = now.Add(l.pauseNow())
+	}
+	if l.tried && !overshot {
 		l.pause = min(2*l.pause, maxPause)
 	}
+	l.growth = laterGrowth
 	l.inTime, l.tried = false, false
 	l.set(max(l.value/back, least, leastShare*float64(l.guess)))
-	l.growAt = now.Add(l.pause)
 	l.judgeFrom = now.Add(drainTime)
 }
 
+// pauseNow is the time until the next try. Where a step of one load is more than laterGrowth
+// makes loads later, it is made half as often.
+func (l *Limit) pauseNow() time.Duration {
+	if l.value*laterGrowth < l.value+1 {
+		return 2 * l.pause
+	}
+	return l.pause
+}
+
 // grow makes a step up. The first one after a late one is a try; with the second the row of
 // late ones has ended.
 func (l *Limit) grow() {
