--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -17,8 +17,9 @@
 // Scheduler has no clock and does no I/O: events come in with the time, actions
 // come out. It is not safe for concurrent use. types.go has what goes in and comes out,
 // grants.go the requests that run, place.go the choice of a target, homes.go that of
-// targets to load an adapter at, slots.go what is believed of each target, orders.go and
-// reports.go how that is brought about and checked, health.go failing targets.
+// targets to load an adapter at, slots.go what is believed of each target, loads.go how long
+// loads take, heat.go how often adapters are asked for, orders.go and reports.go how places
+// are brought about and checked, health.go failing targets.
 package scheduler
 
 import (
