Leave targets alone on a VM that is not asked

Cause: every VM looked at each target 50 times a second to place waiting requests and order loads, although only the one that is asked has any.

Change: a VM that is not asked settles nothing.

--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -266,6 +266,9 @@
 // settle finishes loads that are due, places waiting requests, and does the
 // housekeeping of every target.
 func (s *Scheduler) settle(now time.Time) []Action {
+	if !s.acting {
+		return s.take() // nothing waits, and nothing is ordered
+	}
 	for _, id := range s.ids {
 		s.keepUp(now, s.targets[id])
 	}
