--- a/coord/scheduler/play_test.go
+++ b/coord/scheduler/play_test.go
@@ -70,12 +70,9 @@
 	// seconds has the requests in time, and those asked, by second.
 	seconds [][2]int
 	loads   int // from the store
-	second  int // of these, of adapters that another engine held
 	retries int // attempts that were not run
 	// conflicts are orders that an engine did not take.
 	conflicts int
-	// off is the error of the expected time to the first event, as a logarithm, by request.
-	off []float64
 }
 
 func (r *result) total() (t outcome) {
--- a/coord/scheduler/playengine_test.go
+++ b/coord/scheduler/playengine_test.go
@@ -98,9 +98,6 @@
 	l := &playedLoad{engine: e, ref: a.Ref, left: p.d.load, store: !slices.Contains(e.kept, a.Ref)}
 	if l.store {
 		p.out.loads++
-		if len(p.s.homes[a.Ref]) > 1 {
-			p.out.second++
-		}
 	} else {
 		l.left = p.d.load / 10
 	}
