Take an entry without the start that its target said for another writer's

Cause: found by reading. An announcement that has all fields but the start, under a key whose target says its start, was taken for a target of its own: the one before was dropped with all that is known of it, and back with the next heartbeat.

Change: such an entry names no target, like others with a field missing. Two rows of TestStartsOfOneKey, which failed before.

--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -118,17 +118,15 @@
 		d.leave(now, item.Key)
 		return d.refusal(item.Key, err)
 	}
-	if decoded.Config == nil {
-		delete(d.refused, item.Key)
-	}
 	switch {
 	case decoded.Config != nil:
 		return d.takeConfig(item.Key, decoded.Config)
 	case decoded.Target != nil:
-		d.takeTarget(now, item.Key, decoded.Target)
+		return d.takeTarget(now, item.Key, decoded.Target)
 	case decoded.Version != nil:
 		d.takeVersion(*decoded.Version)
 	}
+	delete(d.refused, item.Key)
 	return nil
 }
 
@@ -161,6 +159,7 @@
 	before := d.config
 	d.config = c
 	if len(c.Findings) == 0 {
+		delete(d.refused, key)
 		return nil
 	}
 	if before != nil {
@@ -187,12 +186,21 @@
 	}
 }
 
+// errNoStart marks an announcement without the start that its target said before.
+var errNoStart = errors.New("the target's start is missing, which it said before")
+
 // takeTarget takes an announcement. A later start under the key is another target: the one
 // before is gone at once, with all that it held and ran. An announcement of an earlier start
-// changes nothing.
-func (d *directory) takeTarget(now time.Time, key string, t *fleet.Target) {
-	if last := d.started[key].started; t.Started != 0 && t.Started < last {
-		return
+// changes nothing, and one without a start is of another writer if there was one.
+func (d *directory) takeTarget(now time.Time, key string, t *fleet.Target) error {
+	last := d.started[key].started
+	if t.Started == 0 && last != 0 {
+		d.leave(now, key)
+		return d.refusal(key, errNoStart)
+	}
+	delete(d.refused, key)
+	if t.Started < last {
+		return nil
 	}
 	if t.Started != 0 {
 		d.started[key] = startHeard{started: t.Started, at: now}
@@ -204,6 +212,7 @@
 	d.targets[key] = t
 	delete(d.gone, key)
 	delete(d.dropped, t.ID)
+	return nil
 }
 
 // dropAt is when to drop a target whose removal is heard now. It may have been removed as
--- a/internal/feed/incarnation_test.go
+++ b/internal/feed/incarnation_test.go
@@ -56,6 +56,8 @@
 		{"a deployment that does not say", []string{"-", "-"}, "t", fleet.TargetReady, nil},
 		{"of another writer for a moment", []string{"5", "?", "5"}, "t#5", fleet.TargetReady, nil},
 		{"of another writer, then born again", []string{"5", "?", "7"}, "t#7", fleet.TargetReady, []string{"t#5"}},
+		{"without its start for a moment", []string{"5", "-", "5"}, "t#5", fleet.TargetReady, nil},
+		{"it left, and the entry is without its start", []string{"5!", "-"}, "t#5", fleet.TargetDraining, nil},
 		{"it left, and the entry is of another writer", []string{"5!", "?"}, "t#5", fleet.TargetDraining, nil},
 	} {
 		t.Run(row.name, func(t *testing.T) {
