Log every order with what it rests on, and count what frees places

Cause: the log gave an order's adapter and answer, and of those that went well a sample. Which place of an engine was counted wrongly, on the clock, an answer or a report, could not be told. Change: each order is written, with the places taken, those there by the clock only, the age of the report and the count that it names; metrics count places freed, by cause. TestOrdersSayWhatTheyRestOn; TestFailuresAreAlwaysWritten asks for orders that went well too.

--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if how == EndedMisplaced {
-		g.target.drop(g.ref)
+		s.drop(g.target, g.ref)
 		g.target.distrust(now)
 	}
 }
--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -25,8 +25,10 @@
 // target has taken no order since its report: another VM that thought it held the
 // lease may have ordered meanwhile, and the report would not show it yet. Once the
 // target has obeyed this one, it refuses the other VM's.
-func (s *Scheduler) order(t *target, a Action) {
+func (s *Scheduler) order(now time.Time, t *target, a Action) {
 	a.Target = t.id
+	a.Basis = t.basis(now, a.Ref)
+	a.Basis.Slots = s.cfg.AdapterSlots
 	if !t.sealed {
 		expect := t.orders
 		a.Expect = &expect
@@ -71,7 +73,7 @@
 		sl.state = unloading
 		sl.since = now
 		sl.answered = time.Time{}
-		s.order(t, Action{Kind: ActUnload, Ref: victim})
+		s.order(now, t, Action{Kind: ActUnload, Ref: victim})
 		return
 	}
 	sl := &slot{
@@ -84,7 +86,7 @@
 	}
 	s.countLoad(sl, true)
 	t.put(ref, sl)
-	s.order(t, Action{Kind: ActLoad, Ref: ref, Version: s.versions[ref]})
+	s.order(now, t, Action{Kind: ActLoad, Ref: ref, Version: s.versions[ref]})
 }
 
 // countLoad keeps the number of loads from the store that are under way.
@@ -136,7 +138,7 @@
 	}
 	sl.answered = now
 	if result == OrderHolds && sl.proven {
-		t.remove(ref)
+		s.free(t, ref, FreedByAnswer)
 		t.keep(now, ref)
 		return
 	}
@@ -171,7 +173,7 @@
 		sl.readyAt = now
 	case OrderRejected:
 		s.countLoad(sl, false)
-		t.remove(ref)
+		s.free(t, ref, FreedByRejection)
 		t.distrust(now)
 	case OrderUnknown:
 		// The report will tell; until then the place is taken, the load is not
@@ -232,7 +234,7 @@
 	}
 	s.nextModelLoad = now.Add(s.cfg.ModelLoadGap)
 	t.modelLoad = now.Add(took + reportLag)
-	s.order(t, Action{Kind: ActLoad, Ref: coord.AdapterRef{Model: model}})
+	s.order(now, t, Action{Kind: ActLoad, Ref: coord.AdapterRef{Model: model}})
 }
 
 // wantedModel returns the model that the fewest targets hold.
@@ -271,6 +273,6 @@
 		sl.since = now
 		sl.readyAt = now.Add(coldLoadTime + loadMargin)
 		sl.due = sl.readyAt
-		s.order(t, Action{Kind: ActLoad, Ref: ref, Version: sl.version})
+		s.order(now, t, Action{Kind: ActLoad, Ref: ref, Version: sl.version})
 	}
 }
--- a/coord/scheduler/reports.go
+++ b/coord/scheduler/reports.go
@@ -102,6 +102,7 @@
 func (s *Scheduler) adopt(now time.Time, t *target, r Report, began time.Time) {
 	found := map[coord.AdapterRef]bool{}
 	clear(t.models)
+	t.adoptedAt = began
 	for _, h := range r.Resident {
 		if h.Ref.IsBase() {
 			t.models[h.Ref.Model] = true
@@ -119,7 +120,7 @@
 			continue
 		}
 		s.countLoad(sl, false)
-		t.remove(ref)
+		s.free(t, ref, FreedByReport)
 	}
 }
 
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -65,6 +65,7 @@
 	// searches is how many homes may still be looked for in this round.
 	searches int
 	acts     []Action
+	freed    [causes]int64
 }
 
 // maxSearches bounds the work of one round: a search looks at every target, and the
@@ -129,10 +130,16 @@
 func (s *Scheduler) empty(t *target) {
 	for ref, sl := range t.slots {
 		s.countLoad(sl, false)
-		t.remove(ref)
+		s.free(t, ref, FreedWithTarget)
 	}
 }
 
+// free counts an adapter's place at a target as free.
+func (s *Scheduler) free(t *target, ref coord.AdapterRef, why FreedBy) {
+	t.remove(ref)
+	s.freed[why]++
+}
+
 // Replaced takes the news that a target's process is gone and another one has its place,
 // which will announce itself under an id of its own. Nothing is sent to the target or
 // believed of it any more, also if a late listing has it.
@@ -306,9 +313,39 @@
 	Waiting, Running int
 	// Loads from the weight store that are under way, and how many may be.
 	Loads, MaxLoads int
+	// Freed counts places that were taken for free, by what said so.
+	Freed [causes]int64
+}
+
+// FreedBy is what a place was taken for free on.
+type FreedBy int
+
+// What frees a place.
+const (
+	// FreedByAnswer: an engine's answer to an unload.
+	FreedByAnswer FreedBy = iota
+	// FreedByReport: a report that does not show the adapter.
+	FreedByReport
+	// FreedByRejection: an engine did not take the load.
+	FreedByRejection
+	// FreedByRequest: a request found the adapter missing.
+	FreedByRequest
+	// FreedWithTarget: the target is gone.
+	FreedWithTarget
+	causes
+)
+
+// Causes lists what may free a place.
+func Causes() []FreedBy {
+	return []FreedBy{FreedByAnswer, FreedByReport, FreedByRejection, FreedByRequest, FreedWithTarget}
+}
+
+// String gives the cause's name for metrics.
+func (f FreedBy) String() string {
+	return [...]string{"answer", "report", "rejection", "request", "target_gone"}[f]
 }
 
 // Stats returns a summary.
 func (s *Scheduler) Stats() Stats {
-	return Stats{Waiting: len(s.waiting), Running: len(s.grants), Loads: s.loads, MaxLoads: s.limit.Max()}
+	return Stats{Waiting: len(s.waiting), Running: len(s.grants), Loads: s.loads, MaxLoads: s.limit.Max(), Freed: s.freed}
 }
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -779,3 +779,23 @@
 	b.after(1)
 	b.want(ActRead, ActRead)
 }
+
+// TestOrdersSayWhatTheyRestOn: the log of an order tells which places were counted on what.
+func TestOrdersSayWhatTheyRestOn(t *testing.T) {
+	b := newBench(t, config(2), []string{"a"})
+	b.submit("b")
+	load := b.want(ActLoad)[0].Basis
+	assert.DeepEqual(t, load, Basis{Taken: 2, Slots: 2, InTransit: 1, ReportAge: contestTime})
+	b.ordered(Action{Kind: ActLoad, Target: "t0", Ref: ref("b")}, OrderBegun)
+	b.after(coldLoadTime + loadMargin)
+	b.want(ActGrant)
+	b.after(minResident)
+	b.submit("c")
+	unload := b.want(ActUnload)[0]
+	assert.DeepEqual(t, unload.Basis, Basis{
+		Taken: 2, Slots: 2, InTransit: 1, Unproven: 1, Kept: true, Proven: true,
+		ReportAge: contestTime + coldLoadTime + loadMargin + minResident,
+	})
+	b.ordered(unload, OrderHolds)
+	assert.Equal(t, b.s.Stats().Freed[FreedByAnswer], int64(1))
+}
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -89,6 +89,8 @@
 	reading time.Time
 	// trusted says that slots are right as far as orders go.
 	trusted bool
+	// adoptedAt is when the last report that was taken over was asked for; zero: none was.
+	adoptedAt time.Time
 	// orders is how many orders the target had taken when it made its last report, and
 	// ordersSince when a report that said so was first asked for.
 	orders      uint64
@@ -153,6 +155,23 @@
 	t.slots[ref] = sl
 }
 
+// basis is what an order for an adapter rests on.
+func (t *target) basis(now time.Time, ref coord.AdapterRef) Basis {
+	b := Basis{Taken: len(t.slots), InTransit: t.inTransit(), Kept: t.keeps(ref), ReportAge: -1}
+	if !t.adoptedAt.IsZero() {
+		b.ReportAge = now.Sub(t.adoptedAt)
+	}
+	if sl := t.slots[ref]; sl != nil {
+		b.Proven = sl.proven
+	}
+	for _, sl := range t.slots {
+		if sl.state == resident && !sl.proven {
+			b.Unproven++
+		}
+	}
+	return b
+}
+
 // remove frees an adapter's place at the target.
 func (t *target) remove(ref coord.AdapterRef) {
 	if t.slots[ref] == nil {
@@ -197,13 +216,13 @@
 }
 
 // drop forgets an adapter that the target turned out not to hold.
-func (t *target) drop(ref coord.AdapterRef) {
+func (s *Scheduler) drop(t *target, ref coord.AdapterRef) {
 	if ref.IsBase() {
 		delete(t.models, ref.Model)
 		return
 	}
 	if sl := t.slots[ref]; sl != nil && sl.state == resident {
-		t.remove(ref)
+		s.free(t, ref, FreedByRequest)
 	}
 }
 
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -114,6 +114,25 @@
 	Expect     *uint64
 	RetryAfter time.Duration
 	Reason     string
+	// Basis of an order.
+	Basis Basis
+}
+
+// Basis is what was believed of a target when an order was given, for logs: from the orders of
+// one engine and their bases it can be told which place was counted wrongly, and why.
+type Basis struct {
+	// Taken is how many of Slots places were, with the one of a load that is ordered, and
+	// InTransit how many of them by adapters on their way in or out.
+	Taken, Slots, InTransit int
+	// Unproven is how many places were taken by adapters that are there by the clock only.
+	Unproven int
+	// ReportAge is the time since the last report that was taken over was asked for; negative:
+	// there was none.
+	ReportAge time.Duration
+	// Kept says that a load is expected to be quick, since the engine keeps the adapter at hand.
+	Kept bool
+	// Proven says that an adapter to unload is known to be there.
+	Proven bool
 }
 
 // Listed is a target as it announces itself.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/junctionfold/junctionfold/coord/duty"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/roster"
+	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -244,6 +245,9 @@
 	n.metrics.Gauge("feed_items_refused", n.feed.Refused)
 	n.metrics.Gauge("scheduler_waiting", func() int64 { return int64(n.schedules.stats().Waiting) })
 	n.metrics.Gauge("adapter_loads", func() int64 { return int64(n.schedules.stats().Loads) })
+	for _, why := range scheduler.Causes() {
+		n.metrics.Gauge("places_freed_by_"+why.String(), func() int64 { return n.schedules.stats().Freed[why] })
+	}
 	n.metrics.Gauge("adapter_loads_limit", func() int64 { return int64(n.schedules.stats().MaxLoads) })
 	n.metrics.Gauge("fleet_vms", n.vms.Load)
 	n.metrics.Gauge("config_version", func() int64 {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -56,9 +56,17 @@
 		kind = "unload"
 	}
 	n.metrics.Orders.Add(kind+"."+r.String(), 1)
-	n.log.OrderAnswered(n.now(), events.Order{
+	expect := int64(-1)
+	if a.Expect != nil {
+		expect = int64(*a.Expect)
+	}
+	n.log.OrderAnswered(events.Order{
 		Kind: kind, Target: t.ID, Adapter: a.Ref.String(), Version: a.Version,
-		Fence: fence, Result: r.String(), Took: took, Err: err,
+		Fence: fence, Expect: expect, Result: r.String(), Took: took, Err: err,
+		Basis: events.Places{
+			Taken: a.Basis.Taken, Slots: a.Basis.Slots, InTransit: a.Basis.InTransit, Unproven: a.Basis.Unproven,
+			ReportAge: a.Basis.ReportAge, Kept: a.Basis.Kept, Proven: a.Basis.Proven,
+		},
 	})
 }
 
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -179,6 +179,9 @@
 		sum.Waiting += st.Waiting
 		sum.Loads += st.Loads
 		sum.MaxLoads += st.MaxLoads
+		for why, n := range st.Freed {
+			sum.Freed[why] += n
+		}
 	}
 	return sum
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -181,21 +181,33 @@
 	Kind, Target, Adapter string
 	Version               int64
 	Fence                 uint64
-	Result                string
-	Took                  time.Duration
-	Err                   error
+	// Expect is the count of orders that it named; negative: none.
+	Expect int64
+	Result string
+	Took   time.Duration
+	Err    error
+	Basis  Places
 }
 
-// OrderAnswered is written for each order. Those that were begun or held already
-// count as ordinary.
-func (l *Log) OrderAnswered(now time.Time, o Order) {
-	went := o.Result == "begun" || o.Result == "holds"
-	if went && !l.ordinary(now) {
-		return
-	}
+// Places is what was believed of an engine's places when an order was given.
+type Places struct {
+	// Taken of Slots, with the place of a load; InTransit and Unproven are among them.
+	Taken, Slots, InTransit, Unproven int
+	// ReportAge is that of the report that this rests on; negative: there is none.
+	ReportAge time.Duration
+	// Kept says that a load was expected to be quick, Proven that the adapter to unload is
+	// known to be there.
+	Kept, Proven bool
+}
+
+// OrderAnswered is written for each order, also where it went well: which place of an engine
+// was counted wrongly is found from all of its orders. There are some 75 a second at most.
+func (l *Log) OrderAnswered(o Order) {
 	l.info("order_answered", log.Fields{
 		"order": o.Kind, "target": o.Target, "adapter": o.Adapter, "version": o.Version,
-		"fence": o.Fence, "result": o.Result, "took_ms": o.Took.Milliseconds(), "error": text(o.Err),
+		"fence": o.Fence, "expect": o.Expect, "result": o.Result, "took_ms": o.Took.Milliseconds(), "error": text(o.Err),
+		"taken": o.Basis.Taken, "slots": o.Basis.Slots, "in_transit": o.Basis.InTransit, "unproven": o.Basis.Unproven,
+		"report_age_ms": o.Basis.ReportAge.Milliseconds(), "kept": o.Basis.Kept, "proven": o.Basis.Proven,
 	})
 }
 
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -41,13 +41,17 @@
 		l.RequestEnded(start, Request{Outcome: "ok"})
 	}
 	l.RequestEnded(start, Request{Outcome: "refused"})
-	l.OrderAnswered(start, Order{Result: "begun"})
-	l.OrderAnswered(start, Order{Result: "fenced"})
+	l.OrderAnswered(Order{Result: "begun", Expect: -1, Basis: Places{Taken: 4, Slots: 5, Unproven: 2, ReportAge: 1500 * time.Millisecond}})
+	l.OrderAnswered(Order{Result: "fenced"})
 	l.RequestEnded(start.Add(omittedEvery), Request{Outcome: "ok"})
 	l.Close()
 	text := out.String()
 	assert.Equal(t, strings.Count(text, "outcome=refused"), 1)
 	assert.Equal(t, strings.Count(text, "result=fenced"), 1)
+	assert.Equal(t, strings.Count(text, "result=begun"), 1, "orders count also when they went well")
+	for _, want := range []string{"expect=-1", "taken=4", "slots=5", "unproven=2", "report_age_ms=1500", "proven=false"} {
+		assert.Assert(t, strings.Contains(text, want), "an order lacks %s", want)
+	}
 	assert.Assert(t, strings.Count(text, "outcome=ok") <= ordinaryBurst+1)
 	assert.Assert(t, strings.Contains(text, "message=log_lines_omitted"), "what was left out is said")
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -22,7 +22,7 @@
 	a.ConfigAdopted(1, 2, 3, 4, 5)
 	a.TargetChanged("i-1", "s", "ready", "draining", 9)
 	a.TargetChanged("i-9", "s", "", "ready", 9)
-	b.OrderAnswered(now, events.Order{Kind: "load", Target: "i-1", Adapter: "m/a", Result: "conflict"})
+	b.OrderAnswered(events.Order{Kind: "load", Target: "i-1", Adapter: "m/a", Result: "conflict"})
 	a.AttemptFailed(events.Attempt{ID: "r1", Target: "i-1", DecidedBy: "edge-2", Adapter: "m/a", Class: "busy", Status: 503})
 	a.RequestEnded(now, events.Request{
 		ID: "r1", Route: "x", Outcome: "refused", Reason: "not_run", Status: 503, Sends: 1, Target: "i-1", DecidedBy: "edge-2",
