Give an order only under the lease that it was decided under

Where the lease was lost and gained again meanwhile, it went out under the new number, on places that the holder in between had filled: the new lease's first order names the count of orders, this one did not. Change: an order carries the number of its lease and is not given under another; the scheduler is told the number instead of whether it may order.

--- a/coord/scheduler/homes.go
+++ b/coord/scheduler/homes.go
@@ -35,7 +35,7 @@
 
 // findHome starts a load of r's adapter, which no target holds.
 func (s *Scheduler) findHome(now time.Time, r *Request) {
-	if !s.mayOrder || s.searches <= 0 {
+	if !s.mayOrder() || s.searches <= 0 {
 		return
 	}
 	s.searches--
@@ -51,7 +51,7 @@
 // the next round.
 func (s *Scheduler) spread(now time.Time, r *Request, homeDelay time.Duration) {
 	switch {
-	case !s.mayOrder || s.heatOf(now, r.Ref) < spreadHeat || s.loadingSomewhere(r.Ref):
+	case !s.mayOrder() || s.heatOf(now, r.Ref) < spreadHeat || s.loadingSomewhere(r.Ref):
 	case 2*s.loads < s.limit.Max():
 		s.spreadNow(now, r, homeDelay)
 	case homeDelay > r.Objective:
@@ -79,7 +79,7 @@
 // spreadCrowded gives the adapters with crowded homes a load each, the hottest
 // first: one load serves more requests there than for an adapter that one waits for.
 func (s *Scheduler) spreadCrowded(now time.Time) {
-	if !s.mayOrder {
+	if !s.mayOrder() {
 		clear(s.crowded)
 		return
 	}
--- a/coord/scheduler/model_test.go
+++ b/coord/scheduler/model_test.go
@@ -105,7 +105,7 @@
 func newModelWorld(t *testing.T, seed uint64) *world {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	w := &world{
-		t: t, rng: rng, seed: seed, now: start, open: map[Key]bool{},
+		t: t, rng: rng, seed: seed, now: start, open: map[Key]bool{}, fence: 2,
 		cfg: Config{
 			AdapterSlots: 2 + rng.IntN(4), Batch: 4, CacheTokens: 10_000, MaxLoads: 1 + rng.IntN(4),
 			ModelLoadGap: 200 * time.Millisecond, ModelLoadTime: map[string]time.Duration{"m": 600 * time.Millisecond},
@@ -117,7 +117,7 @@
 	}
 	w.list()
 	w.carryOut(w.s.SetActing(w.now, true, nil))
-	w.carryOut(w.s.SetLease(w.now, true))
+	w.carryOut(w.s.SetLease(w.now, w.fence))
 	return w
 }
 
@@ -174,9 +174,8 @@
 }
 
 func (w *world) carryOut(acts []Action) {
-	fence := w.fence
 	for _, a := range acts {
-		if (a.Kind == ActLoad || a.Kind == ActUnload) && !w.s.mayOrder {
+		if (a.Kind == ActLoad || a.Kind == ActUnload) && !w.s.mayOrder() {
 			w.failf("an order without the lease: %v %s", a.Kind, a.Ref)
 		}
 		w.note("%d %s %s %+v", a.Kind, a.Target, a.Ref, a.Basis)
@@ -189,9 +188,9 @@
 			}
 			delete(w.open, a.Key)
 		case ActLoad:
-			w.give(a, fence, w.load)
+			w.give(a, w.load)
 		case ActUnload:
-			w.give(a, fence, w.unload)
+			w.give(a, w.unload)
 		case ActRead:
 			w.later(20*time.Millisecond, func() { w.read(a) })
 		}
@@ -199,12 +198,12 @@
 }
 
 // give lets an order reach its engine.
-func (w *world) give(a Action, fence uint64, take func(Action, uint64)) {
+func (w *world) give(a Action, take func(Action)) {
 	if w.more != nil {
-		w.queued(a, func(fence uint64) { take(a, fence) })
+		w.queued(a, take)
 		return
 	}
-	w.later(20*time.Millisecond, func() { take(a, fence) })
+	w.later(20*time.Millisecond, func() { take(a) })
 }
 
 func (w *world) granted(a Action) {
@@ -286,25 +285,25 @@
 }
 
 // takes reports whether an engine takes an order at all.
-func (w *world) takes(e *engine, a Action, fence uint64) bool {
+func (w *world) takes(e *engine, a Action) bool {
 	switch {
 	case e == nil:
 		w.answer(a, OrderUnknown)
-	case fence < e.fence:
+	case a.Fence < e.fence:
 		w.answer(a, OrderRejected)
 	case a.Expect != nil && *a.Expect != e.orders, w.rng.IntN(15) == 0:
 		w.answer(a, OrderRejected)
 	default:
 		e.orders++
-		e.fence = fence
+		e.fence = a.Fence
 		return true
 	}
 	return false
 }
 
-func (w *world) load(a Action, fence uint64) {
+func (w *world) load(a Action) {
 	e := w.engine(a.Target)
-	if !w.takes(e, a, fence) {
+	if !w.takes(e, a) {
 		return
 	}
 	if a.Ref.IsBase() {
@@ -338,12 +337,12 @@
 	return time.Duration(w.late.Int64N(int64(800 * time.Millisecond)))
 }
 
-func (w *world) unload(a Action, fence uint64) {
+func (w *world) unload(a Action) {
 	e := w.engine(a.Target)
-	if !w.takes(e, a, fence) {
+	if !w.takes(e, a) {
 		return
 	}
-	if e.uses(a.Ref) && fence < w.fence && w.more != nil {
+	if e.uses(a.Ref) && a.Fence < w.fence && w.more != nil {
 		e.leaving[a.Ref] = true // an earlier holder cannot know; the engine finishes its runs
 		w.answer(a, OrderBegun)
 		return
@@ -449,13 +448,13 @@
 
 // loseLease lets another VM hold the lease for a while, and believe it longer than that.
 func (w *world) loseLease() {
-	w.carryOut(w.s.SetLease(w.now, false))
+	w.carryOut(w.s.SetLease(w.now, 0))
 	w.fence += 2 // the other one's number is in between
 	for range w.rng.IntN(60) {
 		w.step()
 	}
 	w.orderOfAnother()
-	w.carryOut(w.s.SetLease(w.now, true))
+	w.carryOut(w.s.SetLease(w.now, w.fence))
 	for range 3 {
 		w.later(contestTime/2, w.orderOfAnother)
 	}
--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -27,6 +27,7 @@
 // target has obeyed this one, it refuses the other VM's.
 func (s *Scheduler) order(now time.Time, t *target, a Action) {
 	a.Target = t.id
+	a.Fence = s.fence
 	a.Basis = t.basis(now, a.Ref)
 	a.Basis.Slots = s.cfg.AdapterSlots
 	if !t.sealed {
@@ -201,7 +202,7 @@
 		s.readIfDue(now, t)
 		return
 	}
-	if !s.mayOrder {
+	if !s.mayOrder() {
 		return
 	}
 	s.loadModel(now, t)
--- a/coord/scheduler/play_test.go
+++ b/coord/scheduler/play_test.go
@@ -153,7 +153,7 @@
 	}
 	p.carryOut(p.s.SetTargets(p.now, p.listed()))
 	p.carryOut(p.s.SetActing(p.now, true, nil))
-	p.carryOut(p.s.SetLease(p.now, true))
+	p.carryOut(p.s.SetLease(p.now, 1))
 	p.run(3*time.Second, nil)
 	began := p.now
 	for i := range kinds {
--- a/coord/scheduler/reports.go
+++ b/coord/scheduler/reports.go
@@ -84,7 +84,7 @@
 
 // contested reports whether another VM may have gained the lease as well.
 func (s *Scheduler) contested(now time.Time) bool {
-	return s.mayOrder && now.Sub(s.leaseSince) < contestTime
+	return s.mayOrder() && now.Sub(s.leaseSince) < contestTime
 }
 
 // countOrders takes the number of orders of a report whose reading began then. The rest
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -54,8 +54,8 @@
 	// toldAt is when a VM last told all that it runs: some hear sooner than this VM
 	// that it is to be asked.
 	toldAt map[coord.VMID]time.Time
-	// mayOrder says that this VM holds the lease for orders.
-	mayOrder bool
+	// fence is the number of the lease for orders that this VM holds; 0: it holds none.
+	fence uint64
 	// leaseSince is when it got it.
 	leaseSince time.Time
 	loads      int
@@ -206,11 +206,11 @@
 	return s.settle(now)
 }
 
-// SetLease says whether this VM may give orders. Gaining the lease makes every
-// target's state be read first, until two reports a lag apart agree on how many orders
-// it has taken, and its first order be refused if another VM's order came after that.
-func (s *Scheduler) SetLease(now time.Time, held bool) []Action {
-	if held && !s.mayOrder {
+// SetLease says under which number this VM may give orders; 0: it may not. Gaining a lease
+// makes every target's state be read first, until two reports a lag apart agree on how many
+// orders it has taken, and its first order be refused if another VM's order came after that.
+func (s *Scheduler) SetLease(now time.Time, fence uint64) []Action {
+	if fence != 0 && fence != s.fence {
 		for _, id := range s.ids {
 			t := s.targets[id]
 			t.readFrom(now)
@@ -220,10 +220,13 @@
 		}
 		s.leaseSince = now
 	}
-	s.mayOrder = held
+	s.fence = fence
 	return s.settle(now)
 }
 
+// mayOrder reports whether this VM holds the lease for orders.
+func (s *Scheduler) mayOrder() bool { return s.fence != 0 }
+
 // SetVersion declares the newest version of an adapter.
 func (s *Scheduler) SetVersion(now time.Time, ref coord.AdapterRef, version int64) []Action {
 	if version <= s.versions[ref] {
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -49,7 +49,7 @@
 	b.take(b.s.SetActing(b.now, true, nil))
 	b.reports(listed)
 	b.now = b.now.Add(reportLag)
-	b.take(b.s.SetLease(b.now, true))
+	b.take(b.s.SetLease(b.now, 1))
 	b.reports(listed)
 	b.now = b.now.Add(contestTime)
 	b.acts = nil
@@ -264,8 +264,8 @@
 
 func TestPendingOfAReportTakesAPlace(t *testing.T) {
 	b := newBench(t, config(1), []string{})
-	b.take(b.s.SetLease(b.now, false))
-	b.take(b.s.SetLease(b.now, true))
+	b.take(b.s.SetLease(b.now, 0))
+	b.take(b.s.SetLease(b.now, 1))
 	b.want(ActRead)
 	b.report("t0", Report{Resident: []Holding{{Ref: base}}, Pending: []coord.AdapterRef{ref("x")}})
 	b.submit("z")
@@ -278,13 +278,13 @@
 
 func TestNoOrdersWithoutTheLease(t *testing.T) {
 	b := newBench(t, config(2), []string{"x"})
-	b.take(b.s.SetLease(b.now, false))
+	b.take(b.s.SetLease(b.now, 0))
 	b.submit("x")
 	b.want(ActGrant)
 	b.submit("z")
 	b.after(time.Second)
 	b.want()
-	b.take(b.s.SetLease(b.now, true))
+	b.take(b.s.SetLease(b.now, 1))
 	b.want(ActRead)
 }
 
@@ -426,7 +426,7 @@
 	b.report("a", Report{})
 	b.report("b", Report{})
 	b.after(reportLag)
-	b.take(b.s.SetLease(b.now, true))
+	b.take(b.s.SetLease(b.now, 1))
 	b.drain()
 	b.report("a", Report{})
 	b.report("b", Report{})
@@ -695,8 +695,8 @@
 // after a cut between VMs had healed.
 func TestLateReportsMustAgreeAsWell(t *testing.T) {
 	b := newBench(t, config(4), []string{})
-	b.take(b.s.SetLease(b.now, false))
-	b.take(b.s.SetLease(b.now, true))
+	b.take(b.s.SetLease(b.now, 0))
+	b.take(b.s.SetLease(b.now, 1))
 	b.drain()
 	b.take(b.s.Report(b.now, "t0", Report{}, false))
 	b.submit("x")
@@ -714,8 +714,8 @@
 // the report that this one goes by. Its first order must then be refused.
 func TestFirstOrderExpectsWhatTheReportShowed(t *testing.T) {
 	b := newBench(t, config(4), []string{})
-	b.take(b.s.SetLease(b.now, false))
-	b.take(b.s.SetLease(b.now, true))
+	b.take(b.s.SetLease(b.now, 0))
+	b.take(b.s.SetLease(b.now, 1))
 	b.drain()
 	b.report("t0", Report{Resident: []Holding{{Ref: base}}, Orders: 5})
 	b.submit("x")
--- a/coord/scheduler/takeover_model_test.go
+++ b/coord/scheduler/takeover_model_test.go
@@ -110,29 +110,25 @@
 	})
 	w.later(900*time.Millisecond, func() {
 		if generation == w.more.generation {
-			w.carryOut(w.s.SetLease(w.now, true))
+			w.carryOut(w.s.SetLease(w.now, w.fence))
 		}
 	})
 }
 
-// queued gives an order after it has waited for a worker, under the number that the VM
-// holds then. One of an earlier scheduler keeps its own.
-func (w *world) queued(a Action, give func(fence uint64)) {
+// queued gives an order after it has waited for a worker, unless the lease under which it was
+// decided is over by then. A VM that was taken over from does not know that it is.
+func (w *world) queued(a Action, give func(Action)) {
 	wait := 5 * time.Millisecond
 	if w.more.rng.IntN(10) == 0 {
 		wait = 300 * time.Millisecond
 	}
-	fence, generation := w.fence, w.more.generation
+	generation := w.more.generation
 	w.later(wait, func() {
-		switch {
-		case generation != w.more.generation:
-			w.later(20*time.Millisecond, func() { give(fence) })
-		case !w.s.mayOrder:
+		if generation == w.more.generation && a.Fence != w.s.fence {
 			w.carryOut(w.s.Ordered(w.now, a.Target, a.Kind == ActUnload, a.Ref, OrderRejected))
-		default:
-			now := w.fence
-			w.later(20*time.Millisecond, func() { give(now) })
+			return
 		}
+		w.later(20*time.Millisecond, func() { give(a) })
 	})
 }
 
@@ -187,7 +183,7 @@
 		w.hide()
 	case rng.IntN(300) == 0:
 		w.takeOver()
-	case rng.IntN(400) == 0 && w.s.mayOrder:
+	case rng.IntN(400) == 0 && w.s.mayOrder():
 		w.loseLease()
 	}
 }
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -114,6 +114,10 @@
 	Expect     *uint64
 	RetryAfter time.Duration
 	Reason     string
+	// Fence is the number of the lease under which an order was decided. It must not be given
+	// under another: the target's places may have been filled by another holder in between
+	// (TestPromisesBesideTakeovers, seed 126).
+	Fence uint64
 	// Basis of an order.
 	Basis Basis
 }
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -11,14 +11,17 @@
 	"github.com/junctionfold/junctionfold/internal/fleet"
 )
 
+// errLeaseOver marks an order that was not given: it waited for a worker, or this VM stood
+// still, and the lease under which it was decided is over.
+var errLeaseOver = errors.New("the lease of the order is over")
+
 // order gives one order and feeds the answer back.
 func (ss *schedules) order(sc *schedule, t *fleet.Target, a scheduler.Action) {
 	n := ss.node
-	fence := n.orderFence()
-	result := fleet.OrderConflict // not given: as if not taken
-	var err error
+	result, err := fleet.OrderConflict, errLeaseOver // as if not taken
 	began := n.now()
-	if fence != 0 {
+	fence := n.orderFence()
+	if fence == a.Fence {
 		result, err = n.platform.Engines.Order(context.Background(), fleet.Order{
 			Target: t.ID, Address: t.Address, Unload: a.Kind == scheduler.ActUnload, Ref: a.Ref,
 			Version: a.Version, Holder: n.settings.Vm.Id, Fence: fence, Expect: a.Expect,
--- /dev/null
+++ b/internal/edge/orders_test.go
@@ -0,0 +1,58 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/duty"
+	"github.com/junctionfold/junctionfold/coord/roster"
+	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/internal/events"
+	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/gateway"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// countingEngines counts the orders that reach engines.
+type countingEngines struct{ orders int }
+
+func (e *countingEngines) Order(context.Context, fleet.Order) (fleet.OrderResult, error) {
+	e.orders++
+	return fleet.OrderBegun, nil
+}
+
+func (e *countingEngines) Report(context.Context, string, string) (fleet.Report, error) {
+	return fleet.Report{}, nil
+}
+
+// TestOrdersAreGivenUnderTheirLease: an order that was decided under a lease which is over, and
+// waited for a worker meanwhile, rests on places that another VM may have filled since.
+func TestOrdersAreGivenUnderTheirLease(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	r := roster.New(roster.Config{Start: now}, roster.Entry{ID: "a", Address: "a", Incarnation: 1})
+	m := duty.New(now.Add(-time.Minute), "a", dutyName, time.Second, true)
+	assert.Assert(t, m.Update(now, r))
+	m.Take(now, 7, true)
+	engines := &countingEngines{}
+	n := &Node{
+		settings: &schema.EdgeSettings{Vm: &schema.EdgeVM{Id: "a"}}, log: events.Discard(),
+		platform: Platform{Engines: engines}, now: func() time.Time { return now },
+		metrics: gateway.NewMetrics(), duty: m, lastTick: now,
+	}
+	n.schedules = newSchedules(n)
+	sc := &schedule{s: scheduler.New(scheduler.Config{})}
+	give := func(fence uint64) int {
+		n.schedules.order(sc, &fleet.Target{ID: "t"}, scheduler.Action{
+			Kind: scheduler.ActLoad, Ref: coord.AdapterRef{Model: "m", Adapter: "x"}, Fence: fence,
+		})
+		return engines.orders
+	}
+	assert.Equal(t, give(m.Fence()-1), 0, "the lease before")
+	assert.Equal(t, give(m.Fence()), 1)
+	now = now.Add(2 * maxTickAge)
+	assert.Equal(t, give(m.Fence()), 1, "after a standstill")
+}
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -22,7 +22,8 @@
 	mu       sync.Mutex
 	services map[string]*schedule
 	acting   bool
-	lease    bool
+	// fence is the number under which this VM orders; 0: it does not.
+	fence uint64
 }
 
 // schedule is the scheduler of one service.
@@ -63,7 +64,7 @@
 		sc = &schedule{service: name, s: scheduler.New(cfg), waiters: map[scheduler.Key]chan *schema.Verdict{}}
 		ss.services[name] = sc
 		sc.s.SetActing(now, ss.acting, nil)
-		sc.s.SetLease(now, ss.lease)
+		sc.s.SetLease(now, ss.fence)
 	}
 	sc.s.Configure(cfg)
 	sc.targets = map[string]*fleet.Target{}
@@ -139,9 +140,9 @@
 
 // setLease says under which number this VM orders; 0: it does not.
 func (ss *schedules) setLease(fence uint64) {
-	ss.each(func(sc *schedule, now time.Time) []scheduler.Action { return sc.s.SetLease(now, fence != 0) })
+	ss.each(func(sc *schedule, now time.Time) []scheduler.Action { return sc.s.SetLease(now, fence) })
 	ss.mu.Lock()
-	ss.lease = fence != 0
+	ss.fence = fence
 	ss.mu.Unlock()
 }
 
