Show two more ways to an order beyond an engine's room

Cause, found by looking for the same class elsewhere: (5) a base model that is under way, from a scheduler before or by an order without an answer, is not listed yet, and another one may be ordered beside it; (6) an answer to an order is whatever comes next on a kept connection, also an engine's second answer to the order before.

--- a/coord/scheduler/places_test.go
+++ b/coord/scheduler/places_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord"
 )
 
 // evicted has t0, which has one place, give up its adapter for another one. It returns the
@@ -117,3 +119,46 @@
 	assert.Assert(t, b.s.targets["t0"] == nil)
 	assert.Equal(t, len(b.s.homes[ref("a")]), 0)
 }
+
+// twoModels is for engines that hold one of two base models: the second one beside the first is
+// more than their memory, and they crash.
+func twoModels() Config {
+	cfg := config(2)
+	cfg.ModelLoadTime = map[string]time.Duration{"m": time.Second, "n": time.Second}
+	return cfg
+}
+
+// TestModelUnderWayIsNotOrderedAgain: after a change of the scheduler an engine is loading the
+// base model that the one before ordered. It does not list it yet, and may hold it by the time
+// that an order for another one arrives.
+func TestModelUnderWayIsNotOrderedAgain(t *testing.T) {
+	b := newBench(t, twoModels())
+	b.take(b.s.SetTargets(b.now, []Listed{{ID: "new", Ready: true}}))
+	b.want(ActRead)
+	b.report("new", Report{Busy: true, Orders: 1})
+	b.want()
+	b.after(readAgain)
+	b.want(ActRead)
+	b.report("new", Report{Resident: []Holding{{Ref: coord.AdapterRef{Model: "n"}}}, Orders: 1})
+	b.after(time.Second)
+	b.want()
+}
+
+// TestModelThatMayBeUnderWayIsOrderedAgain: where it is not known whether an engine took the
+// order for a base model, no other one is ordered there.
+func TestModelThatMayBeUnderWayIsOrderedAgain(t *testing.T) {
+	b := newBench(t, twoModels())
+	b.take(b.s.SetTargets(b.now, []Listed{{ID: "new", Ready: true}}))
+	b.want(ActRead)
+	b.report("new", Report{})
+	first := b.want(ActLoad)[0]
+	b.ordered(first, OrderUnknown)
+	b.take(b.s.SetTargets(b.now, []Listed{{ID: "new", Ready: true}, {ID: "other", Ready: false, Resident: []Holding{{Ref: first.Ref}}}}))
+	b.s.targets["other"].ready = true // the model that the fewest hold is the other one now
+	b.after(reportLag)
+	b.drain()
+	b.report("new", Report{})
+	again := b.drain()
+	assert.Assert(t, len(again) > 0 && again[0].Target == "new", "%v", again)
+	assert.Equal(t, again[0].Ref, first.Ref)
+}
--- a/coord/scheduler/reports.go
+++ b/coord/scheduler/reports.go
@@ -10,6 +10,8 @@
 type Report struct {
 	Resident []Holding
 	Pending  []coord.AdapterRef
+	// Busy says that the target loads or unloads a base model.
+	Busy bool
 	// Orders is how many orders the target has taken since its start.
 	Orders uint64
 }
