Order no second base model where one may be on its way

Cause: an engine that loads a base model does not list it yet. A new scheduler took such an engine for empty, and one whose order got no answer chose anew: with two models the second one could arrive when the first was there, with no room for both. Change: what an engine says of being busy is decoded, and one without a model is read again while it is; an engine is ordered the same model again until it shows one.

--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -216,7 +216,8 @@
 	t.keep(now, ref)
 }
 
-// loadModel orders a base model at a target that has none, the one known first.
+// loadModel orders a base model at a target that has none: the one that it may be loading, or
+// else the one that the fewest targets hold.
 func (s *Scheduler) loadModel(now time.Time, t *target) {
 	if !t.modelLoad.IsZero() {
 		if !now.Before(t.modelLoad) {
@@ -228,15 +229,26 @@
 	if len(t.models) > 0 || now.Before(s.nextModelLoad) || !t.orderable() {
 		return
 	}
-	model, took, ok := s.wantedModel()
+	model, took, ok := s.modelFor(t)
 	if !ok {
 		return
 	}
 	s.nextModelLoad = now.Add(s.cfg.ModelLoadGap)
 	t.modelLoad = now.Add(took + reportLag)
+	t.modelOrdered = model
 	s.order(now, t, Action{Kind: ActLoad, Ref: coord.AdapterRef{Model: model}})
 }
 
+// modelFor returns the base model to order at a target, and how long its load takes. An engine
+// has room for one: what it was ordered to load before it may hold by now, although its report
+// does not show it.
+func (s *Scheduler) modelFor(t *target) (model string, took time.Duration, ok bool) {
+	if took, ok := s.cfg.ModelLoadTime[t.modelOrdered]; ok {
+		return t.modelOrdered, took, true
+	}
+	return s.wantedModel()
+}
+
 // wantedModel returns the model that the fewest targets hold.
 func (s *Scheduler) wantedModel() (model string, took time.Duration, ok bool) {
 	fewest := 0
--- a/coord/scheduler/reports.go
+++ b/coord/scheduler/reports.go
@@ -62,6 +62,11 @@
 	}
 	s.adopt(now, t, r, began)
 	t.countOrders(began, r.Orders)
+	if r.Busy && len(t.models) == 0 {
+		// A base model is on its way, not listed yet: another one beside it has no room.
+		t.readFrom(now.Add(readAgain))
+		return s.take()
+	}
 	if s.othersMayOrder(now, t) && began.Sub(t.ordersSince) < reportLag {
 		t.readFrom(t.ordersSince.Add(reportLag))
 		return s.take()
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -74,7 +74,9 @@
 	models map[string]bool
 	// modelLoad is when the base model under way is expected; zero: none is.
 	modelLoad time.Time
-	slots     map[coord.AdapterRef]*slot
+	// modelOrdered is the base model that it was ordered to load last; empty: none.
+	modelOrdered string
+	slots        map[coord.AdapterRef]*slot
 	// homes is the index of all targets by what they hold; put and remove keep it.
 	homes homeIndex
 	// crowd fades like the heat of adapters: requests granted here lately.
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		ss.node.log.ReportFailed(t.ID, err)
 	}
-	r := scheduler.Report{Resident: holdings(report.Resident), Pending: report.Pending, Orders: report.Orders}
+	r := scheduler.Report{Resident: holdings(report.Resident), Pending: report.Pending, Busy: report.Busy, Orders: report.Orders}
 	ss.each(func(other *schedule, now time.Time) []scheduler.Action {
 		switch {
 		case other != sc:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -331,8 +331,10 @@
 	Started  int64
 	Resident []ResidentModel
 	Pending  []AdapterRef
-	Running  int
-	Waiting  int
+	// Busy says that the engine loads or unloads a base model.
+	Busy    bool
+	Running int
+	Waiting int
 	// Orders is how many orders the engine has taken since its start.
 	Orders uint64
 }
