--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -16,10 +16,11 @@
 //
 // Scheduler has no clock and does no I/O: events come in with the time, actions
 // come out. It is not safe for concurrent use. types.go has what goes in and comes out,
-// grants.go the requests that run, place.go the choice of a target, homes.go that of
-// targets to load an adapter at, slots.go what is believed of each target, loads.go how long
-// loads take, heat.go how often adapters are asked for, orders.go and reports.go how places
-// are brought about and checked, health.go failing targets.
+// listing.go the targets there are, slots.go what is believed of each, grants.go the
+// requests that run, place.go the choice of a target, homes.go that of targets to load an
+// adapter at, loads.go how long loads take, heat.go how often adapters are asked for,
+// orders.go and reports.go how places are brought about and checked, freed.go what frees
+// them, health.go failing targets.
 package scheduler
 
 import (
@@ -94,83 +95,6 @@
 	s.limit.SetGuess(cfg.MaxLoads)
 }
 
-// forgetAfter is how long a target that is not listed is remembered: longer than an order or
-// a request may be under way there. Entries are lost and come back; one that was forgotten with
-// an order under way was ordered beyond its places on a report from before it
-// (TestPromisesBesideTakeovers, seeds 57, 66, 88).
-const forgetAfter = time.Minute
-
-// SetTargets takes the announced targets. Those that are not listed get no requests and no
-// orders; what is known of them stays for forgetAfter.
-func (s *Scheduler) SetTargets(now time.Time, listed []Listed) []Action {
-	seen := make(map[string]bool, len(listed))
-	for i := range listed {
-		l := &listed[i]
-		seen[l.ID] = true
-		t := s.targets[l.ID]
-		if t == nil {
-			t = newTarget(l, s.homes)
-			s.targets[l.ID] = t
-		}
-		t.listed(now, l)
-	}
-	for id, t := range s.targets {
-		if !seen[id] {
-			s.unlisted(now, t)
-		}
-	}
-	s.ids = s.ids[:0]
-	for id := range s.targets {
-		s.ids = append(s.ids, id)
-	}
-	slices.Sort(s.ids)
-	return s.settle(now)
-}
-
-// unlisted takes that a target is not announced any more.
-func (s *Scheduler) unlisted(now time.Time, t *target) {
-	if t.unlisted.IsZero() {
-		t.unlisted = now
-	}
-	t.ready = false
-	if t.replaced || now.Sub(t.unlisted) >= forgetAfter {
-		s.forget(t)
-	}
-}
-
-func (s *Scheduler) forget(t *target) {
-	s.empty(t)
-	delete(s.targets, t.id)
-}
-
-// empty drops the places of a target, and its loads.
-func (s *Scheduler) empty(t *target) {
-	for ref, sl := range t.slots {
-		s.countLoad(sl, false)
-		s.free(t, ref, FreedWithTarget)
-	}
-}
-
-// free counts an adapter's place at a target as free.
-func (s *Scheduler) free(t *target, ref coord.AdapterRef, why FreedBy) {
-	t.remove(ref)
-	s.freed[why]++
-}
-
-// Replaced takes the news that a target's process is gone and another one has its place,
-// which will announce itself under an id of its own. Nothing is sent to the target or
-// believed of it any more, also if a late listing has it.
-func (s *Scheduler) Replaced(now time.Time, id string) []Action {
-	t := s.targets[id]
-	if t == nil {
-		return nil
-	}
-	s.empty(t)
-	t.replaced = true
-	t.ready = false
-	return s.settle(now)
-}
-
 // adoptTime is how long after it began to be asked a scheduler waits for the others to
 // tell what they run: some rounds of the roster.
 const adoptTime = 1500 * time.Millisecond
@@ -337,34 +261,6 @@
 	Freed [causes]int64
 }
 
-// FreedBy is what a place was taken for free on.
-type FreedBy int
-
-// What frees a place.
-const (
-	// FreedByAnswer: an engine's answer to an unload.
-	FreedByAnswer FreedBy = iota
-	// FreedByReport: a report that does not show the adapter.
-	FreedByReport
-	// FreedByRejection: an engine did not take the load.
-	FreedByRejection
-	// FreedByRequest: a request found the adapter missing.
-	FreedByRequest
-	// FreedWithTarget: the target is gone.
-	FreedWithTarget
-	causes
-)
-
-// Causes lists what may free a place.
-func Causes() []FreedBy {
-	return []FreedBy{FreedByAnswer, FreedByReport, FreedByRejection, FreedByRequest, FreedWithTarget}
-}
-
-// String gives the cause's name for metrics.
-func (f FreedBy) String() string {
-	return [...]string{"answer", "report", "rejection", "request", "target_gone"}[f]
-}
-
 // Stats returns a summary.
 func (s *Scheduler) Stats() Stats {
 	return Stats{Waiting: len(s.waiting), Running: len(s.grants), Loads: s.loads, MaxLoads: s.limit.Max(), Freed: s.freed}
