--- a/coord/scheduler/freed.go
+++ b/coord/scheduler/freed.go
@@ -30,8 +30,9 @@
 	return [...]string{"answer", "report", "rejection", "request", "target_gone"}[f]
 }
 
-// free counts an adapter's place at a target as free.
+// free counts an adapter's place at a target as free, and its load as not under way.
 func (s *Scheduler) free(t *target, ref coord.AdapterRef, why FreedBy) {
+	s.countLoad(t.slots[ref], false)
 	t.remove(ref)
 	s.freed[why]++
 }
--- a/coord/scheduler/listing.go
+++ b/coord/scheduler/listing.go
@@ -56,8 +56,7 @@
 
 // empty drops the places of a target, and its loads.
 func (s *Scheduler) empty(t *target) {
-	for ref, sl := range t.slots {
-		s.countLoad(sl, false)
+	for ref := range t.slots {
 		s.free(t, ref, FreedWithTarget)
 	}
 }
--- a/coord/scheduler/model_test.go
+++ b/coord/scheduler/model_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord"
 )
 
 // event is something that happens later.
@@ -36,8 +38,8 @@
 	// late draws how much longer loads take than expected; nil: as long.
 	late   *rand.Rand
 	others int // loads that another holder ordered lately
-	// more may happen on this day; nil: nothing.
-	more *troubles
+	// more may happen on this day, if it is troubled.
+	more troubles
 	// notes are the last events, for a failure.
 	notes []string
 }
@@ -51,6 +53,7 @@
 			ModelLoadGap: 200 * time.Millisecond, ModelLoadTime: map[string]time.Duration{"m": 600 * time.Millisecond},
 		},
 	}
+	w.more.newest, w.more.flying = map[coord.AdapterRef]int64{}, map[Key]Action{}
 	w.s = New(w.cfg)
 	for i := range 3 {
 		w.engines = append(w.engines, newEngine(fmt.Sprintf("e%d", i), true))
@@ -79,7 +82,7 @@
 func (w *world) list() {
 	var listed []Listed
 	for _, e := range w.engines {
-		if w.more != nil && e == w.more.hidden {
+		if e == w.more.hidden {
 			continue
 		}
 		l := Listed{ID: e.id, Ready: true}
@@ -131,7 +134,7 @@
 
 // give lets an order reach its engine.
 func (w *world) give(a Action, take func(Action)) {
-	if w.more != nil {
+	if w.troubled() {
 		w.queued(a, take)
 		return
 	}
@@ -144,29 +147,17 @@
 	}
 	delete(w.open, a.Key)
 	w.grants++
-	if w.more != nil {
-		w.more.flying[a.Key] = a
-	}
+	w.more.flying[a.Key] = a
 	w.later(10*time.Millisecond, func() { w.run(a) })
 }
 
 func (w *world) done(key Key, how Ending) {
 	w.later(10*time.Millisecond, func() {
-		if w.more != nil {
-			delete(w.more.flying, key)
-		}
+		delete(w.more.flying, key)
 		w.carryOut(w.s.Done(w.now, key, how))
 	})
 }
 
-// generation counts the schedulers of the day.
-func (w *world) generation() int {
-	if w.more == nil {
-		return 0
-	}
-	return w.more.generation
-}
-
 // step moves time on by 10 ms.
 func (w *world) step() {
 	w.now = w.now.Add(10 * time.Millisecond)
@@ -185,7 +176,7 @@
 		e.do()
 	}
 	w.carryOut(w.s.Tick(w.now))
-	if w.more != nil {
+	if w.troubled() {
 		for _, e := range w.engines {
 			w.goOnReplacing(e)
 		}
@@ -280,10 +271,16 @@
 			}
 			w.step()
 		}
-		for range 700 {
-			w.step()
-		}
-		assert.Equal(t, len(w.open), 0, "seed %d: requests without a verdict", seed)
-		assert.Assert(t, w.grants > 100, "seed %d: only %d grants", seed, w.grants)
+		w.endDay()
+	}
+}
+
+// endDay lets all that is open come to its end.
+func (w *world) endDay() {
+	w.t.Helper()
+	for range 700 {
+		w.step()
 	}
+	assert.Equal(w.t, len(w.open), 0, "seed %d: requests without a verdict", w.seed)
+	assert.Assert(w.t, w.grants > 100, "seed %d: only %d grants", w.seed, w.grants)
 }
--- a/coord/scheduler/modelengine_test.go
+++ b/coord/scheduler/modelengine_test.go
@@ -113,9 +113,9 @@
 		r = OrderUnknown
 	}
 	w.note("%s answers %d to %d %s", a.Target, r, a.Kind, a.Ref)
-	generation := w.generation()
+	generation := w.more.generation
 	w.later(20*time.Millisecond, func() {
-		if generation != w.generation() {
+		if generation != w.more.generation {
 			return
 		}
 		w.carryOut(w.s.Ordered(w.now, a.Target, a.Kind == ActUnload, a.Ref, r))
@@ -150,7 +150,7 @@
 		return
 	}
 	if at, held := e.slots[a.Ref]; held {
-		if w.more != nil && !w.now.Before(at) && e.versions[a.Ref] < w.more.newest[a.Ref] && e.replaced[a.Ref] == nil {
+		if !w.now.Before(at) && e.versions[a.Ref] < w.more.newest[a.Ref] && e.replaced[a.Ref] == nil {
 			w.replace(e, a)
 			return
 		}
@@ -161,9 +161,7 @@
 		w.failf("%s ordered to load %s with %d of %d places taken", e.id, a.Ref, e.occupied(), w.cfg.AdapterSlots)
 	}
 	e.slots[a.Ref] = w.now.Add(coldLoadTime + w.lateness())
-	if w.more != nil {
-		e.versions[a.Ref] = w.more.newest[a.Ref]
-	}
+	e.versions[a.Ref] = w.more.newest[a.Ref]
 	w.answer(a, OrderBegun)
 }
 
@@ -180,7 +178,7 @@
 	if !w.takes(e, a) {
 		return
 	}
-	if e.uses(a.Ref) && a.Fence < w.fence && w.more != nil {
+	if e.uses(a.Ref) && a.Fence < w.fence && w.troubled() {
 		e.leaving[a.Ref] = true // an earlier holder cannot know; the engine finishes its runs
 		w.answer(a, OrderBegun)
 		return
--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -28,8 +28,7 @@
 func (s *Scheduler) order(now time.Time, t *target, a Action) {
 	a.Target = t.id
 	a.Fence = s.fence
-	a.Basis = t.basis(now, a.Ref)
-	a.Basis.Slots = s.cfg.AdapterSlots
+	a.Basis = s.basis(now, t, a.Ref)
 	if !t.sealed {
 		expect := t.orders
 		a.Expect = &expect
@@ -172,7 +171,6 @@
 		sl.ordered = true
 		sl.readyAt = now
 	case OrderRejected:
-		s.countLoad(sl, false)
 		s.free(t, ref, FreedByRejection)
 		t.distrust(now)
 	case OrderUnknown:
--- a/coord/scheduler/reports.go
+++ b/coord/scheduler/reports.go
@@ -126,7 +126,6 @@
 		if found[ref] || !sl.told(began) {
 			continue
 		}
-		s.countLoad(sl, false)
 		s.free(t, ref, FreedByReport)
 	}
 }
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -165,8 +165,10 @@
 }
 
 // basis is what an order for an adapter rests on.
-func (t *target) basis(now time.Time, ref coord.AdapterRef) Basis {
-	b := Basis{Taken: len(t.slots), InTransit: t.inTransit(), Kept: t.keeps(ref), ReportAge: -1}
+func (s *Scheduler) basis(now time.Time, t *target, ref coord.AdapterRef) Basis {
+	b := Basis{
+		Taken: len(t.slots), Slots: s.cfg.AdapterSlots, InTransit: t.inTransit(), Kept: t.keeps(ref), ReportAge: -1,
+	}
 	if !t.adoptedAt.IsZero() {
 		b.ReportAge = now.Sub(t.adoptedAt)
 	}
@@ -213,7 +215,6 @@
 		return
 	}
 	t.ready = l.Ready
-	defer t.backOnList(now)
 	for _, h := range l.Resident {
 		if h.Ref.IsBase() {
 			t.models[h.Ref.Model] = true
@@ -223,6 +224,7 @@
 			t.put(h.Ref, &slot{state: resident, version: h.Version, since: now, lastUse: now})
 		}
 	}
+	t.backOnList(now)
 }
 
 // backOnList has the report of a target that was not listed for a while read before its next
--- a/coord/scheduler/takeover_model_test.go
+++ b/coord/scheduler/takeover_model_test.go
@@ -6,14 +6,13 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/junctionfold/junctionfold/coord"
 )
 
 // troubles are what may happen on a random day beside the world's own restarts, lost answers
 // and changes of the lease.
 type troubles struct {
+	// rng draws them; nil: there are none.
 	rng *rand.Rand
 	// newest version of each adapter.
 	newest map[coord.AdapterRef]int64
@@ -35,12 +34,13 @@
 func newTroubledWorld(t *testing.T, seed uint64) *world {
 	w := newModelWorld(t, seed)
 	w.late = rand.New(rand.NewPCG(seed, 77))
-	w.more = &troubles{
-		rng: rand.New(rand.NewPCG(seed, 177)), newest: map[coord.AdapterRef]int64{}, flying: map[Key]Action{},
-	}
+	w.more.rng = rand.New(rand.NewPCG(seed, 177))
 	return w
 }
 
+// troubled reports whether more than the world's own faults happens on this day.
+func (w *world) troubled() bool { return w.more.rng != nil }
+
 // declare says that an adapter has a newer version.
 func (w *world) declare() {
 	r := ref(fmt.Sprintf("a%d", w.more.rng.IntN(12)))
@@ -165,11 +165,7 @@
 		w.trouble(i)
 		w.step()
 	}
-	for range 700 {
-		w.step()
-	}
-	assert.Equal(t, len(w.open), 0, "requests without a verdict")
-	assert.Assert(t, w.grants > 100, "only %d grants", w.grants)
+	w.endDay()
 }
 
 func (w *world) trouble(i int) {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -66,10 +66,7 @@
 	n.log.OrderAnswered(events.Order{
 		Kind: kind, Target: t.ID, Adapter: a.Ref.String(), Version: a.Version,
 		Fence: fence, Expect: expect, Result: r.String(), Took: took, Err: err,
-		Basis: events.Places{
-			Taken: a.Basis.Taken, Slots: a.Basis.Slots, InTransit: a.Basis.InTransit, Unproven: a.Basis.Unproven,
-			ReportAge: a.Basis.ReportAge, Kept: a.Basis.Kept, Proven: a.Basis.Proven,
-		},
+		Basis: a.Basis,
 	})
 }
 
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 	"golang.org/x/time/rate"
 
+	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/logging"
 )
 
@@ -186,18 +187,7 @@
 	Result string
 	Took   time.Duration
 	Err    error
-	Basis  Places
-}
-
-// Places is what was believed of an engine's places when an order was given.
-type Places struct {
-	// Taken of Slots, with the place of a load; InTransit and Unproven are among them.
-	Taken, Slots, InTransit, Unproven int
-	// ReportAge is that of the report that this rests on; negative: there is none.
-	ReportAge time.Duration
-	// Kept says that a load was expected to be quick, Proven that the adapter to unload is
-	// known to be there.
-	Kept, Proven bool
+	Basis  scheduler.Basis
 }
 
 // OrderAnswered is written for each order, also where it went well: which place of an engine
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord/scheduler"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -41,7 +43,7 @@
 		l.RequestEnded(start, Request{Outcome: "ok"})
 	}
 	l.RequestEnded(start, Request{Outcome: "refused"})
-	l.OrderAnswered(Order{Result: "begun", Expect: -1, Basis: Places{Taken: 4, Slots: 5, Unproven: 2, ReportAge: 1500 * time.Millisecond}})
+	l.OrderAnswered(Order{Result: "begun", Expect: -1, Basis: scheduler.Basis{Taken: 4, Slots: 5, Unproven: 2, ReportAge: 1500 * time.Millisecond}})
 	l.OrderAnswered(Order{Result: "fenced"})
 	l.RequestEnded(start.Add(omittedEvery), Request{Outcome: "ok"})
 	l.Close()
