Keys and teams: who asks, and revocation that fails closed

Cause: the edge role knew no keys: it passed them on to targets, set no team, ran unknown keys and those that were taken away. Ruled out: judging keys by the age that other VMs tell. Change: teams are decoded once; a request's team goes to the target, its key never; unknown keys are denied, or refused where the copy may be too old to know. Each VM proves its copy by a question of its own (feed/proof.go) and judges keys only by a copy that is proven younger than 0.98 of the bound; one that cannot is not ready.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -134,8 +134,10 @@
 	// acting is the VM that runs the scheduler, as far as this one knows.
 	acting atomic.Pointer[coord.VMID]
 	reader atomic.Bool
-	vms    atomic.Int64
-	drain  atomic.Bool
+	// readers are the other VMs that read the store.
+	readers atomic.Pointer[[]roster.Entry]
+	vms     atomic.Int64
+	drain   atomic.Bool
 	// beating keeps one heartbeat to each VM under way at most.
 	beating sync.Map
 
@@ -166,6 +168,7 @@
 	n.duty = duty.New(n.began, self, dutyName, wait, s.Orders.EnginesCheckFence)
 	n.acting.Store(new(coord.VMID))
 	n.vms.Store(1)
+	n.readers.Store(&[]roster.Entry{})
 	homes, err := lru.New[coord.AdapterRef, lastHome](maxLastHomes)
 	if err != nil {
 		return nil, errors.Wrap(err, "remember verdicts")
@@ -181,13 +184,14 @@
 		Store: p.Store, Peers: (*feedPeers)(n), Prefixes: p.Prefixes, Decode: p.Decode, Trim: p.Trim,
 		ApplyWithin: time.Duration(s.Times.ConfigApplyMs) * time.Millisecond,
 		DrainWithin: time.Duration(s.Times.DrainMs) * time.Millisecond,
+		ProveWithin: keysWithin(s.Times),
 		OnChange:    n.onDirectory, OnGone: n.onTargetsGone, Log: l, Now: n.now,
 	})
 	n.pool = hop.New(func() { metrics.Dials.Add(1) })
 	n.gateway = gateway.New(gateway.Config{
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: n.pool,
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
-		VMs:   func() int { return int(n.vms.Load()) }, Bounds: leavingBounds(s.Times),
+		VMs:   func() int { return int(n.vms.Load()) }, Bounds: leavingBounds(s.Times), KeysWithin: keysWithin(s.Times),
 		Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
@@ -201,6 +205,11 @@
 	return gateway.Bounds{Propagation: propagation, InFlight: max(drain-propagation, minInFlight)}
 }
 
+// keysWithin is how old a copy of the store may be to judge keys by; 0: any.
+func keysWithin(t *schema.EdgeTimes) time.Duration {
+	return time.Duration(feed.KeysShare * float64(t.RevokeMs) * float64(time.Millisecond))
+}
+
 // minInFlight is the least time that verdicts and the bytes of requests have: two
 // retransmissions of a lost packet, after 0.2 and 0.6 s.
 const minInFlight = 650 * time.Millisecond
@@ -242,6 +251,7 @@
 	n.metrics.Gauge("peer_bytes_out_total", func() int64 { _, out := n.mesh.Bytes(); return out })
 	n.metrics.Gauge("feed_revision", func() int64 { return int64(n.feed.Revision()) })
 	n.metrics.Gauge("feed_age_ms", func() int64 { return n.feed.Age().Milliseconds() })
+	n.metrics.Gauge("feed_proven_ms", func() int64 { return n.feed.Proven().Milliseconds() })
 	n.metrics.Gauge("feed_items_refused", n.feed.Refused)
 	n.metrics.Gauge("scheduler_waiting", func() int64 { return int64(n.schedules.stats().Waiting) })
 	n.metrics.Gauge("adapter_loads", func() int64 { return int64(n.schedules.stats().Loads) })
@@ -260,9 +270,10 @@
 	})
 }
 
-// Ready reports whether the balancer may send new connections.
+// Ready reports whether the balancer may send new connections: not while this VM would
+// refuse its callers since it cannot judge their keys, which others can.
 func (n *Node) Ready() bool {
-	return !n.drain.Load() && n.feed.Directory().Config != nil
+	return !n.drain.Load() && n.feed.Directory().Config != nil && n.gateway.KeysCurrent()
 }
 
 // serveReady answers the balancer.
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
+	"github.com/junctionfold/junctionfold/coord/roster"
 )
 
 // Figures of who reads and who orders.
@@ -36,7 +38,30 @@
 	}
 	best := make([]int, max(minReaders, int(n.vms.Load())/vmsPerReader))
 	top := best[:rendezvous.Top(hashes, rendezvous.Hash(readerName), best)]
-	n.reader.Store(slices.ContainsFunc(top, func(i int) bool { return string(live[i].ID) == n.settings.Vm.Id }))
+	var readers []roster.Entry
+	self := false
+	for _, i := range top {
+		if string(live[i].ID) == n.settings.Vm.Id {
+			self = true
+			continue
+		}
+		readers = append(readers, live[i])
+	}
+	n.reader.Store(self)
+	n.readers.Store(&readers)
+}
+
+// someReader returns another VM that reads the store, of this zone if there is any; or "".
+func (n *Node) someReader() coord.VMID {
+	readers := *n.readers.Load()
+	near := slices.DeleteFunc(slices.Clone(readers), func(e roster.Entry) bool { return e.Zone != n.settings.Vm.Zone })
+	if len(near) > 0 {
+		readers = near
+	}
+	if len(readers) == 0 {
+		return ""
+	}
+	return readers[rand.IntN(len(readers))].ID
 }
 
 // updateDuty finds who gives orders, and takes the duty when it falls to this VM.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -215,6 +215,16 @@
 	return feed.Update{}, err
 }
 
+// PullFromReader asks a VM that reads the store for the others, one of this zone if there is
+// any: it has a read of its own to prove its copy by.
+func (p *feedPeers) PullFromReader(ctx context.Context, after uint64) (feed.Update, error) {
+	vm := (*Node)(p).someReader()
+	if vm == "" {
+		return feed.Update{}, errNoPeer
+	}
+	return p.PullFrom(ctx, vm, after)
+}
+
 // PullFrom asks one VM.
 func (p *feedPeers) PullFrom(ctx context.Context, vm coord.VMID, after uint64) (feed.Update, error) {
 	reply, err := (*Node)(p).mesh.Call(ctx, vm, &schema.Call{Body: &schema.Call_FeedPull{
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -31,7 +31,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){n.feed.Run, n.beatLoop, n.tickLoop, n.seedLoop} {
+	for _, loop := range []func(context.Context){n.feed.Run, n.feed.Prove, n.beatLoop, n.tickLoop, n.seedLoop} {
 		wg.Go(func() { loop(work) })
 	}
 	go n.mesh.Serve(n.peerListener)
--- a/internal/edge/update.go
+++ b/internal/edge/update.go
@@ -32,7 +32,7 @@
 )
 
 func updateToProto(u feed.Update) *schema.FeedUpdate {
-	out := &schema.FeedUpdate{From: u.From, To: u.To, Snapshot: u.Snapshot, AgeMs: u.Age.Milliseconds(), Reads: u.Reads}
+	out := &schema.FeedUpdate{From: u.From, To: u.To, Snapshot: u.Snapshot, AgeMs: u.Age.Milliseconds(), Reads: u.Reads, ProvenMs: provenMs(u.Proven)}
 	for _, i := range u.Items {
 		out.Items = append(out.Items, &schema.StoreItem{
 			Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted,
@@ -49,10 +49,18 @@
 	return out
 }
 
+// provenMs rounds a bound on an age up.
+func provenMs(d time.Duration) int64 {
+	if d < 0 {
+		return -1
+	}
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
 func updateFromProto(u *schema.FeedUpdate) (feed.Update, error) {
 	out := feed.Update{
 		From: u.From, To: u.To, Snapshot: u.Snapshot, Age: time.Duration(u.AgeMs) * time.Millisecond,
-		Reads: u.Reads,
+		Reads: u.Reads, Proven: time.Duration(u.ProvenMs) * time.Millisecond,
 	}
 	items := u.Items
 	if len(u.Packed) > 0 {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -8,6 +8,7 @@
 package events
 
 import (
+	"encoding/hex"
 	"io"
 	"sync"
 	"time"
@@ -82,6 +83,11 @@
 	// ConfigVersion and FeedAge are of the configuration that decided the route.
 	ConfigVersion uint64
 	FeedAge       time.Duration
+	// Proven bounds the age of the copy by which its key was judged; Key is the beginning of
+	// the key's digest, and Team whose it is.
+	Proven time.Duration
+	Key    []byte
+	Team   string
 	// Sends counts attempts; Target is the last one's, chosen by DecidedBy.
 	Sends             int
 	Target, DecidedBy string
@@ -133,6 +139,7 @@
 	l.info("request_ended", r.Sent.fields(log.Fields{
 		"id": r.ID, "route": r.Route, "outcome": r.Outcome, "reason": r.Reason, "status": r.Status,
 		"config": r.ConfigVersion, "feed_age_ms": r.FeedAge.Milliseconds(),
+		"team": r.Team, "key": hex.EncodeToString(r.Key), "proven_ms": r.Proven.Milliseconds(),
 		"sends": r.Sends, "target": r.Target, "decided_by": r.DecidedBy, "adapter": r.Adapter,
 		"took_ms": r.Took.Milliseconds(), "admit_ms": r.Admit.Milliseconds(), "first_ms": r.First.Milliseconds(),
 		"error": text(r.Err),
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -6,7 +6,7 @@
 // with the higher revision stays.
 //
 // feed.go reads the store and peers.go tells and asks other VMs, copy.go takes what they
-// bring; cache.go is the copy and directory.go what it means.
+// bring and proof.go keeps it proven where keys are judged by it; cache.go is the copy and directory.go what it means.
 package feed
 
 import (
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 )
 
@@ -27,6 +28,11 @@
 	Age time.Duration
 	// Reads is the count of the read of the store that Age is from, see readID.
 	Reads uint64
+	// Proven bounds how long ago the sender's copy was current; negative: unknown. It counts
+	// from Asked, when this VM asked for the update; zero: it did not ask, and nothing bounds
+	// how long the update was under way.
+	Proven time.Duration
+	Asked  time.Time
 }
 
 // cache is a copy of the store's items. It is not safe for concurrent use.
@@ -38,6 +44,8 @@
 	// fresh is the latest time at which the copy is known to have been current, by read.
 	fresh time.Time
 	read  readID
+	// proven is the latest time at which the copy is proven to have been current.
+	proven time.Time
 	// changes are the newest ones, in order; all after logFrom are there.
 	changes []fleet.Item
 	logFrom uint64
@@ -76,6 +84,7 @@
 		changed = append(changed, item)
 		c.lastChange = max(c.lastChange, item.Revision)
 	}
+	c.prove(u)
 	if u.To >= c.revision {
 		c.revision = u.To
 		c.refresh(now, u.Age, readID{u.To, u.Reads})
@@ -109,6 +118,25 @@
 	}
 }
 
+// prove takes the proof that an update carries: what it was asked for, it holds whole as of
+// Proven before the question at least, however long question and answer were under way or their
+// VMs stood still. Ages that VMs tell unasked prove nothing: a message that was held up for
+// three seconds tells an age of three seconds before.
+func (c *cache) prove(u Update) {
+	if u.Asked.IsZero() || u.Proven < 0 {
+		return
+	}
+	c.proven = coord.Later(c.proven, u.Asked.Add(-u.Proven))
+}
+
+// provenAge bounds how long ago the copy was current.
+func (c *cache) provenAge(now time.Time) time.Duration {
+	if c.proven.IsZero() {
+		return unknownAge
+	}
+	return now.Sub(c.proven)
+}
+
 // confirm takes what another VM says of its copy. behind reports that this copy lacks
 // changes.
 func (c *cache) confirm(now time.Time, other State) (behind bool) {
@@ -162,7 +190,7 @@
 // since returns what changed after a revision, or a snapshot when that is no
 // longer known.
 func (c *cache) since(now time.Time, after uint64) Update {
-	u := Update{From: after, To: c.revision, Age: now.Sub(c.fresh), Reads: c.read.count}
+	u := Update{From: after, To: c.revision, Age: now.Sub(c.fresh), Reads: c.read.count, Proven: c.provenAge(now)}
 	if c.fresh.IsZero() {
 		u.Age = unknownAge
 	}
--- a/internal/feed/copy.go
+++ b/internal/feed/copy.go
@@ -27,8 +27,10 @@
 		}
 	}
 	d, gone := f.settle(now, len(news.Items) > 0)
+	proven := f.cache.proven
 	f.mu.Unlock()
 	f.publish(d, gone)
+	f.proven.Store(&proven)
 	return news, gap
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -93,6 +93,8 @@
 	ApplyWithin time.Duration
 	// DrainWithin is the time in which a leaving target must be left alone.
 	DrainWithin time.Duration
+	// ProveWithin is how old a copy may be to judge keys by, where requests carry keys; 0: any.
+	ProveWithin time.Duration
 	// OnChange is called after the directory changed, one call at a time.
 	OnChange func(*Directory)
 	// OnGone is told the ids of targets that were dropped.
@@ -118,6 +120,8 @@
 	// refused counts the items that could not be read, or not whole.
 	refused atomic.Int64
 	current atomic.Pointer[Directory]
+	// proven is the time at which current is proven to have been so; it is set after it.
+	proven atomic.Pointer[time.Time]
 }
 
 // New returns an empty Feed.
@@ -144,6 +148,17 @@
 	return f.cfg.Now().Sub(f.cache.fresh)
 }
 
+// Proven bounds how long ago the copy was current: a change that the store acknowledged
+// longer ago is in the directory that is looked up after this. (Looked up before, it may be
+// of the time before a standstill.)
+func (f *Feed) Proven() time.Duration {
+	at := f.proven.Load()
+	if at == nil || at.IsZero() {
+		return time.Hour
+	}
+	return f.cfg.Now().Sub(*at)
+}
+
 // Revision returns the store's revision up to which the copy is complete.
 func (f *Feed) Revision() uint64 {
 	f.mu.Lock()
@@ -194,7 +209,7 @@
 
 // list reads all prefixes. The lowest revision is the one to watch from.
 func (f *Feed) list(ctx context.Context) (Update, error) {
-	u := Update{Snapshot: true, Reads: f.nextRead()}
+	u := Update{Snapshot: true, Reads: f.nextRead(), Asked: f.cfg.Now()}
 	for _, prefix := range f.cfg.Prefixes {
 		items, revision, err := f.cfg.Store.List(ctx, prefix)
 		if err != nil {
@@ -213,7 +228,10 @@
 func (f *Feed) pull(ctx context.Context, after uint64) (Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	return f.cfg.Peers.Pull(ctx, after)
+	asked := f.cfg.Now()
+	u, err := f.cfg.Peers.Pull(ctx, after)
+	u.Asked = asked
+	return u, err
 }
 
 // watch asks the store for changes and passes them on.
@@ -233,7 +251,7 @@
 	for i := range items {
 		items[i] = f.cfg.Trim(items[i])
 	}
-	f.takeAndPassOn(Update{From: from, To: revision, Items: items, Reads: f.nextRead()})
+	f.takeAndPassOn(Update{From: from, To: revision, Items: items, Reads: f.nextRead(), Asked: began})
 	return max(gap-f.cfg.Now().Sub(began), 0)
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -338,6 +338,9 @@
 func (p *fakePeers) Pull(_ context.Context, after uint64) (Update, error) {
 	return p.pull(after)
 }
+func (p *fakePeers) PullFromReader(_ context.Context, after uint64) (Update, error) {
+	return p.pull(after)
+}
 func (p *fakePeers) PullFrom(_ context.Context, _ coord.VMID, after uint64) (Update, error) {
 	return p.pull(after)
 }
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -17,6 +17,8 @@
 	PassOn(u Update)
 	// Pull asks any other VM for what changed after a revision.
 	Pull(ctx context.Context, after uint64) (Update, error)
+	// PullFromReader asks a VM that reads the store for the others.
+	PullFromReader(ctx context.Context, after uint64) (Update, error)
 	// PullFrom asks one.
 	PullFrom(ctx context.Context, vm coord.VMID, after uint64) (Update, error)
 }
@@ -109,11 +111,13 @@
 func (f *Feed) pullFrom(vm coord.VMID) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
+	asked := f.cfg.Now()
 	missing, err := f.cfg.Peers.PullFrom(ctx, vm, f.Revision())
 	if err != nil {
 		f.cfg.Log.FeedGap(string(vm), f.Revision(), err)
 		return
 	}
+	missing.Asked = asked
 	f.Take(missing)
 }
 
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -49,6 +49,9 @@
 	silent     bool
 	message    time.Duration // how long a message between VMs takes
 	calls      int           // of watches
+	// cut VMs reach no other, and held is how long what comes to a VM is held up.
+	cut  map[int]bool
+	held map[int]time.Duration
 	// heard is when each VM learnt that the target leaves.
 	heard map[int]time.Time
 }
@@ -132,8 +135,10 @@
 	for n, other := range v.fleet.feeds {
 		if n != v.n {
 			go func() {
-				time.Sleep(v.fleet.message)
-				other.TakeFrom(vmID(v.n), u)
+				time.Sleep(v.fleet.message + v.fleet.heldUp(n))
+				if !v.fleet.isCut(v.n) && !v.fleet.isCut(n) {
+					other.TakeFrom(vmID(v.n), u)
+				}
 			}()
 		}
 	}
@@ -145,18 +150,44 @@
 	return v.PullFrom(ctx, vmID(v.fleet.draw()), after)
 }
 
-func (v *vmOf) PullFrom(_ context.Context, vm coord.VMID, after uint64) (Update, error) {
+func (v *vmOf) PullFromReader(ctx context.Context, after uint64) (Update, error) {
+	return v.PullFrom(ctx, vmID(v.fleet.draw()%fleetReaders), after)
+}
+
+func (v *vmOf) PullFrom(ctx context.Context, vm coord.VMID, after uint64) (Update, error) {
 	time.Sleep(v.fleet.message)
 	for n, other := range v.fleet.feeds {
-		if vmID(n) == vm {
-			if u, ok := other.Since(after); ok {
+		if vmID(n) != vm {
+			continue
+		}
+		if v.fleet.isCut(v.n) || v.fleet.isCut(n) {
+			<-ctx.Done()
+			return Update{}, ctx.Err()
+		}
+		if u, ok := other.Since(after); ok {
+			select {
+			case <-time.After(v.fleet.heldUp(v.n)): // the answer
 				return u, nil
+			case <-ctx.Done():
+				return Update{}, ctx.Err()
 			}
 		}
 	}
 	return Update{}, errors.New("nothing known")
 }
 
+func (f *vmFleet) isCut(n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[n]
+}
+
+func (f *vmFleet) heldUp(n int) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held[n]
+}
+
 func (f *vmFleet) draw() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -169,10 +200,12 @@
 	for ctx.Err() == nil {
 		for range gossipFanout {
 			state := v.fleet.feeds[v.n].State()
-			other := v.fleet.feeds[v.fleet.draw()]
+			n := v.fleet.draw()
 			go func() {
-				time.Sleep(v.fleet.message)
-				other.Heard(vmID(v.n), state)
+				time.Sleep(v.fleet.message + v.fleet.heldUp(n))
+				if !v.fleet.isCut(v.n) && !v.fleet.isCut(n) {
+					v.fleet.feeds[n].Heard(vmID(v.n), state)
+				}
 			}()
 		}
 		time.Sleep(gossipEvery)
@@ -194,7 +227,7 @@
 func newVMFleet(seed uint64, apply, drain time.Duration, log *events.Log) *vmFleet {
 	f := &vmFleet{
 		rand: rand.New(rand.NewPCG(seed, 0)), items: map[string]fleet.Item{}, changed: make(chan struct{}),
-		turnedAway: map[int]bool{}, heard: map[int]time.Time{},
+		turnedAway: map[int]bool{}, heard: map[int]time.Time{}, cut: map[int]bool{}, held: map[int]time.Duration{},
 	}
 	f.put("c", "1")
 	f.put("t1", "x")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,7 +21,9 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
-	// Findings name the routes and services that could not be understood, by place.
+	// Teams whose keys requests must carry; nil: requests carry none.
+	Teams *Teams
+	// Findings name the routes, services and teams that could not be understood, by place.
 	Findings []error
 }
 
@@ -84,6 +86,8 @@
 	Priority int
 	// Resumable streams may be continued at another target.
 	Resumable bool
+	// Public routes need no key.
+	Public bool
 }
 
 // Share is a service's part of a route's requests.
@@ -227,6 +231,9 @@
 	Parts []PromptPart
 	// Left is how long the caller waits; 0: not said.
 	Left time.Duration
+	// Key is the digest of the caller's key; nil: there is none, or not in the form that is
+	// asked for, or more than one.
+	Key *KeyDigest
 }
 
 // PromptPart is a part of a prompt that requests may share.
@@ -245,6 +252,8 @@
 	// After is the last event of the answer that the caller has; empty: as the caller
 	// said.
 	After string
+	// Team is the name of the caller's team; empty: none.
+	Team string
 }
 
 // Class says what an answer of a target means.
@@ -268,8 +277,8 @@
 	// Request decodes a caller's headers.
 	Request(h http.Header) (Request, error)
 	// Forward returns the caller's headers that go on to a target: neither those of
-	// the connection nor those that are ours to set.
-	Forward(h http.Header) http.Header
+	// the connection nor those that are ours to set, nor the key where keys are asked for.
+	Forward(h http.Header, keyed bool) http.Header
 	// Return returns the headers of a target's answer that go on to the caller.
 	Return(h http.Header) http.Header
 	// Encode sets the headers of a call to a target; h comes from Forward.
@@ -279,6 +288,8 @@
 	// Continues reports whether an answer can go on where another one, with the head
 	// first, broke off.
 	Continues(first, next http.Header) bool
+	// AskForKey sets the headers of an answer that a key is missing.
+	AskForKey(h http.Header)
 	// Refuse sets the headers of an answer that the request was not run.
 	Refuse(h http.Header, retryAfter time.Duration)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,7 @@
 // Package gateway is the callers' front door of an edge VM: it reads a request,
 // finds its route, gets it a target, sends it there and returns the answer.
 //
-// gateway.go reads requests and answers.go answers them without a target, routes.go finds
+// gateway.go reads requests, identify.go finds whose they are and answers.go answers them without a target, routes.go finds
 // routes, plain.go and model.go choose targets and repeat attempts, relay.go carries
 // answers back, and resume.go goes on with a stream that broke off.
 //
@@ -73,8 +73,10 @@
 // Directory is what is known of the surroundings.
 type Directory interface {
 	Directory() *feed.Directory
-	// Age is how long ago that was known to be current.
+	// Age is how long ago that was known to be current, as far as others told.
 	Age() time.Duration
+	// Proven is an upper bound on how long ago it was current.
+	Proven() time.Duration
 	// Revision of the store up to which it is complete.
 	Revision() uint64
 }
@@ -92,10 +94,12 @@
 	// VMs returns how many VMs share budgets and connections.
 	VMs func() int
 	// Bounds are for targets that leave.
-	Bounds  Bounds
-	Log     *events.Log
-	Metrics *Metrics
-	Now     func() time.Time
+	Bounds Bounds
+	// KeysWithin is how old a copy of the store may be to judge keys by; 0: any.
+	KeysWithin time.Duration
+	Log        *events.Log
+	Metrics    *Metrics
+	Now        func() time.Time
 }
 
 // Gateway implements http.Handler. Lock order: Gateway.mu is taken alone.
@@ -156,6 +160,9 @@
 	target  string // as the caller wrote it
 	header  http.Header
 	body    []byte
+	// keyed says that requests carry keys, and team whose key this one has; nil: none.
+	keyed bool
+	team  *fleet.Team
 	// deadline is when the caller or the route gives up.
 	deadline time.Time
 	// runs is how many targets may have run a model request, exclude those that it must
@@ -175,16 +182,17 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{g: g, w: w, r: r, began: g.cfg.Now()}
-	dir := g.cfg.Directory.Directory()
-	x.line.FeedAge = g.cfg.Directory.Age()
+	x.line.FeedAge, x.line.Proven = g.cfg.Directory.Age(), g.cfg.Directory.Proven()
+	dir := g.cfg.Directory.Directory() // after Proven, see there
 	if dir.Config == nil {
 		x.refuse("no_configuration", x.pauseWithoutConfiguration())
 		return
 	}
 	x.line.ConfigVersion = dir.Config.Version
-	if !x.findRoute(dir) || !x.decode() || !x.readBody(dir.Config.Limits) {
+	if !x.findRoute(dir) || !x.decode() || !x.identify(dir) || !x.readBody(dir.Config.Limits) {
 		return
 	}
+	x.header = g.cfg.Codec.Forward(r.Header, x.keyed)
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
@@ -241,7 +249,6 @@
 		left = min(left, x.req.Left)
 	}
 	x.deadline = x.began.Add(left)
-	x.header = x.g.cfg.Codec.Forward(x.r.Header)
 	return true
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,16 +32,24 @@
 	if r.ID == "" {
 		return r, errors.New("no id")
 	}
+	if key := h.Get("Key"); key != "" {
+		digest := fleet.DigestOf(key)
+		r.Key = &digest
+	}
 	if d, err := time.ParseDuration(h.Get("Wait")); err == nil {
 		r.Left = d
 	}
 	return r, nil
 }
 
-func (testCodec) Forward(h http.Header) http.Header {
+func (testCodec) Forward(h http.Header, keyed bool) http.Header {
 	h = testCodec{}.Return(h)
+	if keyed {
+		h.Del("Key")
+	}
 	h.Del("Target")
 	h.Del("Left")
+	h.Del("Team")
 	return h
 }
 
@@ -59,6 +67,9 @@
 	if c.After != "" {
 		h.Set("After", c.After)
 	}
+	if c.Team != "" {
+		h.Set("Team", c.Team)
+	}
 }
 
 func (testCodec) Classify(id string, status int, h http.Header) fleet.Class {
@@ -77,6 +88,8 @@
 	return first.Get("Weights") == next.Get("Weights")
 }
 
+func (testCodec) AskForKey(h http.Header) { h.Set("Ask", "key") }
+
 func (testCodec) Refuse(h http.Header, retryAfter time.Duration) {
 	h.Set("Retry-After", retryAfter.String())
 }
@@ -161,10 +174,13 @@
 type fixedDirectory struct {
 	dir *feed.Directory
 	age time.Duration
+	// proven is the bound on the copy's age.
+	proven time.Duration
 }
 
 func (d *fixedDirectory) Directory() *feed.Directory { return d.dir }
 func (d *fixedDirectory) Age() time.Duration         { return d.age }
+func (d *fixedDirectory) Proven() time.Duration      { return d.proven }
 func (d *fixedDirectory) Revision() uint64           { return d.dir.Revision }
 
 type fixture struct {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -35,7 +35,7 @@
 	left := time.Until(x.deadline)
 	began := x.g.cfg.Now()
 	x.g.cfg.Codec.Encode(h, fleet.Call{
-		Target: d.target, Left: left, Priority: d.priority, AdapterVersion: d.adapterVersion, After: d.after,
+		Target: d.target, Left: left, Priority: d.priority, AdapterVersion: d.adapterVersion, After: d.after, Team: x.teamName(),
 	})
 	return x.g.cfg.Pool.Do(ctx, &hop.Request{
 		Key: d.target, Address: d.address, MaxConns: x.connectionShare(),
