Count the objective of callers that come back from when they first asked

Ruled out: a mark that callers set (there is none); the route's timeout (it is not what callers wait). Also: coord/quarantine, not wired yet.

--- /dev/null
+++ b/coord/quarantine/quarantine.go
@@ -0,0 +1,358 @@
+// Package quarantine finds requests that end their targets, and keeps them from further ones.
+//
+// Some content makes the process that works on it crash. Sent on by our own attempts, by
+// resumed streams and by callers who ask again under a new id, it would walk through the fleet,
+// one target after the other, and cut what runs beside it each time. A request is known by a
+// digest of what it asks, without what differs between attempts. Evidence is which digests
+// were under way when a target ended:
+//
+//   - a target has ended if at least half of what ran there broke off within settleTime; single
+//     broken answers are lost ones;
+//   - content that ended well lately is innocent, whatever it was beside: what crashes a
+//     process does so each time;
+//   - content under which one target ended is suspect: one such request runs at a time over the
+//     whole fleet, at a target where no other suspect runs, until it ends well;
+//   - content under which three ended is held, or two if nothing else that may be guilty ran
+//     there: refused at once, for holdTime. Then one request may try; a further end holds it for
+//     the longest time.
+//
+// An innocent request beside a guilty one is suspect as well. It is hurt only if its very
+// content is asked for twice at once, or if it breaks off a second time and is asked for a
+// third time: callers come back once.
+//
+// Table has no clock and does no I/O. It is not safe for concurrent use. The VM that decides
+// keeps it and tells the others what it finds, so that the next one goes on from there.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+)
+
+// Digest stands for what a request asks; the zero value for none.
+type Digest [16]byte
+
+// Key names a request: the VM that asks, and its number there.
+type Key struct {
+	VM     coord.VMID
+	Ticket uint64
+}
+
+// Figures of evidence.
+const (
+	// settleTime is how long what ran at a target may take to break off with it: connections
+	// are reset at once, and word of it takes some ms.
+	settleTime = 300 * time.Millisecond
+	// brokenShare of what ran at a target must have broken off by then.
+	brokenShare = 0.5
+	// heldAfter so many targets content is held; one less is enough where it alone can be the
+	// cause. With one less always, contents that many ask for and that ran beside guilty ones as
+	// these were new were held in 5 of 30 played fleets (TestRandomFleets).
+	heldAfter = 3
+	// suspectTime is how long suspicion lasts without anything new: a caller's longest wait,
+	// many times.
+	suspectTime = 10 * time.Minute
+	// holdTime is for how long content is held, and longHold after its third end: long enough
+	// for somebody to look, and not for ever, since targets are mended.
+	holdTime = 10 * time.Minute
+	longHold = 24 * time.Hour
+	// maxContents bounds the suspects, and maxInnocent the contents that ended well: some
+	// minutes of a heavy day. 24 bytes and a map's place each.
+	maxContents = 4096
+	maxInnocent = 16384
+	// trialTime is how long the one request of suspect content may take before another may
+	// try: its VM may have died.
+	trialTime = 20 * time.Second
+	// pause is when to come back while another request of suspect content runs.
+	pause = 500 * time.Millisecond
+)
+
+// Reasons of refusals.
+const (
+	// ReasonHeld: targets ended under this content.
+	ReasonHeld = "content_held"
+	// ReasonSuspect: a target ended under this content, and another such request runs.
+	ReasonSuspect = "content_suspect"
+)
+
+// content is what is known of one digest.
+type content struct {
+	// targets that ended under it.
+	targets []string
+	since   time.Time
+	last    time.Time
+	// heldUntil is zero for suspects.
+	heldUntil time.Time
+	// trial is the request that runs as the only one, from trialAt on.
+	trial   Key
+	trialAt time.Time
+}
+
+// run is a request that is under way.
+type run struct {
+	digest Digest
+	target string
+}
+
+// incident is what broke off at one target.
+type incident struct {
+	at     time.Time
+	ran    int
+	broken []Digest
+}
+
+// Table is what one VM knows.
+type Table struct {
+	contents  map[Digest]*content
+	innocent  recent
+	runs      map[Key]run
+	atTarget  map[string]int
+	running   map[Digest]int
+	incidents map[string]*incident
+}
+
+// New returns an empty Table.
+func New() *Table {
+	return &Table{
+		contents: map[Digest]*content{}, innocent: recent{now: map[Digest]bool{}},
+		runs: map[Key]run{}, atTarget: map[string]int{}, running: map[Digest]int{}, incidents: map[string]*incident{},
+	}
+}
+
+// Check reports whether a request may run now; else why not, and when to come back.
+func (t *Table) Check(now time.Time, key Key, d Digest) (reason string, retry time.Duration) {
+	c := t.contents[d]
+	if c == nil {
+		if t.justBroke(d) { // what happened is not known yet
+			return ReasonSuspect, pause
+		}
+		return "", 0
+	}
+	if left := c.heldUntil.Sub(now); left > 0 {
+		return ReasonHeld, left
+	}
+	if t.running[d] > 0 || t.justBroke(d) {
+		return ReasonSuspect, pause
+	}
+	if c.trial != (Key{}) && c.trial != key && now.Sub(c.trialAt) < trialTime {
+		return ReasonSuspect, pause
+	}
+	c.trial, c.trialAt = key, now
+	return "", 0
+}
+
+// justBroke reports whether a request of a content broke off a moment ago that has not ended
+// well lately.
+func (t *Table) justBroke(d Digest) bool {
+	if len(t.incidents) == 0 || t.innocent.has(d) {
+		return false
+	}
+	for _, inc := range t.incidents {
+		if slices.Contains(inc.broken, d) {
+			return true
+		}
+	}
+	return false
+}
+
+// Avoid lists the targets where suspects run: a suspect that ran beside another one would
+// share its guilt.
+func (t *Table) Avoid(d Digest) (targets []string) {
+	if t.contents[d] == nil {
+		return nil
+	}
+	for _, c := range t.contents {
+		if r, runs := t.runs[c.trial]; runs {
+			targets = append(targets, r.target)
+		}
+	}
+	return targets
+}
+
+// Alone is Check for a VM that nobody gives verdicts: it cannot know of other requests of
+// suspect content, so none may run.
+func (t *Table) Alone(now time.Time, d Digest) (reason string, retry time.Duration) {
+	c := t.contents[d]
+	switch {
+	case c == nil:
+		return "", 0
+	case c.heldUntil.After(now):
+		return ReasonHeld, c.heldUntil.Sub(now)
+	}
+	return ReasonSuspect, pause
+}
+
+// Began takes that a request is sent to a target.
+func (t *Table) Began(key Key, d Digest, target string) {
+	if d == (Digest{}) {
+		return
+	}
+	t.runs[key] = run{digest: d, target: target}
+	t.atTarget[target]++
+	t.running[d]++
+}
+
+// Ended takes the end of a request: whether it was answered well, or broke off with its
+// connection. Any other end says nothing.
+func (t *Table) Ended(now time.Time, key Key, well, broke bool) {
+	r, known := t.runs[key]
+	if !known {
+		t.freeTrial(key)
+		return
+	}
+	ran := t.atTarget[r.target]
+	t.forget(key, r)
+	switch {
+	case well:
+		t.innocent.add(r.digest)
+		delete(t.contents, r.digest)
+	case broke:
+		inc := t.incidents[r.target]
+		if inc == nil {
+			inc = &incident{at: now, ran: ran}
+			t.incidents[r.target] = inc
+		}
+		inc.broken = append(inc.broken, r.digest)
+		return // still the one of its content, until it is known what happened
+	}
+	t.freeTrial(key)
+}
+
+func (t *Table) forget(key Key, r run) {
+	delete(t.runs, key)
+	if t.atTarget[r.target]--; t.atTarget[r.target] <= 0 {
+		delete(t.atTarget, r.target)
+	}
+	if t.running[r.digest]--; t.running[r.digest] <= 0 {
+		delete(t.running, r.digest)
+	}
+}
+
+// freeTrial lets another request of suspect content run.
+func (t *Table) freeTrial(key Key) {
+	for _, c := range t.contents {
+		if c.trial == key {
+			c.trial = Key{}
+		}
+	}
+}
+
+// Drop forgets what a VM ran that is silent.
+func (t *Table) Drop(vm coord.VMID, before uint64) {
+	for key, r := range t.runs {
+		if key.VM == vm && key.Ticket < before {
+			t.forget(key, r)
+			t.freeTrial(key)
+		}
+	}
+}
+
+// Finding is what is known of one content, to be told to other VMs and to operators.
+type Finding struct {
+	Digest  Digest
+	Targets []string
+	// Since is when the first target ended, Held for how long it is held from now on; 0: it
+	// is suspect.
+	Since time.Time
+	Held  time.Duration
+}
+
+// Tick judges what broke off, and forgets what is old. It returns what is new.
+func (t *Table) Tick(now time.Time) (found []Finding) {
+	for target, inc := range t.incidents {
+		if now.Sub(inc.at) < settleTime {
+			continue
+		}
+		delete(t.incidents, target)
+		ended := float64(len(inc.broken)) >= brokenShare*float64(inc.ran)
+		only := t.candidates(inc) == 1
+		for _, d := range inc.broken {
+			if c := t.contents[d]; c != nil {
+				c.trial = Key{}
+			}
+			if ended && !t.innocent.has(d) && t.addEnd(now, d, target, only) {
+				found = append(found, t.finding(now, d))
+			}
+		}
+	}
+	for d, c := range t.contents {
+		if now.Sub(c.last) > suspectTime && now.After(c.heldUntil.Add(suspectTime)) {
+			delete(t.contents, d)
+		}
+	}
+	return found
+}
+
+// candidates counts the contents among what broke off that have not ended well lately.
+func (t *Table) candidates(inc *incident) int {
+	seen := map[Digest]bool{}
+	for _, d := range inc.broken {
+		if !t.innocent.has(d) {
+			seen[d] = true
+		}
+	}
+	return len(seen)
+}
+
+// addEnd takes that a target ended under a content, as the only candidate there or not, and
+// reports whether that is new.
+func (t *Table) addEnd(now time.Time, d Digest, target string, only bool) bool {
+	c := t.contents[d]
+	if c == nil {
+		if len(t.contents) >= maxContents {
+			return false
+		}
+		c = &content{since: now}
+		t.contents[d] = c
+	}
+	if slices.Contains(c.targets, target) {
+		return false
+	}
+	c.targets = append(c.targets, target)
+	c.last = now
+	switch {
+	case !c.heldUntil.IsZero():
+		c.heldUntil = now.Add(longHold)
+	case len(c.targets) >= heldAfter, len(c.targets) == heldAfter-1 && only:
+		c.heldUntil = now.Add(holdTime)
+	}
+	return true
+}
+
+func (t *Table) finding(now time.Time, d Digest) Finding {
+	c := t.contents[d]
+	return Finding{Digest: d, Targets: c.targets, Since: c.since, Held: max(c.heldUntil.Sub(now), 0)}
+}
+
+// Learn takes what another VM found.
+func (t *Table) Learn(now time.Time, f Finding) {
+	for _, target := range f.Targets {
+		t.addEnd(now, f.Digest, target, false)
+	}
+	if c := t.contents[f.Digest]; c != nil && f.Held > 0 {
+		c.heldUntil = now.Add(f.Held)
+	}
+}
+
+// Findings lists all that is known, held or suspect.
+func (t *Table) Findings(now time.Time) []Finding {
+	out := make([]Finding, 0, len(t.contents))
+	for d := range t.contents {
+		out = append(out, t.finding(now, d))
+	}
+	return out
+}
+
+// recent remembers the digests of late, up to maxInnocent and half of that at least.
+type recent struct{ now, before map[Digest]bool }
+
+func (r *recent) add(d Digest) {
+	if len(r.now) >= maxInnocent/2 {
+		r.now, r.before = make(map[Digest]bool, maxInnocent/2), r.now
+	}
+	r.now[d] = true
+}
+
+func (r *recent) has(d Digest) bool { return r.now[d] || r.before[d] }
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -168,7 +168,7 @@
 		Ticket: n.tickets.Add(1), Service: r.Service,
 		Model: r.Request.Adapter.Model, Adapter: r.Request.Adapter.Adapter,
 		PromptTokens: int32(r.Request.PromptTokens), OutputTokens: int32(r.Request.OutputTokens),
-		Priority: int32(r.Route.Priority), AimMs: r.Route.Objective.Milliseconds(),
+		Priority: int32(r.Route.Priority), AimMs: aimMs(r),
 		LeftMs:  time.Until(r.Deadline).Milliseconds(),
 		Exclude: r.Exclude, Plain: r.Plain, Team: r.Team, Cost: r.Cost, Zone: n.settings.Vm.Zone,
 	}
@@ -181,6 +181,15 @@
 	return a
 }
 
+// aimMs is what is left of a request's objective, counted from when its caller first asked;
+// 0: it has none. One that is over is as good as one of a ms.
+func aimMs(r *gateway.AdmitRequest) int64 {
+	if r.Route.Objective <= 0 {
+		return 0
+	}
+	return max((r.Route.Objective - r.Age).Milliseconds(), 1)
+}
+
 func verdictFromProto(r *gateway.AdmitRequest, ticket uint64, from coord.VMID, v *schema.Verdict) gateway.Verdict {
 	return gateway.Verdict{
 		Service: r.Service, Ticket: ticket, From: string(from),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	// FirstBy is when the caller leaves if no event has come; of a plain request, until when
 	// an answer is in time.
 	FirstBy time.Time
+	// Age is how long ago the caller first asked for this.
+	Age     time.Duration
 	Exclude []string
 }
 
@@ -123,6 +125,7 @@
 	table    atomic.Pointer[routeTable]
 	draining atomic.Bool
 	open     atomic.Int64
+	ages     *ages
 
 	mu       sync.Mutex
 	budgets  map[string]*retry.Budget
@@ -131,7 +134,7 @@
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, began: cfg.Now(), budgets: map[string]*retry.Budget{}, balancer: balance.New()}
+	return &Gateway{cfg: cfg, began: cfg.Now(), ages: newAges(), budgets: map[string]*retry.Budget{}, balancer: balance.New()}
 }
 
 // Open returns how many requests are open.
@@ -177,8 +180,10 @@
 	// keyed says that requests carry keys, and team whose key this one has; nil: none.
 	keyed bool
 	team  *fleet.Team
-	// deadline is when the caller or the route gives up.
+	// deadline is when the caller or the route gives up, and age how long ago the caller first
+	// asked for this.
 	deadline time.Time
+	age      time.Duration
 	// runs is how many targets may have run a model request, exclude those that it must
 	// not go to again, and stream what the caller has of its answer.
 	runs    int
@@ -263,6 +268,7 @@
 		left = min(left, x.req.Left)
 	}
 	x.deadline = x.began.Add(left)
+	x.age = x.g.ages.of(x.route.Name, x.req.Left)
 	return true
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -20,7 +20,7 @@
 		asked := x.g.cfg.Now()
 		v := x.g.cfg.Admission.Admit(x.ctx, &AdmitRequest{
 			Service: x.service.Name, Team: x.teamName(), Cost: x.cost(x.runs), Request: &x.req, Route: x.route,
-			Deadline: x.deadline, FirstBy: x.firstBy(asked), Exclude: x.exclude,
+			Deadline: x.deadline, FirstBy: x.firstBy(asked), Age: x.age, Exclude: x.exclude,
 		})
 		x.line.Admit += x.g.cfg.Now().Sub(asked)
 		x.line.DecidedBy = v.From
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -85,7 +85,7 @@
 		Deadline: x.deadline, Exclude: exclude,
 	}
 	if x.route.Objective > 0 {
-		r.FirstBy = x.began.Add(x.route.Objective)
+		r.FirstBy = x.began.Add(x.route.Objective - x.age)
 	}
 	v := x.g.cfg.Admission.Admit(x.ctx, r)
 	x.line.Admit += x.g.cfg.Now().Sub(asked)
