Split deciding, endings and admission off their files; a line that begins again keeps its targets

Behaviour meant to stay, but for the line of a VM that begins to act: it took the directory anew, and could have put an older one in place of one that came meanwhile.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -235,68 +235,6 @@
 	return t, home.version
 }
 
-// admit decides on a request of a VM: by its team's quota first, before anything waits or is
-// loaded for it.
-func (n *Node) admit(ctx context.Context, from coord.VMID, a *schema.Admit) *schema.Verdict {
-	if *n.acting.Load() != coord.VMID(n.settings.Vm.Id) {
-		return refusal(scheduler.ReasonMoved, 0)
-	}
-	if v := n.contents.check(from, a); v != nil {
-		return v
-	}
-	if v := n.quotas.charge(from, a); v != nil {
-		n.contents.ended(from, a.Ticket, schema.Ending_ENDING_WITHDRAWN)
-		return v
-	}
-	var v *schema.Verdict
-	if a.Plain {
-		v = n.lines.admit(ctx, from, a)
-	} else {
-		v = n.schedules.admit(ctx, from, a)
-	}
-	if v.Target == "" {
-		n.quotas.ended(from, a.Ticket, false)
-		n.contents.ended(from, a.Ticket, schema.Ending_ENDING_WITHDRAWN)
-		return v
-	}
-	n.contents.began(from, a.Ticket, a.Content, v.Target)
-	return v
-}
-
-// done takes the end of a request that this VM decided on.
-func (n *Node) done(from coord.VMID, d *schema.Done) {
-	if d.Ending != schema.Ending_ENDING_FIRST_EVENT {
-		n.quotas.ended(from, d.Ticket, !notRun[d.Ending])
-		n.contents.ended(from, d.Ticket, d.Ending)
-	}
-	if d.Plain {
-		n.lines.done(from, d)
-		return
-	}
-	n.schedules.done(from, d)
-}
-
-// placeAlone decides on a request without a verdict, within this VM's part of the team's
-// quota.
-func (n *Node) placeAlone(r *gateway.AdmitRequest) gateway.Verdict {
-	if reason, retry := n.contents.alone(r.Content); reason != "" {
-		return refused(r, reason, retry)
-	}
-	if !n.quotas.alone(r) {
-		v := refused(r, reasonQuota, alonePause)
-		v.OverQuota = true
-		return v
-	}
-	if r.Plain {
-		return gateway.Verdict{Service: r.Service, Alone: true}
-	}
-	return n.lastKnown(r)
-}
-
-// alonePause is when to come back to a VM whose part of a quota is used up: the next VM is
-// asked for verdicts within a second or two, and callers reach another VM as a rule.
-const alonePause = 500 * time.Millisecond
-
 // lastKnown sends requests where they were sent before, and those for a base model
 // to any target that holds it.
 func (n *Node) lastKnown(r *gateway.AdmitRequest) gateway.Verdict {
@@ -335,18 +273,6 @@
 	return slices.ContainsFunc(t.Resident, func(m fleet.ResidentModel) bool { return m.Name == model })
 }
 
-// protoEndings translates endings for the protocol.
-var protoEndings = map[scheduler.Ending]schema.Ending{
-	scheduler.EndedOK:          schema.Ending_ENDING_OK,
-	scheduler.EndedBusy:        schema.Ending_ENDING_BUSY,
-	scheduler.EndedMisplaced:   schema.Ending_ENDING_MISPLACED,
-	scheduler.EndedFailed:      schema.Ending_ENDING_FAILED,
-	scheduler.EndedBroke:       schema.Ending_ENDING_BROKE,
-	scheduler.EndedUnreachable: schema.Ending_ENDING_UNREACHABLE,
-	scheduler.EndedAbandoned:   schema.Ending_ENDING_ABANDONED,
-	scheduler.EndedWithdrawn:   schema.Ending_ENDING_WITHDRAWN,
-}
-
 // Done tells the VM that gave the verdict how the request ended.
 func (ad *admission) Done(v gateway.Verdict, how scheduler.Ending) {
 	if v.Ticket == 0 {
@@ -372,17 +298,6 @@
 	})
 }
 
-// protoPlainEndings translates endings at plain targets for the protocol.
-var protoPlainEndings = map[balance.Ending]schema.Ending{
-	balance.OK:          schema.Ending_ENDING_OK,
-	balance.Busy:        schema.Ending_ENDING_BUSY,
-	balance.Failed:      schema.Ending_ENDING_FAILED,
-	balance.Broke:       schema.Ending_ENDING_BROKE,
-	balance.Abandoned:   schema.Ending_ENDING_ABANDONED,
-	balance.Unreachable: schema.Ending_ENDING_UNREACHABLE,
-	balance.Hung:        schema.Ending_ENDING_HUNG,
-}
-
 // DonePlain tells the VM that gave the verdict how the request ended.
 func (ad *admission) DonePlain(v gateway.Verdict, how balance.Ending, took time.Duration) {
 	if v.Ticket == 0 {
--- /dev/null
+++ b/internal/edge/endings.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+// protoEndings translates endings at engines for the protocol, and endings back.
+var protoEndings = map[scheduler.Ending]schema.Ending{
+	scheduler.EndedOK:          schema.Ending_ENDING_OK,
+	scheduler.EndedBusy:        schema.Ending_ENDING_BUSY,
+	scheduler.EndedMisplaced:   schema.Ending_ENDING_MISPLACED,
+	scheduler.EndedFailed:      schema.Ending_ENDING_FAILED,
+	scheduler.EndedBroke:       schema.Ending_ENDING_BROKE,
+	scheduler.EndedUnreachable: schema.Ending_ENDING_UNREACHABLE,
+	scheduler.EndedAbandoned:   schema.Ending_ENDING_ABANDONED,
+	scheduler.EndedWithdrawn:   schema.Ending_ENDING_WITHDRAWN,
+}
+
+var endings = inverse(protoEndings)
+
+// protoPlainEndings translates endings at plain targets for the protocol, and plainEndings back.
+var protoPlainEndings = map[balance.Ending]schema.Ending{
+	balance.OK:          schema.Ending_ENDING_OK,
+	balance.Busy:        schema.Ending_ENDING_BUSY,
+	balance.Failed:      schema.Ending_ENDING_FAILED,
+	balance.Broke:       schema.Ending_ENDING_BROKE,
+	balance.Abandoned:   schema.Ending_ENDING_ABANDONED,
+	balance.Unreachable: schema.Ending_ENDING_UNREACHABLE,
+	balance.Hung:        schema.Ending_ENDING_HUNG,
+}
+
+var plainEndings = inverse(protoPlainEndings)
+
+// inverse swaps keys and values, which are all different.
+func inverse[A, B comparable](m map[A]B) map[B]A {
+	out := make(map[B]A, len(m))
+	for a, b := range m {
+		out[b] = a
+	}
+	return out
+}
+
+// notRun are the endings after which a request has certainly not run.
+var notRun = map[schema.Ending]bool{
+	schema.Ending_ENDING_BUSY: true, schema.Ending_ENDING_MISPLACED: true,
+	schema.Ending_ENDING_UNREACHABLE: true, schema.Ending_ENDING_WITHDRAWN: true,
+}
--- a/internal/edge/lines.go
+++ b/internal/edge/lines.go
@@ -30,7 +30,9 @@
 	service string
 	l       *line.Line
 	waiters map[line.Key]chan *schema.Verdict
+	// targets that take requests, and usable the same for the line.
 	targets map[string]*fleet.Target
+	usable  []line.Target
 	// revision of the store that targets show.
 	revision uint64
 }
@@ -53,31 +55,28 @@
 			pl = &plainLine{service: name, l: line.New(), waiters: map[line.Key]chan *schema.Verdict{}}
 			ls.services[name] = pl
 		}
-		pl.targets, pl.revision = map[string]*fleet.Target{}, d.Revision
-		var usable []line.Target
+		pl.targets, pl.usable, pl.revision = map[string]*fleet.Target{}, nil, d.Revision
 		for _, t := range d.Of(name) {
 			if t.State == fleet.TargetReady {
 				pl.targets[t.ID] = t
-				usable = append(usable, line.Target{ID: t.ID, Zone: t.Zone, Slots: t.Slots})
+				pl.usable = append(pl.usable, line.Target{ID: t.ID, Zone: t.Zone, Slots: t.Slots})
 			}
 		}
-		ls.answer(pl, pl.l.SetTargets(ls.node.now(), usable))
+		ls.answer(pl, pl.l.SetTargets(ls.node.now(), pl.usable))
 	}
 }
 
 // setActing says whether other VMs ask this one.
 func (ls *lines) setActing(acting bool) {
 	ls.mu.Lock()
+	defer ls.mu.Unlock()
 	for _, pl := range ls.services {
 		ls.answer(pl, pl.l.HandBack(scheduler.ReasonMoved))
 		if acting {
 			pl.l = line.New()
+			ls.answer(pl, pl.l.SetTargets(ls.node.now(), pl.usable))
 		}
 	}
-	ls.mu.Unlock()
-	if acting {
-		ls.apply(ls.node.feed.Directory())
-	}
 }
 
 func (ls *lines) tick() {
@@ -132,17 +131,6 @@
 	}
 }
 
-// plainEndings translates the endings of the protocol.
-var plainEndings = map[schema.Ending]balance.Ending{
-	schema.Ending_ENDING_OK:          balance.OK,
-	schema.Ending_ENDING_BUSY:        balance.Busy,
-	schema.Ending_ENDING_FAILED:      balance.Failed,
-	schema.Ending_ENDING_BROKE:       balance.Broke,
-	schema.Ending_ENDING_ABANDONED:   balance.Abandoned,
-	schema.Ending_ENDING_UNREACHABLE: balance.Unreachable,
-	schema.Ending_ENDING_HUNG:        balance.Hung,
-}
-
 // done takes the end of a request, or withdraws it.
 func (ls *lines) done(from coord.VMID, d *schema.Done) {
 	how, known := plainEndings[d.Ending]
--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -170,12 +170,6 @@
 	}
 }
 
-// notRun are the endings after which a request has certainly not run.
-var notRun = map[schema.Ending]bool{
-	schema.Ending_ENDING_BUSY: true, schema.Ending_ENDING_MISPLACED: true,
-	schema.Ending_ENDING_UNREACHABLE: true, schema.Ending_ENDING_WITHDRAWN: true,
-}
-
 // alone charges a request that nobody gave a verdict on. It reports whether it may go.
 func (q *quotas) alone(r *gateway.AdmitRequest) bool {
 	if r.Team == "" || r.Cost <= 0 {
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -241,18 +241,6 @@
 	return r
 }
 
-// endings translates the endings of the protocol.
-var endings = map[schema.Ending]scheduler.Ending{
-	schema.Ending_ENDING_OK:          scheduler.EndedOK,
-	schema.Ending_ENDING_BUSY:        scheduler.EndedBusy,
-	schema.Ending_ENDING_MISPLACED:   scheduler.EndedMisplaced,
-	schema.Ending_ENDING_FAILED:      scheduler.EndedFailed,
-	schema.Ending_ENDING_BROKE:       scheduler.EndedBroke,
-	schema.Ending_ENDING_UNREACHABLE: scheduler.EndedUnreachable,
-	schema.Ending_ENDING_ABANDONED:   scheduler.EndedAbandoned,
-	schema.Ending_ENDING_WITHDRAWN:   scheduler.EndedWithdrawn,
-}
-
 // done takes the first event of a request, or its end.
 func (ss *schedules) done(from coord.VMID, d *schema.Done) {
 	now := ss.node.now()
--- a/internal/gateway/age.go
+++ b/internal/gateway/age.go
@@ -38,6 +38,8 @@
 	leastShare      = 0.3
 	leastSeen       = 10
 	forgetFirstWait = 0.999
+	// maxRoutes bounds the routes that are remembered.
+	maxRoutes = 4096
 )
 
 func newAges() *ages { return &ages{routes: map[string]*firstWait{}} }
@@ -52,6 +54,9 @@
 	defer a.mu.Unlock()
 	w := a.routes[route]
 	if w == nil {
+		if len(a.routes) >= maxRoutes {
+			clear(a.routes) // routes come and go; what is known of them is learnt anew
+		}
 		w = &firstWait{}
 		a.routes[route] = w
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,73 +22,12 @@
 	"github.com/junctionfold/junctionfold/coord/balance"
 	"github.com/junctionfold/junctionfold/coord/quarantine"
 	"github.com/junctionfold/junctionfold/coord/retry"
-	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
-// Admission asks the scheduler of a service for targets.
-type Admission interface {
-	// Admit waits for a verdict. Done must follow a grant.
-	Admit(ctx context.Context, r *AdmitRequest) Verdict
-	// Done tells how a granted request ended. It does not wait.
-	Done(v Verdict, how scheduler.Ending)
-	// First tells that the first event of a granted request has come. It does not
-	// wait.
-	First(v Verdict)
-	// DonePlain tells how a request ended that was granted a target of a plain service, and
-	// how long it took there. It does not wait.
-	DonePlain(v Verdict, how balance.Ending, took time.Duration)
-}
-
-// AdmitRequest is a request that wants a target.
-type AdmitRequest struct {
-	Service string
-	// Plain says that the service serves no models.
-	Plain bool
-	// Team that is charged Cost for it; empty: none.
-	Team    string
-	Cost    float64
-	Request *fleet.Request
-	Route   *fleet.Route
-	// Deadline after which an answer is worthless.
-	Deadline time.Time
-	// FirstBy is when the caller leaves if no event has come; of a plain request, until when
-	// an answer is in time.
-	FirstBy time.Time
-	// Age is how long ago the caller first asked for this.
-	Age time.Duration
-	// Content stands for what it asks.
-	Content quarantine.Digest
-	Exclude []string
-}
-
-// Verdict is a target, or a refusal if Target is empty.
-type Verdict struct {
-	Service string
-	Ticket  uint64
-	// From is the VM that gave the verdict.
-	From           string
-	Target         string
-	Address        string
-	AdapterVersion int64
-	// Priority at the target; 0 is the most urgent.
-	Priority   int
-	RetryAfter time.Duration
-	Reason     string
-	// OverQuota says that it is refused for its team's quota.
-	OverQuota bool
-	// Alone says that nobody was asked: this VM is to choose a target of a plain service by
-	// what it saw itself.
-	Alone bool
-	// Placed is the copy of the store on which the target was chosen.
-	Placed events.Copy
-	// Lag is the time that question and verdict were under way; 0: decided here.
-	Lag time.Duration
-}
-
 // Directory is what is known of the surroundings.
 type Directory interface {
 	Directory() *feed.Directory
