--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -177,8 +177,21 @@
 	if f["reason"] != "" {
 		what += " (" + f["reason"] + ")"
 	}
-	return fmt.Sprintf("%s ended it after %s ms: %s, status %s; %s; %s ms were for verdicts; configuration %s, known current %s ms before",
-		l.VM, f["took_ms"], what, f["status"], where, f["admit_ms"], f["config"], f["feed_age_ms"])
+	return fmt.Sprintf("%s ended it after %s ms: %s, status %s; %s; %s ms were for verdicts; configuration %s, known current %s ms before%s",
+		l.VM, f["took_ms"], what, f["status"], where, f["admit_ms"], f["config"], f["feed_age_ms"], whose(f))
+}
+
+// whose tells by what a request's key was judged, where it had one or needed one.
+func whose(f map[string]string) string {
+	switch {
+	case f["team"] != "":
+		return fmt.Sprintf("; key %s of team %s, by a copy proven current %s ms before", f["key"], f["team"], f["proven_ms"])
+	case f["key"] != "":
+		return fmt.Sprintf("; key %s, which no team of that configuration has, by a copy proven current %s ms before", f["key"], f["proven_ms"])
+	case f["reason"] == "keys_not_current":
+		return fmt.Sprintf("; no key could be judged, as the copy was proven current %s ms before", f["proven_ms"])
+	}
+	return ""
 }
 
 // Cause is how many requests ended in one way.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -84,3 +84,27 @@
 		}
 	})
 }
+
+// TestWhoseRequestItWas: a request that was denied, refused or served for its key is explained
+// by its id.
+func TestWhoseRequestItWas(t *testing.T) {
+	var out bytes.Buffer
+	l := events.New(&out, "info", "edge-1")
+	now := time.Now()
+	key := []byte{0xab, 0xcd, 0x01, 0x02}
+	l.RequestEnded(now, events.Request{ID: "over", Outcome: "refused", Reason: "quota", Status: 429, Key: key, Team: "crew", Proven: 700 * time.Millisecond})
+	l.RequestEnded(now, events.Request{ID: "unknown", Outcome: "denied", Reason: "unknown_key", Status: 401, Key: key, Proven: time.Second})
+	l.RequestEnded(now, events.Request{ID: "old", Outcome: "refused", Reason: "keys_not_current", Status: 503, Proven: 6 * time.Second})
+	l.Close()
+	lines, _, err := Read(&out)
+	assert.NilError(t, err)
+	for id, want := range map[string]string{
+		"over":    "refused (quota), status 429",
+		"unknown": "key abcd0102, which no team of that configuration has, by a copy proven current 1000 ms before",
+		"old":     "no key could be judged, as the copy was proven current 6000 ms before",
+	} {
+		s, err := Explain(lines, id)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(s.Verdict, want), s.Verdict)
+	}
+}
