--- a/internal/feed/proof.go
+++ b/internal/feed/proof.go
@@ -15,8 +15,8 @@
 //	a VM that asks a reader, askShare of the bound            2000 + proofCheck
 //	its question and the answer, pullTimeout                  500
 //
-// so that copies are 3.4 s old at most as they answer, and readShare leaves 1.1 s beyond for a
-// read of the VM's own until the bound.
+// so that copies are 2.6 s old at most while a reader answers, and 0.9 s after its answer. Where
+// none does, readShare leaves 1.9 s for reads of the VM's own until the bound.
 const (
 	// KeysShare of the bound is the age of a copy up to which keys are judged by it. The
 	// rest is for clocks that differ by some ms a minute, and timers.
