--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -59,6 +59,11 @@
 	case *schema.Call_Done:
 		n.done(from, body.Done)
 		return emptyReply()
+	case *schema.Call_FeedProof:
+		p := n.feed.Proof()
+		return &schema.Reply{Body: &schema.Reply_FeedState{FeedState: &schema.FeedState{
+			LastChange: p.LastChange, ProvenMs: provenMs(p.Proven),
+		}}}
 	case *schema.Call_Suspects:
 		n.contents.learn(body.Suspects)
 		return emptyReply()
@@ -218,14 +223,22 @@
 	return feed.Update{}, err
 }
 
-// PullFromReader asks a VM that reads the store for the others, one of this zone if there is
-// any: it has a read of its own to prove its copy by.
-func (p *feedPeers) PullFromReader(ctx context.Context, after uint64) (feed.Update, error) {
+// AskReader asks a VM that reads the store for the others, one of this zone if there is any: it
+// has a read of its own to prove its copy by.
+func (p *feedPeers) AskReader(ctx context.Context) (coord.VMID, feed.Proof, error) {
 	vm := (*Node)(p).someReader()
 	if vm == "" {
-		return feed.Update{}, errNoPeer
+		return "", feed.Proof{}, errNoPeer
 	}
-	return p.PullFrom(ctx, vm, after)
+	reply, err := (*Node)(p).mesh.Call(ctx, vm, &schema.Call{Body: &schema.Call_FeedProof{FeedProof: &schema.FeedProof{}}})
+	if err != nil {
+		return vm, feed.Proof{}, err
+	}
+	state := reply.GetFeedState()
+	if state == nil {
+		return vm, feed.Proof{}, errors.Newf("%s answered without the state of its copy", vm)
+	}
+	return vm, feed.Proof{LastChange: state.LastChange, Proven: time.Duration(state.ProvenMs) * time.Millisecond}, nil
 }
 
 // PullFrom asks one VM.
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -129,6 +129,18 @@
 	c.proven = coord.Later(c.proven, u.Asked.Add(-u.Proven))
 }
 
+// proveBy takes the answer of a VM that was asked how current its copy is. behind reports that
+// this copy lacks changes of that one: it is not proven then.
+func (c *cache) proveBy(asked time.Time, p Proof) (behind bool) {
+	if !c.loaded() || p.LastChange > c.revision {
+		return true
+	}
+	if p.Proven >= 0 {
+		c.proven = coord.Later(c.proven, asked.Add(-p.Proven))
+	}
+	return false
+}
+
 // provenAge bounds how long ago the copy was current.
 func (c *cache) provenAge(now time.Time) time.Duration {
 	if c.proven.IsZero() {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -338,8 +338,9 @@
 func (p *fakePeers) Pull(_ context.Context, after uint64) (Update, error) {
 	return p.pull(after)
 }
-func (p *fakePeers) PullFromReader(_ context.Context, after uint64) (Update, error) {
-	return p.pull(after)
+func (p *fakePeers) AskReader(context.Context) (coord.VMID, Proof, error) {
+	u, err := p.pull(0)
+	return "b", Proof{LastChange: u.To, Proven: u.Proven}, err
 }
 func (p *fakePeers) PullFrom(_ context.Context, _ coord.VMID, after uint64) (Update, error) {
 	return p.pull(after)
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -17,8 +17,8 @@
 	PassOn(u Update)
 	// Pull asks any other VM for what changed after a revision.
 	Pull(ctx context.Context, after uint64) (Update, error)
-	// PullFromReader asks a VM that reads the store for the others.
-	PullFromReader(ctx context.Context, after uint64) (Update, error)
+	// AskReader asks a VM that reads the store for the others how current its copy is.
+	AskReader(ctx context.Context) (vm coord.VMID, p Proof, err error)
 	// PullFrom asks one.
 	PullFrom(ctx context.Context, vm coord.VMID, after uint64) (Update, error)
 }
@@ -66,6 +66,21 @@
 	return s
 }
 
+// Proof is what a VM answers that is asked how current its copy is.
+type Proof struct {
+	// LastChange is the revision of its newest change.
+	LastChange uint64
+	// Proven bounds the time since its copy was current; negative: unknown.
+	Proven time.Duration
+}
+
+// Proof answers another VM's AskReader.
+func (f *Feed) Proof() Proof {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Proof{LastChange: f.cache.lastChange, Proven: f.cache.provenAge(f.cfg.Now())}
+}
+
 // nextRead is the count of a read of the store that this VM makes now.
 func (f *Feed) nextRead() uint64 {
 	f.mu.Lock()
--- a/internal/feed/proof.go
+++ b/internal/feed/proof.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -17,6 +18,10 @@
 //
 // so that copies are 2.6 s old at most while a reader answers, and 0.9 s after its answer. Where
 // none does, readShare leaves 1.9 s for reads of the VM's own until the bound.
+//
+// The answer is a revision and an age, and what is missing is asked for only then: a reader that
+// has read everything anew, as after a start, answers a question for changes with all that it
+// holds, which 300 VMs would ask of it again and again.
 const (
 	// KeysShare of the bound is the age of a copy up to which keys are judged by it. The
 	// rest is for clocks that differ by some ms a minute, and timers.
@@ -28,7 +33,7 @@
 	readShare = 0.6
 	// proofCheck is how often a VM looks.
 	proofCheck = 100 * time.Millisecond
-	// proofAgain is the pause after a reader was asked in vain.
+	// proofAgain is the pause after a reader was asked in vain, drawn anew each time.
 	proofAgain = 250 * time.Millisecond
 )
 
@@ -55,7 +60,7 @@
 	}
 	f.askReader(ctx)
 	if !f.olderThan(readShare) {
-		return proofAgain
+		return proofAgain/2 + rand.N(proofAgain)
 	}
 	return f.watch(ctx, 0, ownGap)
 }
@@ -69,11 +74,24 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	asked := f.cfg.Now()
-	u, err := f.cfg.Peers.PullFromReader(ctx, f.Revision())
+	vm, p, err := f.cfg.Peers.AskReader(ctx)
 	if err != nil {
 		f.cfg.Log.PeerCallFailed("feed_proof", "reader", err)
 		return
 	}
-	u.Asked = asked
-	f.Take(u)
+	if f.provedBy(asked, p) {
+		f.pullFrom(vm)
+	}
+}
+
+// provedBy takes a reader's answer. It reports whether this copy lacks changes.
+func (f *Feed) provedBy(asked time.Time, p Proof) (behind bool) {
+	f.notify.Lock() // what is proven must be published
+	defer f.notify.Unlock()
+	f.mu.Lock()
+	behind = f.cache.proveBy(asked, p)
+	proven := f.cache.proven
+	f.mu.Unlock()
+	f.proven.Store(&proven)
+	return behind
 }
--- a/internal/feed/proof_test.go
+++ b/internal/feed/proof_test.go
@@ -222,6 +222,30 @@
 	}
 }
 
+// TestProofByAReader: a copy that lacks nothing of a reader's is as proven as that one; one that
+// lacks a change is not.
+func TestProofByAReader(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		p      Proof
+		want   time.Duration
+		behind bool
+	}{
+		{"nothing is missing", Proof{LastChange: 3, Proven: 400 * time.Millisecond}, 1400 * time.Millisecond, false},
+		{"a change is missing", Proof{LastChange: 11, Proven: 0}, 3 * time.Second, true},
+		{"the reader has no proof", Proof{LastChange: 3, Proven: unknownAge}, 3 * time.Second, false},
+		{"the reader's proof is older", Proof{LastChange: 3, Proven: 8 * time.Second}, 3 * time.Second, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := newCache()
+			c.apply(start, Update{Snapshot: true, To: 10, Asked: start, Items: []fleet.Item{put("a", "1", 3)}})
+			assert.Equal(t, c.proveBy(start.Add(2*time.Second), row.p), row.behind)
+			assert.Equal(t, c.provenAge(start.Add(3*time.Second)), row.want)
+		})
+	}
+	assert.Assert(t, newCache().proveBy(start, Proof{}), "nothing was read yet")
+}
+
 // TestFrozenVMJudgesNoKeys: a VM that stood still knows so by its clock, before it has heard
 // or read anything.
 func TestFrozenVMJudgesNoKeys(t *testing.T) {
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -150,32 +150,49 @@
 	return v.PullFrom(ctx, vmID(v.fleet.draw()), after)
 }
 
-func (v *vmOf) PullFromReader(ctx context.Context, after uint64) (Update, error) {
-	return v.PullFrom(ctx, vmID(v.fleet.draw()%fleetReaders), after)
+func (v *vmOf) AskReader(ctx context.Context) (coord.VMID, Proof, error) {
+	n := v.fleet.draw() % fleetReaders
+	if err := v.reach(ctx, n); err != nil {
+		return vmID(n), Proof{}, err
+	}
+	p := v.fleet.feeds[n].Proof()
+	return vmID(n), p, v.back(ctx)
 }
 
 func (v *vmOf) PullFrom(ctx context.Context, vm coord.VMID, after uint64) (Update, error) {
-	time.Sleep(v.fleet.message)
 	for n, other := range v.fleet.feeds {
 		if vmID(n) != vm {
 			continue
 		}
-		if v.fleet.isCut(v.n) || v.fleet.isCut(n) {
-			<-ctx.Done()
-			return Update{}, ctx.Err()
+		if err := v.reach(ctx, n); err != nil {
+			return Update{}, err
 		}
 		if u, ok := other.Since(after); ok {
-			select {
-			case <-time.After(v.fleet.heldUp(v.n)): // the answer
-				return u, nil
-			case <-ctx.Done():
-				return Update{}, ctx.Err()
-			}
+			return u, v.back(ctx)
 		}
 	}
 	return Update{}, errors.New("nothing known")
 }
 
+// reach is a question's way to another VM, and back that of its answer.
+func (v *vmOf) reach(ctx context.Context, n int) error {
+	time.Sleep(v.fleet.message)
+	if v.fleet.isCut(v.n) || v.fleet.isCut(n) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (v *vmOf) back(ctx context.Context) error {
+	select {
+	case <-time.After(v.fleet.heldUp(v.n)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (f *vmFleet) isCut(n int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
