--- a/coord/line/play_test.go
+++ b/coord/line/play_test.go
@@ -29,7 +29,6 @@
 	slots, queue int
 	running      int
 	waiting      []func()
-	leaves       time.Time
 }
 
 type event struct {
@@ -164,8 +163,7 @@
 	open := map[Key]*caller{}
 	next := uint64(0)
 	var carryOut func([]Action)
-	var ask func(c *caller)
-	ask = func(c *caller) {
+	ask := func(c *caller) {
 		d.after(d.way, func() {
 			next++
 			k := Key{VM: "vm", Ticket: next}
--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -41,8 +40,6 @@
 type modelVM struct {
 	ledger  *Ledger
 	reserve *Reserve
-	// holds is since when it believes that it holds the ledger; zero: it does not.
-	holds time.Time
 	// asks is the VM that it asks; -1: none. lost is since when that one does not answer.
 	asks int
 	lost time.Time
@@ -323,8 +320,8 @@
 			h := newFleet(1, 72, Limit{PerSecond: perSecond, Burst: perSecond}, way)
 			h.play(30*time.Second, 6, tokensOf(h), trouble)
 			hot[way] = h.worst()
-			t.Log(fmt.Sprintf("%6.0f a second, %-7s: refused of what is owed %.3f, %.0f messages a second; a hot team's worst window %.2f of what is allowed",
-				perSecond, way, refused[way], messages, hot[way]))
+			t.Logf("%6.0f a second, %-7s: refused of what is owed %.3f, %.0f messages a second; a hot team's worst window %.2f of what is allowed",
+				perSecond, way, refused[way], messages, hot[way])
 		}
 		assert.Assert(t, refused["ledger"] < 0.01)
 		assert.Assert(t, refused["ledger"] < refused["static"])
