--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -251,16 +251,6 @@
 	}
 }
 
-// Finding is what is known of one content, to be told to other VMs and to operators.
-type Finding struct {
-	Digest  Digest
-	Targets []string
-	// Since is when the first target ended, Held for how long it is held from now on; 0: it
-	// is suspect.
-	Since time.Time
-	Held  time.Duration
-}
-
 // Tick judges what broke off, and forgets what is old. It returns what is new.
 func (t *Table) Tick(now time.Time) (found []Finding) {
 	for target, inc := range t.incidents {
@@ -322,41 +312,3 @@
 	}
 	return true
 }
-
-func (t *Table) finding(now time.Time, d Digest) Finding {
-	c := t.contents[d]
-	return Finding{Digest: d, Targets: c.targets, Since: c.since, Held: max(c.heldUntil.Sub(now), 0)}
-}
-
-// Learn takes what another VM found.
-func (t *Table) Learn(now time.Time, f Finding) {
-	for _, target := range f.Targets {
-		t.addEnd(now, f.Digest, target, false)
-	}
-	if c := t.contents[f.Digest]; c != nil && f.Held > 0 {
-		c.heldUntil = now.Add(f.Held)
-	}
-}
-
-// Findings lists all that is known, held or suspect.
-func (t *Table) Findings(now time.Time) []Finding {
-	out := make([]Finding, 0, len(t.contents))
-	for d, c := range t.contents {
-		if len(c.targets) > 0 {
-			out = append(out, t.finding(now, d))
-		}
-	}
-	return out
-}
-
-// recent remembers the digests of late, up to maxInnocent and half of that at least.
-type recent struct{ now, before map[Digest]bool }
-
-func (r *recent) add(d Digest) {
-	if len(r.now) >= maxInnocent/2 {
-		r.now, r.before = make(map[Digest]bool, maxInnocent/2), r.now
-	}
-	r.now[d] = true
-}
-
-func (r *recent) has(d Digest) bool { return r.now[d] || r.before[d] }
--- /dev/null
+++ b/internal/fleet/order.go
@@ -0,0 +1,65 @@
+package fleet
+
+import "context"
+
+// Order tells an engine to load or unload a model or an adapter.
+type Order struct {
+	Target  string
+	Address string
+	Unload  bool
+	Ref     AdapterRef
+	// Version of the adapter to load; 0: the newest.
+	Version int64
+	// Holder and Fence name who gives the order, and under which number.
+	Holder string
+	Fence  uint64
+	// Expect is how many orders the engine must have taken so far for it to obey;
+	// nil: any number.
+	Expect *uint64
+}
+
+// OrderResult is an engine's answer to an order.
+type OrderResult int
+
+// The results of an order.
+const (
+	// OrderUnknown: no answer; it may have been taken.
+	OrderUnknown OrderResult = iota
+	// OrderBegun: being carried out.
+	OrderBegun
+	// OrderHolds: already so.
+	OrderHolds
+	// OrderConflict: not taken; another order is under way.
+	OrderConflict
+	// OrderFenced: not taken; a higher fencing number was seen.
+	OrderFenced
+	// OrderMisplaced: not taken; the target is another process.
+	OrderMisplaced
+	// OrderInvalid: not taken, and never will be.
+	OrderInvalid
+)
+
+// String gives the result's name for logs.
+func (r OrderResult) String() string {
+	return [...]string{"unknown", "begun", "holds", "conflict", "fenced", "misplaced", "invalid"}[r]
+}
+
+// Report is what an engine says of itself when asked; it lags by some hundred ms.
+type Report struct {
+	// Started is when the engine started, as in Target.
+	Started  int64
+	Resident []ResidentModel
+	Pending  []AdapterRef
+	// Busy says that the engine loads or unloads a base model.
+	Busy    bool
+	Running int
+	Waiting int
+	// Orders is how many orders the engine has taken since its start.
+	Orders uint64
+}
+
+// Engines gives orders to engines and reads their reports.
+type Engines interface {
+	Order(ctx context.Context, o Order) (OrderResult, error)
+	Report(ctx context.Context, target, address string) (Report, error)
+}
