--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -15,7 +15,7 @@
 		Use:   "junctionctl",
 		Short: "The operators' tool of junctionfold",
 	}
-	root.AddCommand(bundleCommand(), keysCommand(), statusCommand(), explainCommand(), explainLogCommand(), auditCommand(), standinCommand(), devCommand(), versionCommand())
+	root.AddCommand(bundleCommand(), keysCommand(), statusCommand(), edgeStatusCommand(), explainCommand(), explainLogCommand(), auditCommand(), standinCommand(), devCommand(), versionCommand())
 	return run(root, args, in, out, errOut)
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -258,6 +258,7 @@
 	n.metrics.Gauge("peer_bytes_out_total", func() int64 { _, out := n.mesh.Bytes(); return out })
 	n.metrics.Gauge("feed_revision", func() int64 { return int64(n.feed.Revision()) })
 	n.metrics.Gauge("feed_age_ms", func() int64 { return n.feed.Age().Milliseconds() })
+	n.metrics.Gauge("keys_within_ms", keysWithin(n.settings.Times).Milliseconds)
 	n.metrics.Gauge("feed_proven_ms", func() int64 { return n.feed.Proven().Milliseconds() })
 	n.metrics.Gauge("feed_items_refused", n.feed.Refused)
 	n.metrics.Gauge("plain_waiting", func() int64 { return int64(n.lines.stats().Waiting) })
