Look at a line's targets once an event, not once for each that waits

Cause of slow recovery at 300 VMs, likely: each event of the line let each waiting request look at all targets: 4.8 ms an event with 500 waiting for 60 targets, of some 1,500 events a second. Change: once one request finds no room, the others do not look; places are counted once. The decisions are the same (TestHeavyLoad gives the same shares).

--- a/coord/line/line.go
+++ b/coord/line/line.go
@@ -71,7 +71,6 @@
 	target string
 	// beside is how many ran at the target then, this one included.
 	beside   int
-	at       time.Time
 	deadline time.Time
 }
 
@@ -208,8 +207,16 @@
 	}
 	l.rank(now)
 	rest := l.waiting[:0]
+	places := l.places(now)
+	full := false
 	for _, r := range l.waiting {
-		if !l.place(now, r, len(rest)) {
+		// Where one request finds no room, the next finds none: each look goes over all
+		// targets, and hundreds may wait (BenchmarkLongLine).
+		if !(full && len(r.Exclude) == 0) && l.grant(now, r) {
+			continue
+		}
+		full = full || len(r.Exclude) == 0
+		if !l.giveUp(now, r, turn(len(rest), l.limit.work(), places)) {
 			rest = append(rest, r)
 		}
 	}
@@ -240,20 +247,24 @@
 	return !r.InTimeUntil.IsZero() && now.Add(turn+l.limit.slow()+wayTime).After(r.InTimeUntil)
 }
 
-// place grants or refuses a request that has so many others before it. It returns false if
-// it waits on.
-func (l *Line) place(now time.Time, r *Request, ahead int) bool {
-	if id := l.pick(now, r); id != "" {
-		l.running[id]++
-		l.grants[r.Key] = grant{target: id, beside: l.running[id], at: now, deadline: r.Deadline}
-		l.act(Action{Key: r.Key, Target: id})
-		return true
+// grant gives a request a target, if one has room.
+func (l *Line) grant(now time.Time, r *Request) bool {
+	id := l.pick(now, r)
+	if id == "" {
+		return false
 	}
+	l.running[id]++
+	l.grants[r.Key] = grant{target: id, beside: l.running[id], deadline: r.Deadline}
+	l.act(Action{Key: r.Key, Target: id})
+	return true
+}
+
+// giveUp refuses a request whose turn, which comes in some time, would be too late for it.
+func (l *Line) giveUp(now time.Time, r *Request, turn time.Duration) bool {
 	if !l.anyFor(r) {
 		l.refuse(r, ReasonNoTarget, noTargetPause)
 		return true
 	}
-	turn := l.turn(now, ahead)
 	until := r.Deadline.Add(-l.limit.work())
 	if l.tooLate(now, r, turn) && r.arrived.Add(lateWait).Before(until) {
 		until = r.arrived.Add(lateWait)
@@ -265,15 +276,19 @@
 	return false
 }
 
-// turn is the expected time until the turn of a request that has so many others before it.
-func (l *Line) turn(now time.Time, ahead int) time.Duration {
-	places := 0
+// places is how many requests targets work on at once.
+func (l *Line) places(now time.Time) (n int) {
 	for _, t := range l.targets {
 		if !l.balancer.Ejected(now, t.ID) {
-			places += max(l.limit.of(t.Slots)-spare, 1)
+			n += max(l.limit.of(t.Slots)-spare, 1)
 		}
 	}
-	return time.Duration(float64(ahead+1) * float64(l.limit.work()) / float64(max(places, 1)))
+	return n
+}
+
+// turn is the expected time until the turn of a request that has so many others before it.
+func turn(ahead int, work time.Duration, places int) time.Duration {
+	return time.Duration(float64(ahead+1) * float64(work) / float64(max(places, 1)))
 }
 
 // anyFor reports whether there is a target that a request may go to.
