--- a/coord/line/line_bench_test.go
+++ b/coord/line/line_bench_test.go
@@ -9,7 +9,7 @@
 )
 
 // BenchmarkLongLine is the end of one request and the next one's grant while 500 wait for 60
-// targets, as after a loss of all VMs of a fleet of 300: 4.8 ms when each waiting request
+// targets, as a fleet of 300 VMs may have: 4.8 ms when each waiting request
 // looked at all targets, 0.07 ms now; there are some 1,500 such events a second.
 func BenchmarkLongLine(b *testing.B) {
 	l := New()
