Begin a line's times at their first guesses; drop the flag for them

Cause: the limit of a line kept a flag for 'nothing seen yet' and named the first guesses in three places, though a limit that begins at the guesses needs neither. The package's page also still said that full targets are slower, which the measurement in limit.go did not bear out. Change: newLimit sets the guesses; the flag and its branches are gone; the sentence is gone. Behaviour is the same: the first observation moves the same guesses by the same weight. Checks: tests of coord/line as they stood, gofmt, vet and the linter pass.

--- a/coord/line/limit.go
+++ b/coord/line/limit.go
@@ -14,7 +14,6 @@
 type limit struct {
 	// took is how long calls take, and spread by how much they differ from that.
 	took, spread time.Duration
-	seen         bool
 	// noSpare says that targets turn away what is more than they work on.
 	noSpare bool
 }
@@ -33,11 +32,11 @@
 	slowSpreads = 1.6
 )
 
+// newLimit knows the guesses only.
+func newLimit() limit { return limit{took: firstWork, spread: firstSpread} }
+
 // observe takes how long a call took.
 func (l *limit) observe(took time.Duration) {
-	if !l.seen {
-		l.took, l.spread, l.seen = firstWork, firstSpread, true
-	}
 	off := took - l.took
 	l.took += time.Duration(weight * float64(off))
 	l.spread += time.Duration(weight * float64(off.Abs()-l.spread))
@@ -62,17 +61,9 @@
 }
 
 // work is how long a call takes.
-func (l *limit) work() time.Duration {
-	if !l.seen {
-		return firstWork
-	}
-	return l.took
-}
+func (l *limit) work() time.Duration { return l.took }
 
 // slow is how long nine of ten calls take at most.
 func (l *limit) slow() time.Duration {
-	if !l.seen {
-		return firstWork + time.Duration(slowSpreads*float64(firstSpread))
-	}
 	return l.took + time.Duration(slowSpreads*float64(l.spread))
 }
--- a/coord/line/line.go
+++ b/coord/line/line.go
@@ -2,7 +2,7 @@
 //
 // A few small targets serve the callers of a whole fleet. VMs that each pick a target by what
 // they saw themselves fill the targets' queues blindly: what is beyond them is turned away,
-// full targets are slower ones, and repeats feed the load. So one VM, the one that is asked for
+// and repeats feed the load. So one VM, the one that is asked for
 // engines, counts what runs at each target and lets the rest wait in one line:
 //
 //   - a target gets as many requests as it works on, and one more (limit.go);
@@ -87,7 +87,7 @@
 
 // New returns a Line that knows no target.
 func New() *Line {
-	return &Line{running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New()}
+	return &Line{limit: newLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New()}
 }
 
 // Times of the line.
