One set of accounts under the ledger and the reserve

Cause: taking limits in, forgetting teams that are gone and opening accounts stood twice, in Ledger and in Reserve, with the same lines; the two could have come to differ in which teams they hold. Change: both embed accounts; what differs, how fast an account fills and what it holds, is all that they say. FullShareFor is used in the package alone and no longer exported. Behaviour is the same. Checks: tests of coord/quota and internal/edge as they stood, gofmt, vet and the linter pass.

--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -100,25 +100,18 @@
 
 // Ledger is the account of all teams at the VM that is asked.
 type Ledger struct {
-	room   Room
-	limits map[string]Limit
-	share  float64
-	teams  map[string]*bucket
+	accounts
+	share float64
 }
 
 // NewLedger returns a ledger in which each team begins with nothing.
 func NewLedger(room Room) *Ledger {
-	return &Ledger{room: room, share: 1, teams: map[string]*bucket{}}
+	return &Ledger{accounts: newAccounts(room), share: 1}
 }
 
 // SetLimits puts limits in force. Teams that are gone, or have no limit any more, are forgotten.
 func (l *Ledger) SetLimits(now time.Time, limits map[string]Limit) {
-	l.limits = limits
-	for name := range l.teams {
-		if limits[name].PerSecond <= 0 {
-			delete(l.teams, name)
-		}
-	}
+	l.replace(limits)
 	l.configure(now)
 }
 
@@ -132,17 +125,9 @@
 }
 
 func (l *Ledger) configure(now time.Time) {
-	for name, limit := range l.limits {
-		if limit.PerSecond <= 0 {
-			continue
-		}
-		b := l.teams[name]
-		if b == nil {
-			b = &bucket{at: now}
-			l.teams[name] = b
-		}
+	l.each(now, func(b *bucket, limit Limit) {
 		b.set(now, l.share*l.room.perSecond(limit), l.room.ledgerHolds(limit))
-	}
+	})
 }
 
 // Take charges a request of a team. A team with anything left may take a request that costs
--- a/coord/quota/reserve.go
+++ b/coord/quota/reserve.go
@@ -4,9 +4,9 @@
 
 // Times of a reserve.
 const (
-	// FullShareFor is how long a VM that the ledger does not answer counts on its whole
+	// fullShareFor is how long a VM that the ledger does not answer counts on its whole
 	// share: the ledger's VM counts a silent VM as part of the fleet for longer.
-	FullShareFor = 10 * time.Second
+	fullShareFor = 10 * time.Second
 	// lateShare is its part after that, small enough for the room beside a ledger that
 	// hands out everything.
 	lateShare = 0.2
@@ -18,26 +18,19 @@
 
 // Reserve is the account of one VM for when the ledger does not answer.
 type Reserve struct {
-	room   Room
-	limits map[string]Limit
-	vms    int
+	accounts
+	vms int
 	// alone is since when the ledger does not answer; zero: it does.
 	alone time.Time
 	late  bool
-	teams map[string]*bucket
 }
 
 // NewReserve returns the reserve of a VM that does not know its fleet yet: it holds nothing.
-func NewReserve(room Room) *Reserve { return &Reserve{room: room, teams: map[string]*bucket{}} }
+func NewReserve(room Room) *Reserve { return &Reserve{accounts: newAccounts(room)} }
 
 // SetLimits puts limits in force.
 func (r *Reserve) SetLimits(now time.Time, limits map[string]Limit) {
-	r.limits = limits
-	for name := range r.teams {
-		if limits[name].PerSecond <= 0 {
-			delete(r.teams, name)
-		}
-	}
+	r.replace(limits)
 	r.configure(now)
 }
 
@@ -56,7 +49,7 @@
 		r.alone, r.late = time.Time{}, false
 	case alone && r.alone.IsZero():
 		r.alone = now
-	case alone && !r.late && now.Sub(r.alone) > FullShareFor:
+	case alone && !r.late && now.Sub(r.alone) > fullShareFor:
 		r.late = true
 	default:
 		return
@@ -65,30 +58,28 @@
 }
 
 func (r *Reserve) configure(now time.Time) {
-	for name, limit := range r.limits {
-		if limit.PerSecond <= 0 {
-			continue
-		}
-		b := r.teams[name]
-		if b == nil {
-			b = &bucket{at: now}
-			r.teams[name] = b
-		}
-		if r.vms == 0 {
-			b.set(now, 0, 0)
-			continue
-		}
-		n := float64(r.vms)
-		holds := r.room.reservesHold(limit) / n
-		rate := r.room.perSecond(limit) / n
-		switch {
-		case r.alone.IsZero():
-			rate = regain * holds / r.room.Window.Seconds()
-		case r.late:
-			rate *= lateShare
-		}
+	r.each(now, func(b *bucket, limit Limit) {
+		rate, holds := r.terms(limit)
 		b.set(now, rate, holds)
+	})
+}
+
+// terms are how fast the account of a team with this limit fills, in units a second, and what
+// it holds.
+func (r *Reserve) terms(limit Limit) (rate, holds float64) {
+	if r.vms == 0 {
+		return 0, 0
+	}
+	n := float64(r.vms)
+	holds = r.room.reservesHold(limit) / n
+	rate = r.room.perSecond(limit) / n
+	switch {
+	case r.alone.IsZero():
+		rate = regain * holds / r.room.Window.Seconds()
+	case r.late:
+		rate *= lateShare
 	}
+	return rate, holds
 }
 
 // Take charges a request of a team while the ledger is silent. chance is drawn evenly from 0
