One type for the key of a request

Cause: a request of a VM is known by that VM and its number there. The type stood four times with the same fields: in the scheduler, the line, the quarantine and the quotas of an edge. Change: coord.RequestKey; the three packages name it Key, the quotas use it as it is. Behaviour is the same. Checks: all tests of both modules as they stood, gofmt, vet and the linter pass.

--- a/coord/doc.go
+++ b/coord/doc.go
@@ -61,6 +61,13 @@
 // VMID names a VM, as the published list does.
 type VMID string
 
+// RequestKey names a request: the VM that asks, and its number there, which grows also over
+// restarts of the VM.
+type RequestKey struct {
+	VM     VMID
+	Ticket uint64
+}
+
 // TargetID names a target, as the bundle does.
 type TargetID string
 
--- a/coord/line/line.go
+++ b/coord/line/line.go
@@ -32,11 +32,8 @@
 	Slots int
 }
 
-// Key names a request: the VM that asks, and its number there.
-type Key struct {
-	VM     coord.VMID
-	Ticket uint64
-}
+// Key names a request.
+type Key = coord.RequestKey
 
 // Request is a request that wants a target.
 type Request struct {
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -34,11 +34,8 @@
 // Digest stands for what a request asks; the zero value for none.
 type Digest [16]byte
 
-// Key names a request: the VM that asks, and its number there.
-type Key struct {
-	VM     coord.VMID
-	Ticket uint64
-}
+// Key names a request.
+type Key = coord.RequestKey
 
 // Figures of evidence.
 const (
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -23,12 +23,8 @@
 	ModelLoadTime map[string]time.Duration
 }
 
-// Key names a request: the VM that asks, and its number there, which grows also over
-// restarts of the VM.
-type Key struct {
-	VM     coord.VMID
-	Ticket uint64
-}
+// Key names a request.
+type Key = coord.RequestKey
 
 // Request is a request that wants a target.
 type Request struct {
--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -27,16 +27,11 @@
 	ledger  *quota.Ledger
 	reserve *quota.Reserve
 	// charged are the requests that were granted a target and have not ended.
-	charged map[chargeKey]charge
+	charged map[coord.RequestKey]charge
 	// teams counts what each asked and was refused here.
 	teams map[string]*TeamCount
 }
 
-type chargeKey struct {
-	vm     coord.VMID
-	ticket uint64
-}
-
 type charge struct {
 	team    string
 	cost    float64
@@ -59,7 +54,7 @@
 	room := quota.Room{Window: time.Duration(s.WindowS * float64(time.Second)), Over: s.Over, Slack: s.Slack}
 	return &quotas{
 		node: n, room: room, ledger: quota.NewLedger(room), reserve: quota.NewReserve(room),
-		charged: map[chargeKey]charge{}, teams: map[string]*TeamCount{},
+		charged: map[coord.RequestKey]charge{}, teams: map[string]*TeamCount{},
 	}
 }
 
@@ -146,7 +141,7 @@
 	if !ok {
 		return &schema.Verdict{Reason: reasonQuota, RetryAfterMs: wait.Milliseconds(), OverQuota: true}
 	}
-	q.charged[chargeKey{from, a.Ticket}] = charge{
+	q.charged[coord.RequestKey{VM: from, Ticket: a.Ticket}] = charge{
 		team: a.Team, cost: a.Cost, expires: now.Add(time.Duration(a.LeftMs)*time.Millisecond + chargeGrace),
 	}
 	return nil
@@ -159,7 +154,7 @@
 func (q *quotas) ended(from coord.VMID, ticket uint64, ran bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	key := chargeKey{from, ticket}
+	key := coord.RequestKey{VM: from, Ticket: ticket}
 	c, held := q.charged[key]
 	if !held {
 		return
