Deliver the messages of the feed's test fleet by one goroutine

Reproduced on: 4 of 13 whole runs of the package, 2 of 40 runs of TestKey..., 1 of 40 of TestWord..., in two kinds: faults or failed checks of the detector's slots while timers of a bubble fire (6), and a fault in its SlotLock below a select on a timer of 0 s (1 before, 3 of 16 once the first kind was gone).

Ruled out: a race of ours (none reported, no frame of ours beyond the wait). Change, in test files only: one goroutine carries messages instead of one each, and an answer that is not held up is not waited for. The rows, seeds and bounds stay. Why the detector fails is not known; that many goroutines bring the first kind is likely.

--- a/internal/feed/proof_test.go
+++ b/internal/feed/proof_test.go
@@ -61,6 +61,13 @@
 	return f
 }
 
+// prove lets all VMs prove their copies until the context ends.
+func (f *vmFleet) prove(ctx context.Context) {
+	for _, feed := range f.feeds {
+		go feed.Prove(ctx)
+	}
+}
+
 // TestKeyThatWasTakenAwayDoesNotRun: whatever becomes of some VMs, none of them runs a request
 // with a key later than the bound after it was taken away, and those that reach the store, or
 // a VM that does, go on serving the key that stays.
@@ -115,11 +122,8 @@
 				synctest.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
 					f := keyedFleet(seed, log)
-					for n, feed := range f.feeds {
-						go feed.Run(ctx)
-						go feed.Prove(ctx)
-						go (&vmOf{fleet: f, n: n}).gossip(ctx)
-					}
+					f.start(ctx)
+					f.prove(ctx)
 					time.Sleep(4 * time.Second)
 					f.mu.Lock()
 					row.break_(f)
@@ -159,11 +163,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := keyedFleet(1, log)
-		for n, feed := range f.feeds {
-			go feed.Run(ctx)
-			go feed.Prove(ctx)
-			go (&vmOf{fleet: f, n: n}).gossip(ctx)
-		}
+		f.start(ctx)
+		f.prove(ctx)
 		time.Sleep(4 * time.Second)
 		f.put("c", `{"Version":2,"Keys":[]}`)
 		time.Sleep(3 * time.Second)
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -53,7 +53,8 @@
 	cut  map[int]bool
 	held map[int]time.Duration
 	// heard is when each VM learnt that the target leaves.
-	heard map[int]time.Time
+	heard   map[int]time.Time
+	network *network
 }
 
 // vmOf is one VM of the fleet: its store and its peers.
@@ -134,12 +135,7 @@
 func (v *vmOf) PassOn(u Update) {
 	for n, other := range v.fleet.feeds {
 		if n != v.n {
-			go func() {
-				time.Sleep(v.fleet.message + v.fleet.heldUp(n))
-				if !v.fleet.isCut(v.n) && !v.fleet.isCut(n) {
-					other.TakeFrom(vmID(v.n), u)
-				}
-			}()
+			v.send(n, func() { other.TakeFrom(vmID(v.n), u) })
 		}
 	}
 }
@@ -174,7 +170,7 @@
 	return Update{}, errors.New("nothing known")
 }
 
-// reach is a question's way to another VM, and back that of its answer.
+// reach is a question's way to another VM.
 func (v *vmOf) reach(ctx context.Context, n int) error {
 	time.Sleep(v.fleet.message)
 	if v.fleet.isCut(v.n) || v.fleet.isCut(n) {
@@ -184,9 +180,18 @@
 	return nil
 }
 
+// back is the way of an answer.
+//
+// It waits for nothing where nothing is held: a select on a timer of 0 s, run in virtual time
+// under the race detector, ended 3 of 16 runs of these tests with a fault inside the detector's
+// runtime, and none of 24 without it.
 func (v *vmOf) back(ctx context.Context) error {
+	held := v.fleet.heldUp(v.n)
+	if held == 0 {
+		return ctx.Err()
+	}
 	select {
-	case <-time.After(v.fleet.heldUp(v.n)):
+	case <-time.After(held):
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -211,24 +216,38 @@
 	return f.rand.IntN(len(f.feeds))
 }
 
-// gossip tells some VMs how current this one's copy is, as heartbeats do.
-func (v *vmOf) gossip(ctx context.Context) {
-	time.Sleep(time.Duration(v.n) * gossipEvery / fleetVMs)
-	for ctx.Err() == nil {
+// send lets something happen at another VM after the time of a message, unless one of the two
+// is cut off then.
+func (v *vmOf) send(n int, deliver func()) {
+	v.fleet.network.send(v.fleet.message+v.fleet.heldUp(n), func() {
+		if !v.fleet.isCut(v.n) && !v.fleet.isCut(n) {
+			deliver()
+		}
+	})
+}
+
+// gossip lets each VM in turn tell some others how current its copy is, as heartbeats do.
+func (f *vmFleet) gossip(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n = (n + 1) % fleetVMs {
+		v := &vmOf{fleet: f, n: n}
 		for range gossipFanout {
-			state := v.fleet.feeds[v.n].State()
-			n := v.fleet.draw()
-			go func() {
-				time.Sleep(v.fleet.message + v.fleet.heldUp(n))
-				if !v.fleet.isCut(v.n) && !v.fleet.isCut(n) {
-					v.fleet.feeds[n].Heard(vmID(v.n), state)
-				}
-			}()
+			state := f.feeds[n].State()
+			other := f.draw()
+			v.send(other, func() { f.feeds[other].Heard(vmID(n), state) })
 		}
-		time.Sleep(gossipEvery)
+		time.Sleep(gossipEvery / fleetVMs)
 	}
 }
 
+// start runs the parts of the fleet until the context ends.
+func (f *vmFleet) start(ctx context.Context) {
+	for _, feed := range f.feeds {
+		go feed.Run(ctx)
+	}
+	go f.gossip(ctx)
+	go f.network.run(ctx)
+}
+
 func (v *vmOf) onChange(d *Directory) {
 	t := d.Targets[leaving]
 	if t == nil || t.State != fleet.TargetDraining {
@@ -244,7 +263,7 @@
 func newVMFleet(seed uint64, apply, drain time.Duration, log *events.Log) *vmFleet {
 	f := &vmFleet{
 		rand: rand.New(rand.NewPCG(seed, 0)), items: map[string]fleet.Item{}, changed: make(chan struct{}),
-		turnedAway: map[int]bool{}, heard: map[int]time.Time{}, cut: map[int]bool{}, held: map[int]time.Duration{},
+		turnedAway: map[int]bool{}, heard: map[int]time.Time{}, cut: map[int]bool{}, held: map[int]time.Duration{}, network: newNetwork(),
 	}
 	f.put("c", "1")
 	f.put("t1", "x")
@@ -261,10 +280,7 @@
 // run starts the fleet, turns a share of the VMs away from the store, the readers first,
 // lets a target leave some time later, and returns when the last VM had heard of it.
 func (f *vmFleet) run(ctx context.Context, share float64) (latest time.Duration) {
-	for n, feed := range f.feeds {
-		go feed.Run(ctx)
-		go (&vmOf{fleet: f, n: n}).gossip(ctx)
-	}
+	f.start(ctx)
 	time.Sleep(3 * time.Second)
 	f.mu.Lock()
 	for n := range int(share * fleetVMs) {
@@ -347,10 +363,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newVMFleet(1, bound, bound, log)
 		f.message = quickMessage
-		for n, feed := range f.feeds {
-			go feed.Run(ctx)
-			go (&vmOf{fleet: f, n: n}).gossip(ctx)
-		}
+		f.start(ctx)
 		time.Sleep(3 * time.Second)
 		away := func(is bool) {
 			f.mu.Lock()
