--- a/internal/cli/edgestatus.go
+++ b/internal/cli/edgestatus.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-resty/resty/v2"
 	"github.com/spf13/cobra"
 
 	"github.com/junctionfold/junctionfold/internal/edge"
@@ -43,15 +42,12 @@
 	cmd.Flags().StringVar(&address, "metrics", "http://127.0.0.1:9403", "URL of the VM's metrics")
 	asJSON := jsonFlag(cmd)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		resp, err := resty.New().SetTimeout(askTimeout).R().SetContext(cmd.Context()).Get(address)
+		body, err := askVM(cmd.Context(), address, "", nil)
 		if err != nil {
-			return errors.Wrap(err, "ask the VM")
-		}
-		if resp.IsError() {
-			return errors.Newf("the VM answered %s", resp.Status())
+			return err
 		}
 		var m edgeMetrics
-		if err := json.Unmarshal(resp.Body(), &m); err != nil {
+		if err := json.Unmarshal(body, &m); err != nil {
 			return errors.Wrap(err, "read the VM's metrics")
 		}
 		if *asJSON {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -38,15 +38,24 @@
 
 // ask gets a message from the VM and returns its JSON too.
 func (f *vmFlags) ask(ctx context.Context, path string, query map[string]string, into proto.Message) ([]byte, error) {
+	body, err := askVM(ctx, strings.TrimSuffix(f.address, "/")+path, f.token, query)
+	if err != nil {
+		return nil, err
+	}
+	return body, errors.Wrap(protojson.Unmarshal(body, into), "read the VM's answer")
+}
+
+// askVM gets what a VM answers at a URL; token may be empty.
+func askVM(ctx context.Context, url, token string, query map[string]string) ([]byte, error) {
 	resp, err := resty.New().SetTimeout(askTimeout).R().SetContext(ctx).
-		SetAuthToken(f.token).SetQueryParams(query).Get(strings.TrimSuffix(f.address, "/") + path)
+		SetAuthToken(token).SetQueryParams(query).Get(url)
 	if err != nil {
 		return nil, errors.Wrap(err, "ask the VM")
 	}
 	if resp.IsError() {
 		return nil, errors.Newf("the VM answered %s: %s", resp.Status(), strings.TrimSpace(resp.String()))
 	}
-	return resp.Body(), errors.Wrap(protojson.Unmarshal(resp.Body(), into), "read the VM's answer")
+	return resp.Body(), nil
 }
 
 // vmCommand makes a command that asks a VM and prints the answer.
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -4,25 +4,18 @@
 package dev
 
 import (
-	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/junctionfold/junctionfold/internal/bundle"
 	"github.com/junctionfold/junctionfold/internal/certs"
-	"github.com/junctionfold/junctionfold/internal/logging"
 	"github.com/junctionfold/junctionfold/internal/node"
-	"github.com/junctionfold/junctionfold/internal/settings"
 	"github.com/junctionfold/junctionfold/internal/standin"
 	"github.com/junctionfold/junctionfold/schema"
 )
@@ -92,17 +85,6 @@
 	base      string
 }
 
-// VM is one running VM.
-type VM struct {
-	ID       string
-	Node     *node.Node
-	Settings *schema.Settings
-
-	stop context.CancelFunc
-	done chan struct{}
-	err  error
-}
-
 // Start brings up a cluster and waits until every VM is ready.
 func Start(opts Options) (*Cluster, error) {
 	opts.fill()
@@ -213,130 +195,6 @@
 // Version returns the version published last.
 func (c *Cluster) Version() uint64 { return c.version }
 
-// SignedValues builds and signs a bundle and returns the configuration
-// service's values for it.
-func SignedValues(b *schema.Bundle, version uint64, privatePEM []byte) (map[string][]byte, error) {
-	manifest, chunks, err := bundle.Split(b)
-	if err != nil {
-		return nil, err
-	}
-	manifest.Version, manifest.Author = version, "dev"
-	manifest.CreatedUnixMs = time.Now().UnixMilli()
-	signed, err := bundle.Seal(manifest)
-	if err != nil {
-		return nil, err
-	}
-	id, key, err := bundle.ParsePrivateKey(privatePEM)
-	if err != nil {
-		return nil, err
-	}
-	bundle.Sign(signed, id, key)
-	data, err := proto.Marshal(signed)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode signed manifest")
-	}
-	values := map[string][]byte{bundle.ManifestKey: data}
-	for i, hash := range manifest.Chunks {
-		data, err := chunks.Get(hash)
-		if err != nil {
-			return nil, errors.Wrapf(err, "chunk %d", i)
-		}
-		values[bundle.ChunkKey(hash)] = data
-	}
-	return values, nil
-}
-
-func (c *Cluster) addVM(i int) error {
-	s := settings.Defaults()
-	s.Vm.Id = fmt.Sprintf("entry-%d", i+1)
-	s.Vm.Hall = halls[i%len(halls)]
-	s.Door.Listen, s.Peer.Listen, s.Operator.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	s.Door.DrainMs = c.opts.DrainMs
-	s.Peer.InsecureLoopback = true
-	s.Operator.Token = OperatorToken
-	s.Platform.ConfigUrl, s.Platform.VmListUrl = c.base, c.base
-	s.Platform.OrderToken = orderToken
-	s.Trust.PublicKeys = []string{c.public}
-	vm := &VM{ID: s.Vm.Id, Settings: s}
-	c.VMs = append(c.VMs, vm)
-	if c.opts.TLSDir != "" {
-		if err := c.issue(s); err != nil {
-			return err
-		}
-	}
-	return vm.open(c)
-}
-
-// issue gives a VM a certificate and turns TLS on.
-func (c *Cluster) issue(s *schema.Settings) error {
-	if c.authority.Cert == nil {
-		var err error
-		if c.authority, err = certs.NewAuthority(); err != nil {
-			return err
-		}
-	}
-	pair, err := certs.Issue(c.authority, s.Vm.Id, nil)
-	if err != nil {
-		return err
-	}
-	file := func(name string) string { return filepath.Join(c.opts.TLSDir, s.Vm.Id+"."+name) }
-	s.Peer.InsecureLoopback = false
-	s.Peer.CertFile, s.Peer.KeyFile, s.Peer.CaFile = file("pem"), file("key"), file("ca")
-	for name, data := range map[string][]byte{s.Peer.CertFile: pair.Cert, s.Peer.KeyFile: pair.Key, s.Peer.CaFile: c.authority.Cert} {
-		if err := os.WriteFile(name, data, 0o600); err != nil {
-			return errors.Wrap(err, "write certificate")
-		}
-	}
-	return nil
-}
-
-// open makes the VM's node; later ones listen where the first did.
-func (vm *VM) open(c *Cluster) error {
-	var dial node.Dial
-	if c.opts.Dial != nil {
-		dial = c.opts.Dial(vm.ID)
-	}
-	n, err := node.NewWithDial(vm.Settings, logging.New(c.opts.Log, c.opts.Level, vm.ID), dial)
-	if err != nil {
-		return err
-	}
-	vm.Node = n
-	vm.Settings.Door.Listen, vm.Settings.Peer.Listen, vm.Settings.Operator.Listen = n.Addresses()
-	return nil
-}
-
-func (vm *VM) run() {
-	ctx, cancel := context.WithCancel(context.Background())
-	vm.stop = cancel
-	vm.done = make(chan struct{})
-	go func() {
-		vm.err = vm.Node.Run(ctx)
-		close(vm.done)
-	}()
-}
-
-// Stop drains the VM and waits until it has stopped.
-func (vm *VM) Stop() error {
-	vm.stop()
-	<-vm.done
-	return vm.err
-}
-
-// Kill ends the VM at once, as a crash would.
-func (vm *VM) Kill() {
-	vm.Node.Kill()
-	<-vm.done
-}
-
-// Restart starts a stopped VM anew, at the same addresses.
-func (c *Cluster) Restart(vm *VM) error {
-	if err := vm.open(c); err != nil {
-		return err
-	}
-	vm.run()
-	return nil
-}
-
 // PublishVMs publishes the list of all VMs as live, but for those left out.
 func (c *Cluster) PublishVMs(except ...*VM) {
 	list := make([]standin.VM, 0, len(c.VMs))
@@ -378,12 +236,6 @@
 	return serving >= len(c.Engines)
 }
 
-// Door returns the URL of a VM's front door.
-func (vm *VM) Door() string { return "http://" + vm.Settings.Door.Listen }
-
-// Operators returns the URL of a VM's operators' interface.
-func (vm *VM) Operators() string { return "http://" + vm.Settings.Operator.Listen }
-
 // Close stops everything.
 func (c *Cluster) Close() {
 	var wg sync.WaitGroup
