Wait for a verdict in one place; name first guesses of load times as such

schedules.admit and lines.admit waited alike (Node.awaitVerdict). The readers asked first are found when the fleet changes, not at each question. coldLoadTime and warmLoadTime only begin the search for these times: firstColdLoad, firstWarmLoad. A slot's crowded and the scheduler's meant two things: stretched. Behaviour the same: tests of internal/edge, coord and platform, vet, linter.

--- a/coord/scheduler/line_test.go
+++ b/coord/scheduler/line_test.go
@@ -49,7 +49,7 @@
 	key := b.submit("x")
 	load := b.want(ActLoad)[0]
 	b.ordered(load, OrderBegun)
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	assert.Equal(t, b.want(ActGrant)[0].Target, load.Target)
 	b.take(b.s.Done(b.now, key, EndedBusy))
 	key = b.submit("x", load.Target)
--- a/coord/scheduler/loads.go
+++ b/coord/scheduler/loads.go
@@ -56,7 +56,7 @@
 		return after >= s.warm.Value()
 	}
 	late := after >= s.cold.Value()
-	if !sl.crowded && !sl.mistaken {
+	if !sl.stretched && !sl.mistaken {
 		s.cold.Refused(sl.number, after)
 	}
 	return late
@@ -72,7 +72,7 @@
 	switch {
 	case !sl.fromStore:
 		s.warm.Ran(sl.number, sl.refusedAfter, after)
-	case sl.refusedAfter == 0 || !sl.crowded:
+	case sl.refusedAfter == 0 || !sl.stretched:
 		s.cold.Ran(sl.number, sl.refusedAfter, after)
 	}
 }
@@ -97,8 +97,8 @@
 // without others beside it, and of an adapter that the engine held lately. A constant of 250 ms
 // where loads take 288 had 1,537 of 7,722 arrivals of a quiet day rejected.
 const (
-	coldLoadTime = 250 * time.Millisecond
-	warmLoadTime = 25 * time.Millisecond
+	firstColdLoad = 250 * time.Millisecond
+	firstWarmLoad = 25 * time.Millisecond
 	// loadMargin covers the order's way and the engine's step.
 	loadMargin = 15 * time.Millisecond
 	// warmPause is how long a quick load that turned out unfinished is waited for again,
--- a/coord/scheduler/modelengine_test.go
+++ b/coord/scheduler/modelengine_test.go
@@ -160,7 +160,7 @@
 	if e.occupied() >= w.cfg.AdapterSlots {
 		w.failf("%s ordered to load %s with %d of %d places taken", e.id, a.Ref, e.occupied(), w.cfg.AdapterSlots)
 	}
-	e.slots[a.Ref] = w.now.Add(coldLoadTime + w.lateness())
+	e.slots[a.Ref] = w.now.Add(firstColdLoad + w.lateness())
 	e.versions[a.Ref] = w.more.newest[a.Ref]
 	w.answer(a, OrderBegun)
 }
@@ -203,7 +203,7 @@
 		w.others++
 		w.events = append(w.events, event{w.now.Add(2 * time.Second), func() { w.others-- }})
 		w.next++
-		e.slots[ref(fmt.Sprintf("other%d", w.next))] = w.now.Add(coldLoadTime)
+		e.slots[ref(fmt.Sprintf("other%d", w.next))] = w.now.Add(firstColdLoad)
 	}
 }
 
--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -94,7 +94,7 @@
 	sl.expected = s.warm.Value()
 	if sl.fromStore {
 		sl.expected = s.cold.Next()
-		sl.crowded = s.loads > s.cfg.MaxLoads/2
+		sl.stretched = s.loads > s.cfg.MaxLoads/2
 	}
 	sl.readyAt = now.Add(sl.expected + loadMargin)
 	sl.due = sl.readyAt
--- a/coord/scheduler/places_test.go
+++ b/coord/scheduler/places_test.go
@@ -30,7 +30,7 @@
 	b.ordered(b.want(ActLoad)[0], OrderHolds)
 	key := b.want(ActGrant)[0].Key
 	b.take(b.s.Done(b.now, key, EndedAbandoned)) // its caller left: nothing ran
-	b.now = b.now.Add(2 * coldLoadTime)
+	b.now = b.now.Add(2 * firstColdLoad)
 	got := evicted(t, b)
 	assert.Equal(t, len(got.slots), 1, "the place is taken until a report says otherwise")
 	b.want()
@@ -61,7 +61,7 @@
 	b.ordered(b.want(ActLoad)[0], OrderBegun)
 	b.s.First(b.now, key)
 	b.take(b.s.Done(b.now, key, EndedOK)) // only now does the engine begin to load
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	assert.Equal(t, len(evicted(t, b).slots), 1)
 	b.want()
 }
@@ -71,7 +71,7 @@
 	b := newBench(t, config(1), nil)
 	b.submit("a")
 	b.ordered(b.want(ActLoad)[0], OrderBegun)
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	key := b.want(ActGrant)[0].Key
 	b.s.First(b.now, key)
 	b.take(b.s.Done(b.now, key, EndedOK))
@@ -103,10 +103,10 @@
 	b.ordered(load, OrderBegun)
 	b.take(b.s.SetTargets(b.now, listedWithBase("t0")))
 	assert.Equal(t, b.s.targets["t0"].slots[ref("runs")].inUse, 1)
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	b.submit("a")
 	assert.Equal(t, b.want(ActGrant)[0].Ref, ref("a"), "as if it had been listed all the time")
-	b.after(reportLag - coldLoadTime - loadMargin)
+	b.after(reportLag - firstColdLoad - loadMargin)
 	b.want(ActRead)
 }
 
--- a/coord/scheduler/replaced_test.go
+++ b/coord/scheduler/replaced_test.go
@@ -36,7 +36,7 @@
 	assert.Assert(t, next != nil && !next.trusted && !next.sealed && next.orders == 0 && len(next.slots) == 0 && len(next.kept) == 0)
 	assert.Equal(t, next.health, health{})
 	b.ordered(again[0], OrderBegun)
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	granted := b.drain()
 	assert.Equal(t, granted[len(granted)-1].Key, waits)
 }
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -132,9 +132,9 @@
 	b.submit("x")
 	load := b.want(ActLoad)[0]
 	b.ordered(load, OrderBegun)
-	b.after(coldLoadTime / 2)
+	b.after(firstColdLoad / 2)
 	b.want()
-	b.after(coldLoadTime)
+	b.after(firstColdLoad)
 	b.want(ActGrant, ActGrant)
 }
 
@@ -193,7 +193,7 @@
 			b := newBench(t, config(2), []string{})
 			b.submit("x")
 			b.ordered(b.want(ActLoad)[0], row.result)
-			b.after(reportLag + coldLoadTime)
+			b.after(reportLag + firstColdLoad)
 			read, grant := false, false
 			for _, a := range b.drain() {
 				read = read || a.Kind == ActRead
@@ -227,7 +227,7 @@
 	b.submit("z")
 	b.want() // x may still come and takes the only place
 	b.ordered(load, OrderBegun)
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	b.want()
 	b.after(minResident)
 	assert.Equal(t, b.want(ActUnload)[0].Ref, ref("x"))
@@ -258,7 +258,7 @@
 	second := b.want(ActLoad)[0]
 	assert.Assert(t, second.Target != first.Target)
 	b.ordered(second, OrderBegun)
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	b.want(ActGrant)
 }
 
@@ -270,7 +270,7 @@
 	b.report("t0", Report{Resident: []Holding{{Ref: base}}, Pending: []coord.AdapterRef{ref("x")}})
 	b.submit("z")
 	b.want()
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	b.want()
 	b.after(minResident)
 	assert.Equal(t, b.want(ActUnload)[0].Ref, ref("x"))
@@ -443,7 +443,7 @@
 	b.submit("x")
 	b.want()
 	b.ordered(load, OrderBegun)
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	assert.Equal(t, b.want(ActGrant)[0].Version, int64(7))
 }
 
@@ -457,11 +457,11 @@
 	b.take(b.s.SetVersion(b.now, ref("x"), 3))
 	b.submit("x")
 	b.want()
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	third := b.want(ActLoad)[0]
 	assert.Equal(t, third.Version, int64(3))
 	b.ordered(third, OrderBegun)
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	assert.Equal(t, b.want(ActGrant)[0].Version, int64(3))
 }
 
@@ -750,7 +750,7 @@
 	b.submit("cold")
 	first := b.want(ActLoad)[0]
 	b.ordered(first, OrderBegun)
-	b.after(coldLoadTime + loadMargin - crowdedFor/2)
+	b.after(firstColdLoad + loadMargin - crowdedFor/2)
 	b.submit("other")
 	for range 60 {
 		b.submit("hot")
@@ -787,14 +787,14 @@
 	load := b.want(ActLoad)[0].Basis
 	assert.DeepEqual(t, load, Basis{Taken: 2, Slots: 2, InTransit: 1, ReportAge: contestTime})
 	b.ordered(Action{Kind: ActLoad, Target: "t0", Ref: ref("b")}, OrderBegun)
-	b.after(coldLoadTime + loadMargin)
+	b.after(firstColdLoad + loadMargin)
 	b.want(ActGrant)
 	b.after(minResident)
 	b.submit("c")
 	unload := b.want(ActUnload)[0]
 	assert.DeepEqual(t, unload.Basis, Basis{
 		Taken: 2, Slots: 2, InTransit: 1, Unproven: 1, Kept: true, Proven: true,
-		ReportAge: contestTime + coldLoadTime + loadMargin + minResident,
+		ReportAge: contestTime + firstColdLoad + loadMargin + minResident,
 	})
 	b.ordered(unload, OrderHolds)
 	assert.Equal(t, b.s.Stats().Freed[FreedByAnswer], int64(1))
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -43,9 +43,9 @@
 	begun    time.Time
 	number   uint64
 	expected time.Duration
-	// crowded says that others were on their way as it began, so many that all may have
+	// stretched says that others were on their way as it began, so many that all may have
 	// taken longer; mistaken that the engine was believed to keep the adapter and did not.
-	crowded, mistaken bool
+	stretched, mistaken bool
 	// refusedAfter is the time from begun to the last request that came too early.
 	refusedAfter time.Duration
 	// since is when the state was entered.
--- a/coord/scheduler/takeover_model_test.go
+++ b/coord/scheduler/takeover_model_test.go
@@ -61,7 +61,7 @@
 	for r, next := range e.replaced {
 		switch {
 		case next.at.IsZero() && !e.uses(r):
-			next.at = w.now.Add(coldLoadTime + w.lateness())
+			next.at = w.now.Add(firstColdLoad + w.lateness())
 		case !next.at.IsZero() && !w.now.Before(next.at):
 			e.slots[r] = next.at
 			e.versions[r] = next.version
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -48,16 +48,18 @@
 		readers = append(readers, live[i])
 	}
 	n.reader.Store(self)
+	if slices.ContainsFunc(readers, n.isNear) {
+		readers = slices.DeleteFunc(readers, func(e roster.Entry) bool { return !n.isNear(e) })
+	}
 	n.readers.Store(&readers)
 }
 
+// isNear reports whether a VM is of this one's zone.
+func (n *Node) isNear(e roster.Entry) bool { return e.Zone == n.settings.Vm.Zone }
+
 // someReader returns another VM that reads the store, of this zone if there is any; or "".
 func (n *Node) someReader() coord.VMID {
 	readers := *n.readers.Load()
-	near := slices.DeleteFunc(slices.Clone(readers), func(e roster.Entry) bool { return e.Zone != n.settings.Vm.Zone })
-	if len(near) > 0 {
-		readers = near
-	}
 	if len(readers) == 0 {
 		return ""
 	}
--- a/internal/edge/lines.go
+++ b/internal/edge/lines.go
@@ -121,14 +121,9 @@
 	}
 	ls.answer(pl, pl.l.Submit(now, r))
 	ls.mu.Unlock()
-	select {
-	case v := <-verdict:
-		v.WaitedMs = ls.node.now().Sub(now).Milliseconds()
-		return v
-	case <-ctx.Done():
+	return ls.node.awaitVerdict(ctx, now, verdict, func() {
 		ls.done(from, &schema.Done{Ticket: a.Ticket, Service: a.Service, Ending: schema.Ending_ENDING_ABANDONED})
-		return refusal("verdict_timeout", unknownPause)
-	}
+	})
 }
 
 // done takes the end of a request, or withdraws it.
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -209,12 +209,20 @@
 	work := ss.carryOut(sc, sc.s.Submit(now, requestFromProto(now, key, a)))
 	ss.mu.Unlock()
 	runAll(work)
+	return ss.node.awaitVerdict(ctx, now, verdict, func() {
+		ss.done(from, &schema.Done{Ticket: a.Ticket, Service: a.Service, Ending: schema.Ending_ENDING_ABANDONED})
+	})
+}
+
+// awaitVerdict waits for the verdict on a request of the given time. When the context ends
+// first, the request is withdrawn.
+func (n *Node) awaitVerdict(ctx context.Context, asked time.Time, verdict <-chan *schema.Verdict, withdraw func()) *schema.Verdict {
 	select {
 	case v := <-verdict:
-		v.WaitedMs = ss.node.now().Sub(now).Milliseconds()
+		v.WaitedMs = n.now().Sub(asked).Milliseconds()
 		return v
 	case <-ctx.Done():
-		ss.done(from, &schema.Done{Ticket: a.Ticket, Service: a.Service, Ending: schema.Ending_ENDING_ABANDONED})
+		withdraw()
 		return refusal("verdict_timeout", unknownPause)
 	}
 }
