Ask again who decides after a request waited for its units

A request may wait up to a second for a new ledger. When the duty moved meanwhile it went on to the line of a VM that is not asked any more, which had handed back its requests; and its wait was counted as the way to the deciding VM and back. Found by reading. Now it is refused as moved and asks the next VM, and the verdict says the whole wait. The test of the new ledger has the case (fails before: the request is granted).

--- a/internal/edge/decide.go
+++ b/internal/edge/decide.go
@@ -13,22 +13,26 @@
 // admit decides on a request of a VM: by its team's quota first, before anything waits or is
 // loaded for it.
 func (n *Node) admit(ctx context.Context, from coord.VMID, a *schema.Admit) *schema.Verdict {
-	if *n.acting.Load() != coord.VMID(n.settings.Vm.Id) {
+	if !n.acts() {
 		return refusal(scheduler.ReasonMoved, 0)
 	}
 	if v := n.contents.check(from, a); v != nil {
 		return v
 	}
-	if v := n.quotas.admit(ctx, from, a); v != nil {
+	asked := n.now()
+	v := n.quotas.admit(ctx, from, a)
+	waited := n.now().Sub(asked).Milliseconds()
+	if v != nil {
+		v.WaitedMs = waited
 		n.contents.ended(from, a.Ticket, schema.Ending_ENDING_WITHDRAWN)
 		return v
 	}
-	var v *schema.Verdict
 	if a.Plain {
 		v = n.lines.admit(ctx, from, a)
 	} else {
 		v = n.schedules.admit(ctx, from, a)
 	}
+	v.WaitedMs += waited
 	if v.Target == "" {
 		n.quotas.ended(from, a.Ticket, false)
 		n.contents.ended(from, a.Ticket, schema.Ending_ENDING_WITHDRAWN)
--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -8,6 +8,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/quota"
+	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/gateway"
 	"github.com/junctionfold/junctionfold/schema"
@@ -119,10 +120,12 @@
 	}
 }
 
+// acts reports whether other VMs ask this one.
+func (n *Node) acts() bool { return *n.acting.Load() == coord.VMID(n.settings.Vm.Id) }
+
 // isAlone reports whether nobody answers this VM's questions.
 func (n *Node) isAlone() bool {
-	acting := *n.acting.Load()
-	return acting == "" || acting != coord.VMID(n.settings.Vm.Id) && n.silence.isQuiet()
+	return *n.acting.Load() == "" || !n.acts() && n.silence.isQuiet()
 }
 
 // emptyTime is how long after its beginning a ledger lets requests wait: it is empty then, and
@@ -156,6 +159,9 @@
 		if ctx.Err() != nil {
 			return refusal("verdict_timeout", unknownPause)
 		}
+		if !q.node.acts() {
+			return refusal(scheduler.ReasonMoved, 0)
+		}
 	}
 }
 
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/roster"
+	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -82,6 +83,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, _ := quotaNode(t)
 		n.now = time.Now
+		n.acting.Store(new(coord.VMID("a")))
 		n.quotas.setActing(true)
 		n.quotas.tick()
 		at := time.Now()
@@ -106,6 +108,11 @@
 			assert.Assert(t, ticket < 20)
 		}
 		assert.Equal(t, time.Since(at), 2*time.Second, "nothing waits")
+		n.quotas.setActing(true)
+		go func() { verdicts <- ask(20) }()
+		synctest.Wait()
+		n.acting.Store(new(coord.VMID("b")))
+		assert.Equal(t, (<-verdicts).Reason, scheduler.ReasonMoved, "another VM is asked now")
 	})
 }
 
