End the wait for a new ledger when the caller leaves

A caller's end came while its request waited for units, found nothing to end, and the request was put to a line or scheduler afterwards for nobody: its target's place and its charge were held until its deadline. Found by reading. The end closes the wait now. The test of the new ledger has the case (without the change the request is granted).

--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -29,8 +29,10 @@
 	// begun is when the ledger began, empty.
 	begun   time.Time
 	reserve *quota.Reserve
-	// charged are the requests that were granted a target and have not ended.
+	// charged are the requests that were granted a target and have not ended, waiting those
+	// that wait for units; what is closed ends the wait.
 	charged map[coord.RequestKey]charge
+	waiting map[coord.RequestKey]chan struct{}
 	// teams counts what each asked and was refused here.
 	teams map[string]*TeamCount
 }
@@ -57,7 +59,7 @@
 	room := quota.Room{Window: time.Duration(s.WindowS * float64(time.Second)), Over: s.Over, Slack: s.Slack}
 	return &quotas{
 		node: n, room: room, ledger: quota.NewLedger(room), reserve: quota.NewReserve(room),
-		charged: map[coord.RequestKey]charge{}, teams: map[string]*TeamCount{},
+		charged: map[coord.RequestKey]charge{}, waiting: map[coord.RequestKey]chan struct{}{}, teams: map[string]*TeamCount{},
 	}
 }
 
@@ -141,22 +143,24 @@
 	if a.Team == "" || a.Cost <= 0 {
 		return nil
 	}
+	key := coord.RequestKey{VM: from, Ticket: a.Ticket}
 	until := q.node.now().Add(time.Duration(a.LeftMs) * time.Millisecond)
 	for {
-		ok, wait := q.charge(from, a)
+		ok, wait := q.charge(key, a)
 		if ok {
 			return nil
 		}
-		if !q.waits(until, wait) {
+		left := q.wait(key, until, wait)
+		if left == nil {
 			q.refused(a)
 			return &schema.Verdict{Reason: reasonQuota, RetryAfterMs: wait.Milliseconds(), OverQuota: true}
 		}
 		select {
 		case <-ctx.Done():
+		case <-left:
 		case <-time.After(wait):
 		}
-		q.withdraw(a)
-		if ctx.Err() != nil {
+		if !q.resume(key, a) || ctx.Err() != nil {
 			return refusal("verdict_timeout", unknownPause)
 		}
 		if !q.node.acts() {
@@ -165,24 +169,34 @@
 	}
 }
 
-// waits reports whether a request that is to be served before until waits that long.
-func (q *quotas) waits(until time.Time, wait time.Duration) bool {
+// wait lets a request that is to be served before until wait so long. left is closed when it
+// ends before; nil: it does not wait.
+func (q *quotas) wait(key coord.RequestKey, until time.Time, wait time.Duration) (left chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	due := q.node.now().Add(wait)
-	return due.Before(until) && due.Before(q.begun.Add(emptyTime))
+	if !due.Before(until) || !due.Before(q.begun.Add(emptyTime)) {
+		return nil
+	}
+	left = make(chan struct{})
+	q.waiting[key] = left
+	return left
 }
 
-// withdraw ends the promise of a request's units: it takes them now, or does not want them.
-func (q *quotas) withdraw(a *schema.Admit) {
+// resume ends the wait of a request and the promise of its units, which it takes now if it
+// is still there.
+func (q *quotas) resume(key coord.RequestKey, a *schema.Admit) (there bool) {
 	now := q.node.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.ledger.Withdraw(now, a.Team, a.Cost)
+	_, there = q.waiting[key]
+	delete(q.waiting, key)
+	return there
 }
 
 // charge takes a request's units from the ledger, or says when they are there.
-func (q *quotas) charge(from coord.VMID, a *schema.Admit) (ok bool, wait time.Duration) {
+func (q *quotas) charge(key coord.RequestKey, a *schema.Admit) (ok bool, wait time.Duration) {
 	now := q.node.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -190,7 +204,7 @@
 		return false, wait
 	}
 	q.count(a.Team, a.Cost, true)
-	q.charged[coord.RequestKey{VM: from, Ticket: a.Ticket}] = charge{
+	q.charged[key] = charge{
 		team: a.Team, cost: a.Cost, expires: now.Add(time.Duration(a.LeftMs)*time.Millisecond + chargeGrace),
 	}
 	return true, 0
@@ -210,6 +224,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	key := coord.RequestKey{VM: from, Ticket: ticket}
+	if left := q.waiting[key]; left != nil {
+		delete(q.waiting, key)
+		close(left)
+	}
 	c, held := q.charged[key]
 	if !held {
 		return
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -109,6 +109,10 @@
 		}
 		assert.Equal(t, time.Since(at), 2*time.Second, "nothing waits")
 		n.quotas.setActing(true)
+		go func() { verdicts <- ask(19) }()
+		synctest.Wait()
+		n.quotas.ended("b", 19, false)
+		assert.Equal(t, (<-verdicts).Reason, "verdict_timeout", "its caller has left")
 		go func() { verdicts <- ask(20) }()
 		synctest.Wait()
 		n.acting.Store(new(coord.VMID("b")))
