Test a forged bundle with chunks of its own

Traced: the forged bundle had the same content as the damaged one before it and so published its chunks whole. A VM that had read the damaged bundle's manifest, signed by the operators, and asked for its chunk after that, rightly put it in force.

The check is as strict: the version in force, now compared for each VM, after a damaged and a forged bundle were refused; the forged one carries content that is nowhere else.

--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -331,11 +331,16 @@
 		}
 	}
 	eventually(t, "the damaged bundle to be refused", refused(1))
+	// Its chunks are others than those of the damaged bundle, which is signed by the operators and
+	// rightly comes into force where a VM finds its chunks whole.
+	c.Bundle().Adapters[0].Versions = []string{"v1", "v9"}
 	forged, err := SignedValues(c.Bundle(), c.Version()+2, newPrivateKey(t))
 	assert.NilError(t, err)
 	c.Platform.Publish(forged)
 	eventually(t, "the forged bundle to be refused", refused(2))
-	assert.Assert(t, inForce())
+	for _, vm := range c.VMs {
+		assert.Equal(t, vm.Node.Status().BundleVersion, c.Version(), vm.ID)
+	}
 	assert.NilError(t, c.chat(t.Context(), 2, c.Bundle().Adapters[0].Name+"@v7", "still there", false))
 }
 
