Keep waiting requests and give their verdicts in one place

The line of plain calls and the scheduler each kept a map of channels, looked a request up, took it out, put the target's address in and sent the verdict. Both use waiters (verdicts.go) now, which holds awaitVerdict as well. Found when the change was read once more; behaviour the same.

--- a/internal/edge/lines.go
+++ b/internal/edge/lines.go
@@ -29,7 +29,7 @@
 type plainLine struct {
 	service string
 	l       *line.Line
-	waiters map[line.Key]chan *schema.Verdict
+	waiters waiters
 	// targets that take requests, and usable the same for the line.
 	targets map[string]*fleet.Target
 	usable  []line.Target
@@ -52,7 +52,7 @@
 		}
 		pl := ls.services[name]
 		if pl == nil {
-			pl = &plainLine{service: name, l: line.New(), waiters: map[line.Key]chan *schema.Verdict{}}
+			pl = &plainLine{service: name, l: line.New(), waiters: waiters{}}
 			ls.services[name] = pl
 		}
 		pl.targets, pl.usable, pl.revision = map[string]*fleet.Target{}, nil, d.Revision
@@ -105,14 +105,13 @@
 func (ls *lines) admit(ctx context.Context, from coord.VMID, a *schema.Admit) *schema.Verdict {
 	now := ls.node.now()
 	key := line.Key{VM: from, Ticket: a.Ticket}
-	verdict := make(chan *schema.Verdict, 1)
 	ls.mu.Lock()
 	pl := ls.services[a.Service]
 	if pl == nil {
 		ls.mu.Unlock()
 		return refusal(line.ReasonNoTarget, unknownPause)
 	}
-	pl.waiters[key] = verdict
+	verdict := pl.waiters.add(key)
 	r := line.Request{
 		Key: key, Zone: a.Zone, Priority: int(a.Priority), Exclude: a.Exclude, Deadline: now.Add(time.Duration(a.LeftMs) * time.Millisecond),
 	}
@@ -147,20 +146,11 @@
 // answer gives verdicts to those who wait. ls.mu is held.
 func (ls *lines) answer(pl *plainLine, acts []line.Action) {
 	for _, a := range acts {
-		waiter := pl.waiters[a.Key]
-		if waiter == nil {
-			continue
-		}
-		delete(pl.waiters, a.Key)
-		v := &schema.Verdict{
+		answered := pl.waiters.answer(a.Key, pl.targets, &schema.Verdict{
 			Target: a.Target, RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
 			FeedRevision: pl.revision, FeedAgeMs: ls.node.feed.Age().Milliseconds(),
-		}
-		if t := pl.targets[a.Target]; t != nil {
-			v.Address = t.Address
-		}
-		waiter <- v
-		if a.Target == "" && a.Reason != scheduler.ReasonMoved {
+		})
+		if answered && a.Target == "" && a.Reason != scheduler.ReasonMoved {
 			ls.node.log.LineRefused(string(a.Key.VM), a.Key.Ticket, pl.service, a.Reason, pl.l.Stats())
 		}
 	}
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -30,7 +30,7 @@
 type schedule struct {
 	service string
 	s       *scheduler.Scheduler
-	waiters map[scheduler.Key]chan *schema.Verdict
+	waiters waiters
 	targets map[string]*fleet.Target
 	// revision of the store that targets show.
 	revision uint64
@@ -61,7 +61,7 @@
 	cfg := schedulerConfig(engine, ss.node.settings.Orders.LoadOver)
 	sc := ss.services[name]
 	if sc == nil {
-		sc = &schedule{service: name, s: scheduler.New(cfg), waiters: map[scheduler.Key]chan *schema.Verdict{}}
+		sc = &schedule{service: name, s: scheduler.New(cfg), waiters: waiters{}}
 		ss.services[name] = sc
 		sc.s.SetActing(now, ss.acting, nil)
 		sc.s.SetLease(now, ss.fence)
@@ -198,14 +198,13 @@
 func (ss *schedules) admit(ctx context.Context, from coord.VMID, a *schema.Admit) *schema.Verdict {
 	now := ss.node.now()
 	key := scheduler.Key{VM: from, Ticket: a.Ticket}
-	verdict := make(chan *schema.Verdict, 1)
 	ss.mu.Lock()
 	sc := ss.services[a.Service]
 	if sc == nil {
 		ss.mu.Unlock()
 		return refusal("no_scheduler", unknownPause)
 	}
-	sc.waiters[key] = verdict
+	verdict := sc.waiters.add(key)
 	work := ss.carryOut(sc, sc.s.Submit(now, requestFromProto(now, key, a)))
 	ss.mu.Unlock()
 	runAll(work)
@@ -214,26 +213,6 @@
 	})
 }
 
-// awaitVerdict waits for the verdict on a request of the given time. When the context ends
-// first, the request is withdrawn.
-func (n *Node) awaitVerdict(ctx context.Context, asked time.Time, verdict <-chan *schema.Verdict, withdraw func()) *schema.Verdict {
-	select {
-	case v := <-verdict:
-		v.WaitedMs = n.now().Sub(asked).Milliseconds()
-		return v
-	case <-ctx.Done():
-		withdraw()
-		return refusal("verdict_timeout", unknownPause)
-	}
-}
-
-// unknownPause is when to come back if no verdict could be had.
-const unknownPause = 300 * time.Millisecond
-
-func refusal(reason string, retry time.Duration) *schema.Verdict {
-	return &schema.Verdict{Reason: reason, RetryAfterMs: retry.Milliseconds()}
-}
-
 func requestFromProto(now time.Time, key scheduler.Key, a *schema.Admit) scheduler.Request {
 	r := scheduler.Request{
 		Key: key, Ref: coord.AdapterRef{Model: a.Model, Adapter: a.Adapter},
@@ -303,17 +282,8 @@
 
 // verdict answers the VM that waits for it. age is that of this VM's copy of the store.
 func (sc *schedule) verdict(a scheduler.Action, age time.Duration) {
-	waiter := sc.waiters[a.Key]
-	if waiter == nil {
-		return
-	}
-	delete(sc.waiters, a.Key)
-	v := &schema.Verdict{
+	sc.waiters.answer(a.Key, sc.targets, &schema.Verdict{
 		Target: a.Target, AdapterVersion: a.Version, Priority: int32(a.Priority), RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
 		FeedRevision: sc.revision, FeedAgeMs: age.Milliseconds(),
-	}
-	if t := sc.targets[a.Target]; t != nil {
-		v.Address = t.Address
-	}
-	waiter <- v
+	})
 }
