Put limits in force in one place for ledger and reserve

SetLimits and configure stood in both and differed in the terms of a bucket alone, which are a function of the accounts now.

--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -156,13 +156,9 @@
 
 // NewLedger returns a ledger in which each team begins with nothing.
 func NewLedger(room Room) *Ledger {
-	return &Ledger{accounts: newAccounts(room), share: 1}
-}
-
-// SetLimits puts limits in force. Teams that are gone, or have no limit any more, are forgotten.
-func (l *Ledger) SetLimits(now time.Time, limits map[string]Limit) {
-	l.replace(limits)
-	l.configure(now)
+	l := &Ledger{accounts: newAccounts(room), share: 1}
+	l.accounts.terms = l.terms
+	return l
 }
 
 // SetShare says which part of the fleet the ledger hears.
@@ -174,10 +170,8 @@
 	l.configure(now)
 }
 
-func (l *Ledger) configure(now time.Time) {
-	l.each(now, func(b *bucket, limit Limit) {
-		b.set(now, l.share*l.room.perSecond(limit), l.room.ledgerHolds(limit))
-	})
+func (l *Ledger) terms(limit Limit) (rate, holds float64) {
+	return l.share * l.room.perSecond(limit), l.room.ledgerHolds(limit)
 }
 
 // Take charges a request of a team. A team with anything left may take a request that costs
--- a/coord/quota/reserve.go
+++ b/coord/quota/reserve.go
@@ -38,12 +38,10 @@
 )
 
 // NewReserve returns the reserve of a VM that does not know its fleet yet: it holds nothing.
-func NewReserve(room Room) *Reserve { return &Reserve{accounts: newAccounts(room)} }
-
-// SetLimits puts limits in force.
-func (r *Reserve) SetLimits(now time.Time, limits map[string]Limit) {
-	r.replace(limits)
-	r.configure(now)
+func NewReserve(room Room) *Reserve {
+	r := &Reserve{accounts: newAccounts(room)}
+	r.accounts.terms = r.terms
+	return r
 }
 
 // SetFleet says how many VMs share the limits, 0 if it is not known, and after which silence the
@@ -79,15 +77,6 @@
 	}
 }
 
-func (r *Reserve) configure(now time.Time) {
-	r.each(now, func(b *bucket, limit Limit) {
-		rate, holds := r.terms(limit)
-		b.set(now, rate, holds)
-	})
-}
-
-// terms are how fast the account of a team with this limit fills, in units a second, and what
-// it holds.
 func (r *Reserve) terms(limit Limit) (rate, holds float64) {
 	if r.vms == 0 {
 		return 0, 0
