Count all of a body in the digest of a request

Callers could see: a request that crashes its targets goes through the whole fleet as long as another one, equal but for some bytes in the middle of a long body, runs well. Cause: the digest counted the first and the last 2 KB of a body and its length. Requests of 7.7 KB that share the begin of a prompt and its end had one digest; each good end of one cleared the other of what had been found. Evidence: TestLongBodiesThatDifferInOneByte fails before (equal digests) and passes after.

--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -8,14 +8,10 @@
 	"github.com/junctionfold/junctionfold/coord/quarantine"
 )
 
-// sampled is how much of a longer body its beginning and its end count, in bytes each: its
-// length and the parts of its prompt count as well, and a digest of megabytes would take ms.
-const sampled = 2 << 10
-
 // content is the digest of what the request asks, without what differs between attempts: ids,
 // deadlines, keys, how much of an answer the caller has. 128 bits of SHA-256, so that nobody
-// can make another content of the same digest from what is counted. With a body of 10 KB it
-// takes 3.5 us; all of that body would take 8.3, and 6.2 with BLAKE3 (BenchmarkContent).
+// can make another content of the same digest. All of the body counts: one that crashes targets
+// may differ in a byte from others that run well.
 func (x *exchange) content() (d quarantine.Digest) {
 	h := sha256.New()
 	for _, part := range []string{x.r.Method, x.r.Host, x.target, x.req.Adapter.Model, x.req.Adapter.Adapter} {
@@ -29,12 +25,7 @@
 	binary.BigEndian.PutUint64(figures[8:16], uint64(x.req.OutputTokens))
 	binary.BigEndian.PutUint64(figures[16:], uint64(len(x.body)))
 	_, _ = h.Write(figures[:]) // a hash takes all
-	begin, end := x.body, []byte(nil)
-	if len(x.body) > 2*sampled {
-		begin, end = x.body[:sampled], x.body[len(x.body)-sampled:]
-	}
-	_, _ = h.Write(begin) // the same
-	_, _ = h.Write(end)
+	_, _ = h.Write(x.body) // the same
 	var sum [sha256.Size]byte
 	copy(d[:], h.Sum(sum[:0]))
 	return d
--- a/internal/gateway/content_test.go
+++ b/internal/gateway/content_test.go
@@ -35,6 +35,17 @@
 	}
 }
 
+// TestLongBodiesThatDifferInOneByte: one that runs well must not clear one that crashes targets.
+func TestLongBodiesThatDifferInOneByte(t *testing.T) {
+	content := func(middle byte) quarantine.Digest {
+		x := &exchange{r: &http.Request{Method: "POST", Host: "h.example"}, target: "/a/b", body: make([]byte, 10<<10)}
+		x.body[len(x.body)/2] = middle
+		return x.content()
+	}
+	assert.Assert(t, content(0) != content(1))
+	assert.Equal(t, content(1), content(1))
+}
+
 // TestBrokenConnectionsAreTold: they may be the end of a target; answers that are late, odd or
 // foreign are not.
 func TestBrokenConnectionsAreTold(t *testing.T) {
