Make room for new suspects when the table of contents is full

Callers could see: after a few losses of many engines, a request that crashes its targets goes through the whole fleet, as if nothing held such requests. Cause: a content under which a target ended was not taken down where 4,096 were known already, and suspects stay for ten minutes. A loss of a quarter of 1,500 engines with 12 requests each leaves 4,500. Evidence: TestContentAfterAFloodOfSuspects, before: 10 targets end in 10 tries; after: 3 at most. Ways: dropping one at each addition looks through all for each; half of them at once, in the order of what matters least (suspects before held ones, few ends, the oldest), is one sort of 4,096 for 2,048 additions.

--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -55,8 +55,9 @@
 	// for somebody to look, and not for ever, since targets are mended.
 	holdTime = 10 * time.Minute
 	longHold = 24 * time.Hour
-	// maxContents bounds the suspects, and maxInnocent the contents that ended well: some
-	// minutes of a heavy day. 24 bytes and a map's place each.
+	// maxContents bounds the suspects; the half that matters least goes when it is reached.
+	// maxInnocent bounds the contents that ended well: some minutes of a heavy day. 24 bytes and
+	// a map's place each.
 	maxContents = 4096
 	maxInnocent = 16384
 	// trialTime is how long the one request of suspect content may take before another may
@@ -214,8 +215,8 @@
 // expectEnd makes content suspect until it is known whether its target ended: an attempt that
 // goes on with a broken stream comes at once, and is the one that may run.
 func (t *Table) expectEnd(now time.Time, d Digest) {
-	if t.contents[d] == nil && !t.innocent.has(d) && len(t.contents) < maxContents {
-		t.contents[d] = &content{since: now, last: now}
+	if t.contents[d] == nil && !t.innocent.has(d) {
+		t.add(d, &content{since: now, last: now})
 	}
 }
 
@@ -290,11 +291,8 @@
 func (t *Table) addEnd(now time.Time, d Digest, target string, only bool) bool {
 	c := t.contents[d]
 	if c == nil {
-		if len(t.contents) >= maxContents {
-			return false
-		}
 		c = &content{since: now}
-		t.contents[d] = c
+		t.add(d, c)
 	}
 	if slices.Contains(c.targets, target) {
 		return false
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -177,6 +177,23 @@
 	assert.Equal(t, len(table.Findings(at(0))), 0)
 }
 
+// TestContentAfterAFloodOfSuspects: a table full of suspects must not let new content crash targets.
+func TestContentAfterAFloodOfSuspects(t *testing.T) {
+	table := New()
+	for n := range maxContents {
+		table.Learn(at(n), Finding{Digest: digest(1000 + n), Targets: []string{"gone"}})
+	}
+	ends := 0
+	for k := range 10 {
+		if begin(table, at(10_000+1000*k), k, 0, fmt.Sprint(k)) {
+			ends++
+			crash(table, at(10_100+1000*k), k)
+		}
+	}
+	assert.Assert(t, ends <= heldAfter, "%d targets ended", ends)
+	assert.Assert(t, len(table.contents) <= maxContents)
+}
+
 // TestRandomFleets: several guilty contents among many, crashes of other causes, lost answers,
 // a deciding VM that changes. At most three targets end under a guilty content, and no innocent
 // one is held.
