Suspect content that ended well before when targets end under it one after the other

Callers could see: a request that used to run well and crashes its targets from some moment on (after a new version of an adapter, say) goes through the whole fleet without end. Cause: content that ended well was innocent until 8,192 others had; no end of a target counted against it. Change: a first end is taken down without any restriction; a second one under a request that began after the first, with no good end in between, makes the content suspect with two ends, and the third holds it. Targets that end at one moment count once. Evidence: TestContentThatRanWellBeginsToCrash, before: 10 targets end in 10 tries; after: 3. Two new rows of TestNotEvidence (many targets at once; ends between good ends) hold before and after. Ways: to drop the innocence at the first end holds back what many ask for after each loss of engines until one ran well; counting ends without their order holds it in one loss of three engines. Also: content.go is formatted.

--- a/coord/quarantine/findings.go
+++ b/coord/quarantine/findings.go
@@ -31,7 +31,7 @@
 func (t *Table) Findings(now time.Time) []Finding {
 	out := make([]Finding, 0, len(t.contents))
 	for d, c := range t.contents {
-		if len(c.targets) > 0 {
+		if len(c.targets) > 0 && !c.trusted {
 			out = append(out, t.finding(now, d))
 		}
 	}
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -8,8 +8,8 @@
 //
 //   - a target has ended if at least half of what ran there broke off within settleTime; single
 //     broken answers are lost ones;
-//   - content that ended well lately is innocent, whatever it was beside: what crashes a
-//     process does so each time;
+//   - content that ended well lately is innocent, whatever it was beside, until targets have
+//     ended under two of its requests one after the other and none ended well in between;
 //   - content under which one target ended is suspect: one such request runs at a time over the
 //     whole fleet, at a target where no other suspect runs, until it ends well;
 //   - content under which three ended is held, or two if nothing else that may be guilty ran
@@ -83,6 +83,8 @@
 	last    time.Time
 	// heldUntil is zero for suspects.
 	heldUntil time.Time
+	// trusted says that it ended well before, and that one end is not enough to suspect it.
+	trusted bool
 	// trial is the request that runs as the only one, from trialAt on.
 	trial   Key
 	trialAt time.Time
@@ -92,13 +94,14 @@
 type run struct {
 	digest Digest
 	target string
+	began  time.Time
 }
 
 // incident is what broke off at one target.
 type incident struct {
 	at     time.Time
 	ran    int
-	broken []Digest
+	broken []run
 }
 
 // Table is what one VM knows.
@@ -121,7 +124,7 @@
 
 // Check reports whether a request may run now; else why not, and when to come back.
 func (t *Table) Check(now time.Time, key Key, d Digest) (reason string, retry time.Duration) {
-	c := t.contents[d]
+	c := t.suspect(d)
 	if c == nil {
 		return "", 0
 	}
@@ -138,11 +141,19 @@
 	return "", 0
 }
 
+// suspect returns what is known of a content that is suspect or held, or nil.
+func (t *Table) suspect(d Digest) *content {
+	if c := t.contents[d]; c != nil && !c.trusted {
+		return c
+	}
+	return nil
+}
+
 // unsettled counts the targets that may just have ended under a content.
 func (t *Table) unsettled(d Digest) int {
 	n := 0
 	for _, inc := range t.incidents {
-		if slices.Contains(inc.broken, d) {
+		if slices.ContainsFunc(inc.broken, func(r run) bool { return r.digest == d }) {
 			n++
 		}
 	}
@@ -152,7 +163,7 @@
 // Avoid lists the targets where suspects run: a suspect that ran beside another one would
 // share its guilt.
 func (t *Table) Avoid(d Digest) (targets []string) {
-	if t.contents[d] == nil {
+	if t.suspect(d) == nil {
 		return nil
 	}
 	for _, c := range t.contents {
@@ -166,7 +177,7 @@
 // Alone is Check for a VM that nobody gives verdicts: it cannot know of other requests of
 // suspect content, so none may run.
 func (t *Table) Alone(now time.Time, d Digest) (reason string, retry time.Duration) {
-	c := t.contents[d]
+	c := t.suspect(d)
 	switch {
 	case c == nil:
 		return "", 0
@@ -177,11 +188,11 @@
 }
 
 // Began takes that a request is sent to a target.
-func (t *Table) Began(key Key, d Digest, target string) {
+func (t *Table) Began(now time.Time, key Key, d Digest, target string) {
 	if d == (Digest{}) {
 		return
 	}
-	t.runs[key] = run{digest: d, target: target}
+	t.runs[key] = run{digest: d, target: target, began: now}
 	t.atTarget[target]++
 	t.running[d]++
 }
@@ -206,7 +217,7 @@
 			inc = &incident{at: now, ran: ran}
 			t.incidents[r.target] = inc
 		}
-		inc.broken = append(inc.broken, r.digest)
+		inc.broken = append(inc.broken, r)
 		t.expectEnd(now, r.digest)
 	}
 	t.freeTrial(key)
@@ -258,12 +269,12 @@
 		delete(t.incidents, target)
 		ended := float64(len(inc.broken)) >= brokenShare*float64(inc.ran)
 		only := t.candidates(inc) == 1
-		for _, d := range inc.broken {
-			if c := t.contents[d]; !ended && c != nil && len(c.targets) == 0 {
-				delete(t.contents, d)
+		for _, r := range inc.broken {
+			if c := t.contents[r.digest]; !ended && c != nil && len(c.targets) == 0 {
+				delete(t.contents, r.digest)
 			}
-			if ended && !t.innocent.has(d) && t.addEnd(now, d, target, only) {
-				found = append(found, t.finding(now, d))
+			if ended && t.judge(now, r, only) {
+				found = append(found, t.finding(now, r.digest))
 			}
 		}
 	}
@@ -278,14 +289,32 @@
 // candidates counts the contents among what broke off that have not ended well lately.
 func (t *Table) candidates(inc *incident) int {
 	seen := map[Digest]bool{}
-	for _, d := range inc.broken {
-		if !t.innocent.has(d) {
-			seen[d] = true
+	for _, r := range inc.broken {
+		if !t.innocent.has(r.digest) {
+			seen[r.digest] = true
 		}
 	}
 	return len(seen)
 }
 
+// judge takes a run that broke off as its target ended, alone in question there or not. It
+// reports whether that tells something new of its content.
+func (t *Table) judge(now time.Time, r run, only bool) bool {
+	if !t.innocent.has(r.digest) {
+		return t.addEnd(now, r.digest, r.target, only)
+	}
+	c := t.contents[r.digest]
+	switch {
+	case c == nil:
+		t.add(r.digest, &content{since: now, last: now, targets: []string{r.target}, trusted: true})
+		return false
+	case c.trusted && !r.began.After(c.last):
+		return false // many targets ended at one moment, which says nothing of what they ran
+	}
+	t.innocent.remove(r.digest)
+	return t.addEnd(now, r.digest, r.target, false)
+}
+
 // addEnd takes that a target ended under a content, as the only candidate there or not, and
 // reports whether that is new.
 func (t *Table) addEnd(now time.Time, d Digest, target string, only bool) bool {
@@ -299,6 +328,7 @@
 	}
 	c.targets = append(c.targets, target)
 	c.last = now
+	c.trusted = false
 	switch {
 	case !c.heldUntil.IsZero():
 		c.heldUntil = now.Add(longHold)
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -29,7 +29,7 @@
 	if reason, _ := t.Check(now, key(k), digest(content)); reason != "" {
 		return false
 	}
-	t.Began(key(k), digest(content), target)
+	t.Began(now, key(k), digest(content), target)
 	return true
 }
 
@@ -111,6 +111,28 @@
 			begin(table, at(10), 2, 0, "a")
 			crash(table, at(20), 2)
 		}},
+		{"many targets end at once under content that ended well", func(table *Table) {
+			begin(table, at(0), 1, 0, "a")
+			table.Ended(at(5), key(1), true, false)
+			for k := 2; k < 8; k++ {
+				begin(table, at(10), k, 0, fmt.Sprint(k))
+			}
+			for k := 2; k < 8; k++ {
+				table.Ended(at(10*k), key(k), false, true)
+				table.Tick(at(10 * k))
+			}
+			for ms := 100; ms < 1000; ms += 20 {
+				table.Tick(at(ms))
+			}
+		}},
+		{"a target ends under content that ended well before and after", func(table *Table) {
+			for k := range 10 {
+				begin(table, at(1000*k), 2*k, 0, "a")
+				table.Ended(at(1000*k+5), key(2*k), true, false)
+				begin(table, at(1000*k+10), 2*k+1, 0, "b")
+				crash(table, at(1000*k+20), 2*k+1)
+			}
+		}},
 		{"the caller left", func(table *Table) {
 			begin(table, at(0), 1, 0, "a")
 			table.Ended(at(5), key(1), false, false)
@@ -123,7 +145,7 @@
 			table.Tick(at(500))
 		}},
 		{"a request without a digest", func(table *Table) {
-			table.Began(key(1), Digest{}, "a")
+			table.Began(at(0), key(1), Digest{}, "a")
 			crash(table, at(5), 1)
 		}},
 	} {
@@ -177,6 +199,23 @@
 	assert.Equal(t, len(table.Findings(at(0))), 0)
 }
 
+// TestContentThatRanWellBeginsToCrash: what ended well once must not be sent on for ever.
+func TestContentThatRanWellBeginsToCrash(t *testing.T) {
+	table := New()
+	begin(table, at(0), 1, 0, "a")
+	table.Ended(at(5), key(1), true, false)
+	ends := 0
+	for k := 2; k < 12; k++ {
+		if begin(table, at(1000*k), k, 0, fmt.Sprint(k)) {
+			ends++
+			crash(table, at(1000*k+100), k)
+		}
+	}
+	assert.Equal(t, ends, heldAfter)
+	reason, _ := table.Check(at(12_000), key(20), digest(0))
+	assert.Equal(t, reason, ReasonHeld)
+}
+
 // TestContentAfterAFloodOfSuspects: a table full of suspects must not let new content crash targets.
 func TestContentAfterAFloodOfSuspects(t *testing.T) {
 	table := New()
@@ -278,7 +317,7 @@
 				}
 				for name, rs := range running {
 					for _, r := range rs {
-						other.Began(key(r.k), digest(r.content), name)
+						other.Began(now, key(r.k), digest(r.content), name)
 					}
 				}
 				table = other
@@ -303,7 +342,7 @@
 	for n := 0; b.Loop(); n++ {
 		d := digest(1000 + n%5000)
 		table.Check(start, key(n), d)
-		table.Began(key(n), d, "t")
+		table.Began(start, key(n), d, "t")
 		table.Ended(start, key(n), true, false)
 	}
 	_ = coord.VMID("")
--- a/coord/quarantine/recent.go
+++ b/coord/quarantine/recent.go
@@ -11,3 +11,8 @@
 }
 
 func (r *recent) has(d Digest) bool { return r.now[d] || r.before[d] }
+
+func (r *recent) remove(d Digest) {
+	delete(r.now, d)
+	delete(r.before, d)
+}
--- a/internal/edge/contents.go
+++ b/internal/edge/contents.go
@@ -59,7 +59,7 @@
 func (c *contents) began(from coord.VMID, ticket uint64, content []byte, target string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.Began(quarantine.Key{VM: from, Ticket: ticket}, digestOf(content), target)
+	c.table.Began(c.node.now(), quarantine.Key{VM: from, Ticket: ticket}, digestOf(content), target)
 }
 
 // ended takes the end of a request.
--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -25,7 +25,7 @@
 	binary.BigEndian.PutUint64(figures[8:16], uint64(x.req.OutputTokens))
 	binary.BigEndian.PutUint64(figures[16:], uint64(len(x.body)))
 	_, _ = h.Write(figures[:]) // a hash takes all
-	_, _ = h.Write(x.body) // the same
+	_, _ = h.Write(x.body)     // the same
 	var sum [sha256.Size]byte
 	copy(d[:], h.Sum(sum[:0]))
 	return d
