Let a VM that gets no verdicts see what ends under its own requests

Callers could see: while VMs are cut off from each other, or the deciding one is away, a request that crashes its targets goes from one to the next through each of them. Cause: what broke off was taken down by the VM that gave the verdict only. One that placed its requests by itself began no entry for them, so that their ends were of no known request, and nothing was suspect there. Change: Admission.Chosen takes each target that was chosen without a verdict, and ends of such plain requests are told as well. A VM that is heard again is told what is known, as one that starts is. Evidence: TestVMAloneLetsACrashingRequestThrough, before: 10 ends in 10 tries, at engines and at plain targets; after: 1. Tests changed: the stand-in of admissions has Chosen, and takes down ends of plain requests that got verdicts only, as before.

--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -136,7 +136,7 @@
 // onRosterChanges logs what changed and lets go of VMs that are away.
 func (n *Node) onRosterChanges(changes []roster.Change) {
 	for _, c := range changes {
-		if c.Restarted != 0 || c.Old == "" {
+		if c.Restarted != 0 || c.Old == "" || c.Old == roster.Suspect.String() {
 			n.contents.tellTo(c.VM)
 		}
 		n.log.PeerChanged(string(c.VM), c.Old, c.New, c.Silent)
--- a/internal/edge/decide.go
+++ b/internal/edge/decide.go
@@ -67,9 +67,13 @@
 		return v
 	}
 	if r.Plain {
-		return gateway.Verdict{Service: r.Service, Alone: true}
+		return gateway.Verdict{Service: r.Service, From: n.settings.Vm.Id, Ticket: n.tickets.Add(1), Alone: true}
 	}
-	return n.lastKnown(r)
+	v := n.lastKnown(r)
+	if v.Target != "" {
+		(*admission)(n).Chosen(v, r.Content)
+	}
+	return v
 }
 
 // alonePause is when to come back to a VM whose part of a quota is used up: the next VM is
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -20,6 +20,9 @@
 	// First tells that the first event of a granted request has come. It does not
 	// wait.
 	First(v Verdict)
+	// Chosen tells which target this VM chose for a request that nobody gave a verdict on. Done
+	// or DonePlain must follow.
+	Chosen(v Verdict, content quarantine.Digest)
 	// DonePlain tells how a request ended that was granted a target of a plain service, and
 	// how long it took there. It does not wait.
 	DonePlain(v Verdict, how balance.Ending, took time.Duration)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/quarantine"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
@@ -174,7 +175,12 @@
 
 func (a *fixedAdmission) First(Verdict) {}
 
-func (a *fixedAdmission) DonePlain(_ Verdict, how balance.Ending, _ time.Duration) {
+func (a *fixedAdmission) Chosen(Verdict, quarantine.Digest) {}
+
+func (a *fixedAdmission) DonePlain(v Verdict, how balance.Ending, _ time.Duration) {
+	if v.Alone {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.plainEndings = append(a.plainEndings, how)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -93,6 +93,9 @@
 	if v.Alone {
 		x.pickAlone(&v, exclude)
 	}
+	if v.Alone && v.Target != "" {
+		x.g.cfg.Admission.Chosen(v, x.digest)
+	}
 	return v
 }
 
@@ -118,9 +121,7 @@
 // learnPlain takes the end of an attempt: for the VM that chose the target, and for this one's
 // own choices.
 func (x *exchange) learnPlain(v Verdict, how balance.Ending, took time.Duration) {
-	if !v.Alone {
-		x.g.cfg.Admission.DonePlain(v, how, took)
-	}
+	x.g.cfg.Admission.DonePlain(v, how, took)
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	if !v.Alone {
