Read and log what targets say of themselves beside their answers

Sight for two incidents: requests that reached a target after an answer had said that it leaves, and after it had asked for rest. The logs had no line of either, so that 'not read', 'read but not told to the VM that decides' and 'taken back by the store' could not be told apart. The codec now reads both from each answer to a request, an order or a report, whatever its status, and target_said logs it. Nothing acts on it yet.

--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -18,15 +18,17 @@
 // order gives one order and feeds the answer back.
 func (ss *schedules) order(sc *schedule, t *fleet.Target, a scheduler.Action) {
 	n := ss.node
-	result, err := fleet.OrderConflict, errLeaseOver // as if not taken
+	answer, err := fleet.OrderAnswer{Result: fleet.OrderConflict}, errLeaseOver // as if not taken
 	began := n.now()
 	fence := n.orderFence()
 	if fence == a.Fence {
-		result, err = n.platform.Engines.Order(context.Background(), fleet.Order{
+		answer, err = n.platform.Engines.Order(context.Background(), fleet.Order{
 			Target: t.ID, Address: t.Address, Unload: a.Kind == scheduler.ActUnload, Ref: a.Ref,
 			Version: a.Version, Holder: n.settings.Vm.Id, Fence: fence, Expect: a.Expect,
 		})
 	}
+	n.targetSaid(t.ID, answer.Notice)
+	result := answer.Result
 	n.logOrder(t, a, fence, result, err, n.now().Sub(began))
 	if result == fleet.OrderFenced {
 		n.mu.Lock()
@@ -77,6 +79,7 @@
 // incarnation asked for is gone; that of an earlier one says nothing.
 func (ss *schedules) read(sc *schedule, t *fleet.Target) {
 	report, err := ss.node.platform.Engines.Report(context.Background(), t.ID, t.Address)
+	ss.node.targetSaid(t.ID, report.Notice)
 	another := err == nil && t.Started != 0 && report.Started != 0 && report.Started != t.Started
 	if another {
 		err = errReborn
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -20,9 +20,9 @@
 // countingEngines counts the orders that reach engines.
 type countingEngines struct{ orders int }
 
-func (e *countingEngines) Order(context.Context, fleet.Order) (fleet.OrderResult, error) {
+func (e *countingEngines) Order(context.Context, fleet.Order) (fleet.OrderAnswer, error) {
 	e.orders++
-	return fleet.OrderBegun, nil
+	return fleet.OrderAnswer{Result: fleet.OrderBegun}, nil
 }
 
 func (e *countingEngines) Report(context.Context, string, string) (fleet.Report, error) {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -237,6 +237,12 @@
 	})
 }
 
+// TargetSaid says what a target said of itself beside an answer: that it leaves, or for how long it
+// wants no requests from this VM.
+func (l *Log) TargetSaid(target string, leaving bool, rest time.Duration) {
+	l.info("target_said", log.Fields{"target": target, "leaving": leaving, "rest_ms": rest.Milliseconds()})
+}
+
 // ConfigAdopted says that a configuration is in force here.
 func (l *Log) ConfigAdopted(was, is uint64, routes, services int, revision uint64) {
 	l.info("config_adopted", log.Fields{
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -285,6 +285,8 @@
 	Encode(h http.Header, c Call)
 	// Classify says what a target's answer to the request id means.
 	Classify(id string, status int, h http.Header) Class
+	// Notice reads what an answer says of its target, whatever request it is to.
+	Notice(status int, h http.Header) Notice
 	// Continues reports whether an answer can go on where another one, with the head
 	// first, broke off.
 	Continues(first, next http.Header) bool
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -44,6 +44,12 @@
 	return [...]string{"unknown", "begun", "holds", "conflict", "fenced", "misplaced", "invalid"}[r]
 }
 
+// OrderAnswer is the result of an order, with what the engine says of itself beside it.
+type OrderAnswer struct {
+	Result OrderResult
+	Notice Notice
+}
+
 // Report is what an engine says of itself when asked; it lags by some hundred ms.
 type Report struct {
 	// Started is when the engine started, as in Target.
@@ -56,10 +62,12 @@
 	Waiting int
 	// Orders is how many orders the engine has taken since its start.
 	Orders uint64
+	// Notice is what the answer says besides; it counts also beside an error.
+	Notice Notice
 }
 
 // Engines gives orders to engines and reads their reports.
 type Engines interface {
-	Order(ctx context.Context, o Order) (OrderResult, error)
+	Order(ctx context.Context, o Order) (OrderAnswer, error)
 	Report(ctx context.Context, target, address string) (Report, error)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,8 @@
 	VMs func() int
 	// Bounds are for targets that leave.
 	Bounds Bounds
+	// Heard takes what a target said of itself beside an answer. It must not wait.
+	Heard func(target string, said fleet.Notice)
 	// KeysWithin is how old a copy of the store may be to judge keys by; 0: any.
 	KeysWithin time.Duration
 	Log        *events.Log
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -90,6 +90,14 @@
 	return first.Get("Weights") == next.Get("Weights")
 }
 
+func (testCodec) Notice(_ int, h http.Header) fleet.Notice {
+	rest, err := time.ParseDuration(h.Get("Rest"))
+	if err != nil {
+		rest = 0
+	}
+	return fleet.Notice{Leaving: h.Get("Leaving") != "", Rest: rest}
+}
+
 func (testCodec) AskForKey(h http.Header) { h.Set("Ask", "key") }
 
 func (testCodec) Refuse(h http.Header, retryAfter time.Duration) {
@@ -242,6 +250,7 @@
 	x := &fixture{directory: &fixedDirectory{dir: dir}, admission: &fixedAdmission{}}
 	x.gateway = New(Config{
 		VM: "vm", Zone: "z-a", Codec: testCodec{}, Directory: x.directory, Admission: x.admission, Pool: hop.New(nil),
+		Heard: func(string, fleet.Notice) {},
 		Retry: retry.Config{Ratio: 0.2, Slack: 50}, VMs: func() int { return 1 },
 		Log: events.Discard(), Metrics: NewMetrics(), Now: time.Now,
 	})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -43,6 +43,7 @@
 		AckWithin: x.g.cfg.Bounds.InFlight,
 		Check:     func() error { return x.beforeSending(d.target, x.g.cfg.Now().Sub(began)) },
 		Mine: func(status int, h http.Header) bool {
+			x.g.cfg.Heard(d.target, x.g.cfg.Codec.Notice(status, h))
 			return x.g.cfg.Codec.Classify(x.req.ID, status, h) != fleet.Foreign
 		},
 	})
