Take a target's own word that it leaves, and tell the other VMs

Cause: only the store's entry said so, and the store took nothing for 13 s; the header was not read. Class: a fact that the answer itself brings is dropped, and waited for on a path that may be down. Change: any answer's word (to a request, an order, a report, whatever its status) makes its target draining in this VM's directory, which placing, the last look before sending and choosing without a verdict go by already. It is kept by incarnation, and no entry of the store takes it back. The VM that hears it first tells all others, and a VM that starts or is heard again is told all of them. Ways: a look at a set of its own before each use of a target would be needed at seven places; as a state of the directory it is one. Other VMs could find out by a request of their own each, which is one more request to a leaving target for each VM.

--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -138,6 +138,7 @@
 	for _, c := range changes {
 		if c.Restarted != 0 || c.Old == "" || c.Old == roster.Suspect.String() {
 			n.contents.tellTo(c.VM)
+			go n.tellLeaving(c.VM, n.feed.Leaving())
 		}
 		n.log.PeerChanged(string(c.VM), c.Old, c.New, c.Silent)
 		if c.New == roster.Suspect.String() || c.New == "" {
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -1,10 +1,32 @@
 package edge
 
-import "github.com/junctionfold/junctionfold/internal/fleet"
+import (
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/schema"
+)
 
 // targetSaid takes what a target said of itself beside an answer to this VM.
 func (n *Node) targetSaid(target string, said fleet.Notice) {
-	if said != (fleet.Notice{}) {
-		n.log.TargetSaid(target, said.Leaving, said.Rest)
+	if said.Leaving && n.feed.TargetLeaves(target) {
+		n.log.TargetSaid(target, true, said.Rest)
+		for _, vm := range n.others() {
+			go n.tellLeaving(vm, []string{target})
+		}
+	}
+}
+
+// tellLeaving tells a VM which targets said that they leave: it would find out by a request of its
+// own to each of them.
+func (n *Node) tellLeaving(vm coord.VMID, targets []string) {
+	if len(targets) > 0 {
+		n.tell(vm, &schema.Call{Body: &schema.Call_Leaving{Leaving: &schema.LeavingTargets{Targets: targets}}})
+	}
+}
+
+// heardLeaving takes what another VM heard.
+func (n *Node) heardLeaving(m *schema.LeavingTargets) {
+	for _, target := range m.Targets {
+		n.feed.TargetLeaves(target)
 	}
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -67,6 +67,9 @@
 	case *schema.Call_Suspects:
 		n.contents.learn(body.Suspects)
 		return emptyReply()
+	case *schema.Call_Leaving:
+		n.heardLeaving(body.Leaving)
+		return emptyReply()
 	case *schema.Call_Heartbeat:
 		return emptyReply()
 	}
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -6,7 +6,8 @@
 // with the higher revision stays.
 //
 // feed.go reads the store and peers.go tells and asks other VMs, copy.go takes what they
-// bring and proof.go keeps it proven where keys are judged by it; cache.go is the copy and directory.go what it means.
+// bring and proof.go keeps it proven where keys are judged by it; cache.go is the copy, directory.go
+// what it means and leaving.go what targets say of themselves beside it.
 package feed
 
 import (
--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -75,6 +75,8 @@
 	refused map[string]string
 	// away is until when removals may be lapses of the store's absence.
 	away time.Time
+	// leaving are the targets that said that they leave.
+	leaving leavers
 	// known is when the copy before the changes that are taken was known to be current.
 	known time.Time
 }
@@ -90,6 +92,7 @@
 		started:  map[string]startHeard{},
 		refused:  map[string]string{},
 		versions: map[fleet.AdapterRef]fleet.AdapterVersion{},
+		leaving:  leavers{},
 	}
 }
 
@@ -245,6 +248,7 @@
 	maps.DeleteFunc(d.started, func(key string, s startHeard) bool {
 		return d.targets[key] == nil && now.Sub(s.at) > rememberGone
 	})
+	d.leaving.expire(now, d.targets)
 	maps.DeleteFunc(d.dropped, func(_ string, at time.Time) bool { return now.Sub(at) > rememberGone })
 	return out
 }
@@ -260,7 +264,7 @@
 		out.Gone[id] = true
 	}
 	for _, t := range d.targets {
-		out.Targets[t.ID] = t
+		out.Targets[t.ID] = d.leaving.shown(t)
 	}
 	return out
 }
