Count the time in suspensions in leases, ages and deadlines

Callers could see: a VM that was suspended for seconds goes on for up to a heartbeat as if it had not been: it sends to targets that left meanwhile, judges keys by a copy that looks fresh, orders under a lease that another VM has taken over. Cause: Go's monotonic clock, by which all ages and leases are measured, stands still in a suspension. The look for standstills measures by the same clock and does not see them at all. Change: internal/clock adds the time that CLOCK_BOOTTIME went further; all of the edge role's parts that got time.Now get its time. It is looked at in each tick, and before what an old fact must not decide: a caller's request is taken, a request is sent, a verdict, an order. A request whose time passed meanwhile is not sent. Timers still run by the steady clock: they fire late, as in a freeze. Evidence: TestOrdersAreGivenUnderTheirLease (its new lines), TestKeyIsJudgedAfterASuspension and TestRequestWhoseTimePassedInASuspension have no ground to pass without it; internal/clock. Ways: each age on its own clock (the time of day may step, and is excluded by that); telling each part of a suspension as an event, which is seven places to shift; one clock for all.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/junctionfold/junctionfold/internal/clock"
 	"github.com/junctionfold/junctionfold/internal/edge"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/gateway"
@@ -52,6 +53,7 @@
 				Prefixes: platform.Prefixes(),
 				Decode:   platform.Decode,
 				Trim:     platform.Trim,
+				Clocks:   clock.System(),
 			}, metrics, l)
 			if err != nil {
 				return err
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -161,7 +161,7 @@
 	n.running.add(r, v)
 	if acting := *n.acting.Load(); acting != "" && string(acting) != v.From {
 		go n.tell(acting, &schema.Call{Body: &schema.Call_Running{Running: &schema.Running{
-			Grants: []*schema.Grant{grantMessage(r, v)},
+			Grants: []*schema.Grant{grantMessage(n.now(), r, v)},
 		}}})
 	}
 	return v
@@ -173,12 +173,12 @@
 		Model: r.Request.Adapter.Model, Adapter: r.Request.Adapter.Adapter,
 		PromptTokens: int32(r.Request.PromptTokens), OutputTokens: int32(r.Request.OutputTokens),
 		Priority: int32(r.Route.Priority), AimMs: aimMs(r),
-		LeftMs:  time.Until(r.Deadline).Milliseconds(),
+		LeftMs:  n.until(r.Deadline).Milliseconds(),
 		Exclude: r.Exclude, Resting: r.Resting, Plain: r.Plain, Team: r.Team, Cost: r.Cost, Zone: n.settings.Vm.Zone,
 		Content: r.Content[:],
 	}
 	if !r.FirstBy.IsZero() {
-		a.PatienceMs = time.Until(r.FirstBy).Milliseconds()
+		a.PatienceMs = n.until(r.FirstBy).Milliseconds()
 	}
 	for _, p := range r.Request.Parts {
 		a.Parts = append(a.Parts, &schema.PromptPart{Id: p.ID, Tokens: int32(p.Tokens)})
--- a/internal/edge/contents_test.go
+++ b/internal/edge/contents_test.go
@@ -28,8 +28,9 @@
 	t.Cleanup(log.Close)
 	n = &Node{
 		settings: &schema.EdgeSettings{Vm: &schema.EdgeVM{Id: "a"}}, log: log, metrics: gateway.NewMetrics(),
-		now: func() time.Time { return *now }, silence: newSilence(), running: newRunning(),
+		now: func() time.Time { return *now }, silence: newSilence(),
 	}
+	n.running = newRunning(n.now)
 	n.acting.Store(new(coord.VMID))
 	n.roster = roster.New(roster.Config{Start: at}, roster.Entry{ID: "a"})
 	n.quotas = newQuotas(n, &schema.EdgeQuota{})
--- a/internal/edge/decide.go
+++ b/internal/edge/decide.go
@@ -13,6 +13,7 @@
 // admit decides on a request of a VM: by its team's quota first, before anything waits or is
 // loaded for it.
 func (n *Node) admit(ctx context.Context, from coord.VMID, a *schema.Admit) *schema.Verdict {
+	n.wake()
 	if !n.acts() {
 		return refusal(scheduler.ReasonMoved, 0)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,7 +6,8 @@
 // leader.go finds who reads the store and who orders, peers.go and update.go speak with
 // other VMs. schedule.go runs the scheduler, orders.go carries out its orders, admit.go
 // asks for its verdicts, running.go remembers what runs and silence.go notices a
-// scheduler that does not answer.
+// scheduler that does not answer. wake.go notices that this VM was suspended, and notices.go takes
+// what targets say of themselves.
 package edge
 
 import (
@@ -27,6 +28,7 @@
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/internal/clock"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -44,6 +46,7 @@
 	Prefixes []string
 	Decode   func(fleet.Item) (fleet.Decoded, error)
 	Trim     func(fleet.Item) fleet.Item
+	Clocks   clock.Source
 }
 
 // Times of the fleet's own protocols.
@@ -101,7 +104,9 @@
 	settings *schema.EdgeSettings
 	log      *events.Log
 	platform Platform
-	now      func() time.Time
+	clock    *clock.Clock
+	// now is the clock's time.
+	now func() time.Time
 	// began is when the process started.
 	began time.Time
 
@@ -150,8 +155,12 @@
 
 // New builds a Node and opens its listeners.
 func New(s *schema.EdgeSettings, p Platform, metrics *gateway.Metrics, l *events.Log) (*Node, error) {
+	machine, err := clock.New(p.Clocks)
+	if err != nil {
+		l.SuspensionsUnseen(err)
+	}
 	n := &Node{
-		settings: s, inForce: s, log: l, platform: p, now: time.Now, metrics: metrics,
+		settings: s, inForce: s, log: l, platform: p, clock: machine, now: machine.Now, metrics: metrics,
 		orders: pond.NewPool(orderWorkers), reports: pond.NewPool(reportWorkers), shown: &feed.Directory{},
 	}
 	self := coord.VMID(s.Vm.Id)
@@ -178,7 +187,7 @@
 		return nil, errors.Wrap(err, "remember verdicts")
 	}
 	n.lastHomes = homes
-	n.running = newRunning()
+	n.running = newRunning(n.now)
 	n.silence = newSilence()
 	n.schedules = newSchedules(n)
 	n.lines = newLines(n)
@@ -195,11 +204,12 @@
 		OnChange:    n.onDirectory, OnGone: n.onTargetsGone, Log: l, Now: n.now,
 	})
 	n.pool = hop.New(func() { metrics.Dials.Add(1) })
+	n.pool.Now = n.now
 	n.gateway = gateway.New(gateway.Config{
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: n.pool,
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		VMs:   func() int { return int(n.vms.Load()) }, Bounds: leavingBounds(s.Times), KeysWithin: keysWithin(s.Times),
-		Heard: n.targetSaid, Log: l, Metrics: metrics, Now: n.now,
+		Heard: n.targetSaid, Wake: n.wake, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
 	return n, n.listen()
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -122,6 +122,7 @@
 
 // orderFence returns the number to order under; 0 when this VM may not order.
 func (n *Node) orderFence() uint64 {
+	n.wake()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.now().Sub(n.lastTick) > maxTickAge {
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -11,6 +11,7 @@
 	"github.com/junctionfold/junctionfold/coord/duty"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/internal/clock"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/gateway"
@@ -40,9 +41,12 @@
 	engines := &countingEngines{}
 	n := &Node{
 		settings: &schema.EdgeSettings{Vm: &schema.EdgeVM{Id: "a"}}, log: events.Discard(),
-		platform: Platform{Engines: engines}, now: func() time.Time { return now },
-		metrics: gateway.NewMetrics(), duty: m, lastTick: now,
+		platform: Platform{Engines: engines},
+		metrics:  gateway.NewMetrics(), duty: m, lastTick: now,
 	}
+	source := &suspendable{}
+	n.clock = source.clock(&now)
+	n.now = n.clock.Now
 	n.schedules = newSchedules(n)
 	sc := &schedule{s: scheduler.New(scheduler.Config{})}
 	give := func(fence uint64) int {
@@ -55,4 +59,22 @@
 	assert.Equal(t, give(m.Fence()), 1)
 	now = now.Add(2 * maxTickAge)
 	assert.Equal(t, give(m.Fence()), 1, "after a standstill")
+	n.lastTick = now
+	assert.Equal(t, give(m.Fence()), 2)
+	source.suspend(2 * maxTickAge)
+	assert.Equal(t, give(m.Fence()), 2, "after a suspension, in which the steady clock stood still")
+}
+
+// suspendable is a machine that a test suspends.
+type suspendable struct{ suspended time.Duration }
+
+func (s *suspendable) suspend(d time.Duration) { s.suspended += d }
+
+func (s *suspendable) clock(steady *time.Time) *clock.Clock {
+	start := *steady
+	c, _ := clock.New(clock.Source{
+		Steady: func() time.Time { return *steady },
+		Boot:   func() (time.Duration, error) { return steady.Sub(start) + s.suspended, nil },
+	})
+	return c
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -109,8 +109,8 @@
 	n.mu.Unlock()
 	n.updateDuty()
 	n.beatAll()
-	time.Sleep(min(acceptTime, time.Until(end)))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	time.Sleep(min(acceptTime, n.until(end)))
+	ctx, cancel := context.WithTimeout(context.Background(), n.until(end))
 	defer cancel()
 	if err := door.Shutdown(ctx); err != nil {
 		n.log.DrainIncomplete(n.gateway.Open(), err)
@@ -128,6 +128,7 @@
 			return
 		case <-ticker.C:
 		}
+		n.wake()
 		n.schedules.tick()
 		n.lines.tick()
 		n.contents.tick()
--- a/internal/edge/running.go
+++ b/internal/edge/running.go
@@ -13,6 +13,8 @@
 // running is the model requests of this VM that were granted a target. Lock order:
 // running.mu is taken alone.
 type running struct {
+	now func() time.Time
+
 	mu     sync.Mutex
 	grants map[uint64]runningGrant
 }
@@ -23,20 +25,22 @@
 	deadline time.Time
 }
 
-func newRunning() *running { return &running{grants: map[uint64]runningGrant{}} }
+func newRunning(now func() time.Time) *running {
+	return &running{now: now, grants: map[uint64]runningGrant{}}
+}
 
 func (r *running) add(a *gateway.AdmitRequest, v gateway.Verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.grants[v.Ticket] = runningGrant{deadline: a.Deadline, grant: grantMessage(a, v)}
+	r.grants[v.Ticket] = runningGrant{deadline: a.Deadline, grant: grantMessage(r.now(), a, v)}
 }
 
-func grantMessage(a *gateway.AdmitRequest, v gateway.Verdict) *schema.Grant {
+func grantMessage(now time.Time, a *gateway.AdmitRequest, v gateway.Verdict) *schema.Grant {
 	return &schema.Grant{
 		Ticket: v.Ticket, Service: v.Service, Target: v.Target,
 		Model: a.Request.Adapter.Model, Adapter: a.Request.Adapter.Adapter,
 		Tokens: int32(a.Request.PromptTokens + a.Request.OutputTokens),
-		LeftMs: time.Until(a.Deadline).Milliseconds(), Content: a.Content[:],
+		LeftMs: a.Deadline.Sub(now).Milliseconds(), Content: a.Content[:],
 	}
 }
 
@@ -50,9 +54,9 @@
 func (r *running) message() *schema.Running {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &schema.Running{Complete: true}
+	out, now := &schema.Running{Complete: true}, r.now()
 	for _, g := range r.grants {
-		g.grant.LeftMs = time.Until(g.deadline).Milliseconds()
+		g.grant.LeftMs = g.deadline.Sub(now).Milliseconds()
 		out.Grants = append(out.Grants, g.grant)
 	}
 	return out
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -308,6 +308,16 @@
 // DutyNotTaken says why it does not.
 func (l *Log) DutyNotTaken(err error) { l.warn("duty_not_taken", log.Fields{"error": text(err)}) }
 
+// Suspended says for how long this VM was suspended.
+func (l *Log) Suspended(d time.Duration) {
+	l.warn("suspended", log.Fields{"suspended_ms": d.Milliseconds()})
+}
+
+// SuspensionsUnseen says that suspensions of this VM will not be noticed.
+func (l *Log) SuspensionsUnseen(err error) {
+	l.warn("suspensions_unseen", log.Fields{"error": text(err)})
+}
+
 // Paused says that this process stood still.
 func (l *Log) Paused(limit time.Duration) {
 	l.warn("paused", log.Fields{"longer_than_ms": limit.Milliseconds()})
--- a/internal/events/names.go
+++ b/internal/events/names.go
@@ -4,9 +4,9 @@
 func Names() []string {
 	return []string{
 		"request_ended", "attempt_failed", "retry_denied", "scheduler_silent", "verdict_refused", "line_refused", "content_suspected",
-		"order_answered", "report_failed", "target_changed",
+		"order_answered", "report_failed", "target_changed", "target_said",
 		"config_adopted", "team_changed", "store_item_refused", "store_lost", "store_regained", "store_history_gone", "feed_gap",
-		"peer_changed", "scheduler_moved", "duty_changed", "duty_taken", "duty_not_taken", "paused",
+		"peer_changed", "scheduler_moved", "duty_changed", "duty_taken", "duty_not_taken", "paused", "suspended", "suspensions_unseen",
 		"started", "draining", "drain_incomplete", "stopped", "settings_reloaded", "settings_refused",
 		"peer_call_failed", "log_lines_omitted", "log_lines_dropped",
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	Bounds Bounds
 	// Heard takes what a target said of itself beside an answer. It must not wait.
 	Heard func(target string, said fleet.Notice)
+	// Wake looks whether this VM was suspended, which Now and all ages count from then on.
+	Wake func()
 	// KeysWithin is how old a copy of the store may be to judge keys by; 0: any.
 	KeysWithin time.Duration
 	Log        *events.Log
@@ -149,6 +151,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	g.cfg.Wake()
 	x := &exchange{g: g, w: w, r: r, began: g.cfg.Now()}
 	x.line.FeedAge, x.line.Proven = g.cfg.Directory.Age(), g.cfg.Directory.Proven()
 	dir := g.cfg.Directory.Directory() // after Proven, see there
@@ -161,7 +164,7 @@
 		return
 	}
 	x.header = g.cfg.Codec.Forward(r.Header, x.keyed)
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), x.left())
 	defer cancel()
 	x.ctx = ctx
 	x.choose(dir)
@@ -173,6 +176,9 @@
 	x.servePlain()
 }
 
+// left is the time until the caller or the route gives up.
+func (x *exchange) left() time.Duration { return x.deadline.Sub(x.g.cfg.Now()) }
+
 func (g *Gateway) routes(c *fleet.Config) *routeTable {
 	t := g.table.Load()
 	if t == nil || t.config != c {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -250,6 +250,7 @@
 	x := &fixture{directory: &fixedDirectory{dir: dir}, admission: &fixedAdmission{}}
 	x.gateway = New(Config{
 		VM: "vm", Zone: "z-a", Codec: testCodec{}, Directory: x.directory, Admission: x.admission, Pool: hop.New(nil),
+		Wake: func() {},
 		Heard: func(target string, said fleet.Notice) {
 			if said.Rest > 0 {
 				x.gateway.AskRest(target, said.Rest)
--- a/internal/gateway/identify_test.go
+++ b/internal/gateway/identify_test.go
@@ -4,12 +4,14 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
 // crewTeams has a team with two keys, one with a priority of its own, and a key of nobody.
@@ -37,6 +39,29 @@
 	return x
 }
 
+// TestKeyIsJudgedAfterASuspension by a copy that is older than the steady clock says.
+func TestKeyIsJudgedAfterASuspension(t *testing.T) {
+	x := newKeyedFixture(t, newBackend(t, "a"))
+	x.gateway.cfg.Wake = func() { x.directory.proven = 10 * time.Second }
+	answer, _ := x.send(t, "POST", "/once/x", "", "Key", "crew-key")
+	assert.Equal(t, answer.StatusCode, 503)
+}
+
+// TestRequestWhoseTimePassedInASuspension reaches no target, though its context has not ended.
+func TestRequestWhoseTimePassedInASuspension(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/once/x"} {
+		b := newBackend(t, "a")
+		x := newFixture(t, b)
+		x.admission.targets = append(x.admission.targets, b.target())
+		var suspended atomic.Int64
+		x.gateway.cfg.Now = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+		x.gateway.cfg.Pool = hop.New(func() { suspended.Store(int64(time.Minute)) })
+		answer, _ := x.send(t, "POST", path, "")
+		assert.Equal(t, answer.StatusCode, 503)
+		assert.Equal(t, b.runs(), 0)
+	}
+}
+
 // TestWhoMayAsk: which requests run, as whose, and what the others are told.
 //
 // The story: the deployment gave its teams keys and the edge role knew none. Of a quiet day's
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -14,6 +14,8 @@
 	errLeaving = errors.New("the target leaves")
 	// errOldVerdict: nobody can tell any more that the target has not left.
 	errOldVerdict = errors.New("the verdict is old, and so is this VM's copy of the store")
+	// errOver: this VM was suspended, so that the context that ends with the deadline has not ended.
+	errOver = errors.New("the time of the request is over")
 )
 
 // Bounds divide the time in which a leaving target must be left alone. The zero value
@@ -49,11 +51,14 @@
 // still for some 3 s as engines left, 18 of about 75,000 requests of three runs reached an
 // engine 3.3 s after its word, of 3 s allowed; none with this look and what is around it.
 func (x *exchange) beforeSending(target string, connect time.Duration) error {
+	x.g.cfg.Wake()
 	sent := &x.line.Sent
 	sent.Connect = connect
 	sent.Sender = x.copyOfStore()
 	sent.TargetState = x.stateOf(target)
 	switch {
+	case x.left() <= 0:
+		return x.withdrawn(errOver)
 	case x.g.isResting(target):
 		return x.withdrawn(errResting)
 	case sent.TargetState == stateGone || sent.TargetState == fleet.TargetDraining.String():
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -134,7 +134,7 @@
 
 // tryPlain makes one attempt and reads the answer whole if it is short.
 func (x *exchange) tryPlain(v Verdict, runs int) *attempt {
-	limit := time.Until(x.deadline)
+	limit := x.left()
 	if x.mayRunAgain(runs + 1) {
 		limit = min(limit, time.Duration(hangShare*float64(x.route.Objective)))
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -32,7 +31,7 @@
 	x.line.Sends++
 	x.line.Target = d.target
 	h := x.header.Clone()
-	left := time.Until(x.deadline)
+	left := x.left()
 	began := x.g.cfg.Now()
 	x.g.cfg.Codec.Encode(h, fleet.Call{
 		Target: d.target, Left: left, Priority: d.priority, AdapterVersion: d.adapterVersion, After: d.after, Team: x.teamName(),
--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -119,7 +119,7 @@
 		a.pool.discard(a.conn)
 		return
 	}
-	a.conn.expires = time.Now().Add(idleTime(a.Header))
+	a.conn.expires = a.pool.Now().Add(idleTime(a.Header))
 	a.pool.keep(a.conn)
 }
 
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -24,6 +24,8 @@
 	targets map[string]*targetConns
 	// OnDial counts new connections.
 	OnDial func()
+	// Now is the time by which kept connections expire.
+	Now func() time.Time
 	// after is time.AfterFunc.
 	after func(time.Duration, func()) *time.Timer
 }
@@ -47,7 +49,7 @@
 
 // New returns an empty Pool.
 func New(onDial func()) *Pool {
-	return &Pool{targets: map[string]*targetConns{}, OnDial: onDial, after: time.AfterFunc}
+	return &Pool{targets: map[string]*targetConns{}, OnDial: onDial, Now: time.Now, after: time.AfterFunc}
 }
 
 // get returns a kept connection, or a new one.
@@ -60,7 +62,7 @@
 		if c == nil {
 			return p.dial(ctx, r)
 		}
-		if c.stillOpen() {
+		if c.stillOpen(p.Now()) {
 			return c, nil
 		}
 		p.discard(c)
@@ -184,8 +186,8 @@
 
 // stillOpen looks for what a target sent while the connection was idle: an end,
 // or bytes that belong to no request.
-func (c *conn) stillOpen() bool {
-	if time.Now().After(c.expires) || c.reader.Buffered() > 0 {
+func (c *conn) stillOpen(now time.Time) bool {
+	if now.After(c.expires) || c.reader.Buffered() > 0 {
 		return false
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
@@ -240,7 +242,7 @@
 // keepUnused keeps a connection on which nothing was sent.
 func (p *Pool) keepUnused(c *conn) {
 	if c.expires.IsZero() {
-		c.expires = time.Now().Add(idleDefault)
+		c.expires = p.Now().Add(idleDefault)
 	}
 	p.keep(c)
 }
