End a run of suspect content at its deadline, and count one once that is told twice

Cause: the table held content back while one of its requests ran, and counted two kinds of run that never end: one that a VM told again when another VM began to decide (each telling counted), and one whose end was lost on a link. Both stood before; since content that ended well can become suspect again, they meet content that many ask for. Change: a request that is known already is not counted again, and one is forgotten half a second after its deadline, as the schedulers do. Evidence: TestRunThatIsToldTwice, TestRunWhoseEndIsLost failed before.

--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -63,6 +63,9 @@
 	// trialTime is how long the one request of suspect content may take before another may
 	// try: its VM may have died.
 	trialTime = 20 * time.Second
+	// endGrace is how long after its deadline a request counts as under way whose end nobody tells:
+	// its VM's word may be lost.
+	endGrace = 500 * time.Millisecond
 	// pause is when to come back while another request of suspect content runs.
 	pause = 500 * time.Millisecond
 )
@@ -94,7 +97,8 @@
 type run struct {
 	digest Digest
 	target string
-	began  time.Time
+	// began is when it was sent, as far as is known here, and until its deadline.
+	began, until time.Time
 }
 
 // incident is what broke off at one target.
@@ -187,12 +191,12 @@
 	return ReasonSuspect, pause
 }
 
-// Began takes that a request is sent to a target.
-func (t *Table) Began(now time.Time, key Key, d Digest, target string) {
-	if d == (Digest{}) {
+// Began takes that a request is sent to a target, with its deadline.
+func (t *Table) Began(now time.Time, key Key, d Digest, target string, until time.Time) {
+	if _, told := t.runs[key]; told || d == (Digest{}) {
 		return
 	}
-	t.runs[key] = run{digest: d, target: target, began: now}
+	t.runs[key] = run{digest: d, target: target, began: now, until: until}
 	t.atTarget[target]++
 	t.running[d]++
 }
@@ -278,6 +282,12 @@
 			}
 		}
 	}
+	for key, r := range t.runs {
+		if now.After(r.until.Add(endGrace)) {
+			t.forget(key, r)
+			t.freeTrial(key)
+		}
+	}
 	for d, c := range t.contents {
 		if now.Sub(c.last) > suspectTime && now.After(c.heldUntil.Add(suspectTime)) {
 			delete(t.contents, d)
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -17,6 +17,9 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
+// deadline of the tests' requests.
+const deadline = 15 * time.Second
+
 func digest(n int) (d Digest) {
 	binary.BigEndian.PutUint64(d[:], uint64(n)+1)
 	return d
@@ -29,7 +32,7 @@
 	if reason, _ := t.Check(now, key(k), digest(content)); reason != "" {
 		return false
 	}
-	t.Began(now, key(k), digest(content), target)
+	t.Began(now, key(k), digest(content), target, now.Add(deadline))
 	return true
 }
 
@@ -145,7 +148,7 @@
 			table.Tick(at(500))
 		}},
 		{"a request without a digest", func(table *Table) {
-			table.Began(at(0), key(1), Digest{}, "a")
+			table.Began(at(0), key(1), Digest{}, "a", at(1000))
 			crash(table, at(5), 1)
 		}},
 	} {
@@ -191,6 +194,29 @@
 	assert.Equal(t, reason, ReasonHeld)
 }
 
+// TestRunThatIsToldTwice: a VM tells again what it runs whenever another one decides.
+func TestRunThatIsToldTwice(t *testing.T) {
+	table := New()
+	begin(table, at(0), 1, 0, "a")
+	crash(table, at(10), 1)
+	begin(table, at(500), 2, 0, "b")
+	table.Began(at(600), key(2), digest(0), "b", at(5000))
+	table.Ended(at(700), key(2), false, false)
+	assert.Assert(t, begin(table, at(800), 3, 0, "b"), "nothing runs")
+}
+
+// TestRunWhoseEndIsLost holds suspect content back for so long only.
+func TestRunWhoseEndIsLost(t *testing.T) {
+	table := New()
+	begin(table, at(0), 1, 0, "a")
+	begin(table, at(0), 2, 0, "b")
+	crash(table, at(10), 1)
+	assert.Assert(t, !begin(table, at(500), 3, 0, "c"))
+	later := at(1000).Add(deadline)
+	table.Tick(later)
+	assert.Assert(t, begin(table, later, 4, 0, "c"))
+}
+
 func TestSuspicionEnds(t *testing.T) {
 	table := New()
 	begin(table, at(0), 1, 0, "a")
@@ -317,7 +343,7 @@
 				}
 				for name, rs := range running {
 					for _, r := range rs {
-						other.Began(now, key(r.k), digest(r.content), name)
+						other.Began(now, key(r.k), digest(r.content), name, now.Add(deadline))
 					}
 				}
 				table = other
@@ -342,7 +368,7 @@
 	for n := 0; b.Loop(); n++ {
 		d := digest(1000 + n%5000)
 		table.Check(start, key(n), d)
-		table.Began(start, key(n), d, "t")
+		table.Began(start, key(n), d, "t", start.Add(deadline))
 		table.Ended(start, key(n), true, false)
 	}
 	_ = coord.VMID("")
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -9,7 +9,6 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/balance"
-	"github.com/junctionfold/junctionfold/coord/quarantine"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
@@ -294,9 +293,9 @@
 
 // Chosen takes a target that this VM chose without a verdict: what ends under the request is to be
 // known here.
-func (ad *admission) Chosen(v gateway.Verdict, content quarantine.Digest) {
+func (ad *admission) Chosen(r *gateway.AdmitRequest, v gateway.Verdict) {
 	n := (*Node)(ad)
-	n.contents.began(coord.VMID(v.From), v.Ticket, content[:], v.Target)
+	n.contents.began(coord.VMID(v.From), v.Ticket, r.Content[:], v.Target, n.until(r.Deadline))
 }
 
 // First tells the VM that gave the verdict that the first event has come.
--- a/internal/edge/contents.go
+++ b/internal/edge/contents.go
@@ -55,11 +55,12 @@
 	return reason, retry
 }
 
-// began takes that a request goes to a target.
-func (c *contents) began(from coord.VMID, ticket uint64, content []byte, target string) {
+// began takes that a request goes to a target, and the time until its deadline.
+func (c *contents) began(from coord.VMID, ticket uint64, content []byte, target string, left time.Duration) {
+	now := c.node.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.Began(c.node.now(), quarantine.Key{VM: from, Ticket: ticket}, digestOf(content), target)
+	c.table.Began(now, quarantine.Key{VM: from, Ticket: ticket}, digestOf(content), target, now.Add(left))
 }
 
 // ended takes the end of a request.
--- a/internal/edge/contents_test.go
+++ b/internal/edge/contents_test.go
@@ -67,7 +67,7 @@
 				ends++
 				if plain {
 					v.Target = "p"
-					ad.Chosen(v, r.Content)
+					ad.Chosen(r, v)
 					ad.DonePlain(v, balance.Broke, 0)
 				} else {
 					ad.Done(v, scheduler.EndedBroke)
--- a/internal/edge/decide.go
+++ b/internal/edge/decide.go
@@ -39,7 +39,7 @@
 		n.contents.ended(from, a.Ticket, schema.Ending_ENDING_WITHDRAWN)
 		return v
 	}
-	n.contents.began(from, a.Ticket, a.Content, v.Target)
+	n.contents.began(from, a.Ticket, a.Content, v.Target, time.Duration(a.LeftMs)*time.Millisecond)
 	return v
 }
 
@@ -72,7 +72,7 @@
 	}
 	v := n.lastKnown(r)
 	if v.Target != "" {
-		(*admission)(n).Chosen(v, r.Content)
+		(*admission)(n).Chosen(r, v)
 	}
 	return v
 }
--- a/internal/edge/running.go
+++ b/internal/edge/running.go
@@ -81,7 +81,7 @@
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	for _, g := range m.Grants {
-		ss.node.contents.began(from, g.Ticket, g.Content, g.Target)
+		ss.node.contents.began(from, g.Ticket, g.Content, g.Target, time.Duration(g.LeftMs)*time.Millisecond)
 		if sc := ss.services[g.Service]; sc != nil {
 			sc.s.Adopt(now, scheduler.Key{VM: from, Ticket: g.Ticket}, g.Target,
 				coord.AdapterRef{Model: g.Model, Adapter: g.Adapter}, int(g.Tokens),
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -22,7 +22,7 @@
 	First(v Verdict)
 	// Chosen tells which target this VM chose for a request that nobody gave a verdict on. Done
 	// or DonePlain must follow.
-	Chosen(v Verdict, content quarantine.Digest)
+	Chosen(r *AdmitRequest, v Verdict)
 	// DonePlain tells how a request ended that was granted a target of a plain service, and
 	// how long it took there. It does not wait.
 	DonePlain(v Verdict, how balance.Ending, took time.Duration)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,7 +17,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/junctionfold/junctionfold/coord/balance"
-	"github.com/junctionfold/junctionfold/coord/quarantine"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
@@ -183,7 +182,7 @@
 
 func (a *fixedAdmission) First(Verdict) {}
 
-func (a *fixedAdmission) Chosen(Verdict, quarantine.Digest) {}
+func (a *fixedAdmission) Chosen(*AdmitRequest, Verdict) {}
 
 func (a *fixedAdmission) DonePlain(v Verdict, how balance.Ending, _ time.Duration) {
 	if v.Alone {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -95,7 +95,7 @@
 		x.pickAlone(&v, slices.Concat(exclude, r.Resting))
 	}
 	if v.Alone && v.Target != "" {
-		x.g.cfg.Admission.Chosen(v, x.digest)
+		x.g.cfg.Admission.Chosen(r, v)
 	}
 	return v
 }
