Send nothing to a target that leaves and is not listed here yet

Callers could see: a request sent to a leaving target on the verdict of a VM that heard of the target first, by a VM that was told of its word but not yet of the target. Cause: a target's own word counted only where the target was listed; for one that was not, a verdict of a newer copy is trusted. Change: the directory names such targets as gone, which the last look before sending goes by. Also: a refusal looks for the first target to wake only while one rests. Evidence: TestOwnWordBeforeTheEntry, with its new line, failed before. Found by reading.

--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -18,7 +18,7 @@
 	// Targets by id. Those whose announcement is gone stay for a moment.
 	Targets  map[string]*fleet.Target
 	Versions []fleet.AdapterVersion
-	// Gone are ids of targets that were dropped lately and have not come back.
+	// Gone are ids of targets that are not listed, and were dropped lately or said that they leave.
 	Gone map[string]bool
 	// Revision of the store that this shows.
 	Revision uint64
@@ -263,8 +263,12 @@
 	for id := range d.dropped {
 		out.Gone[id] = true
 	}
+	for id := range d.leaving {
+		out.Gone[id] = true
+	}
 	for _, t := range d.targets {
 		out.Targets[t.ID] = d.leaving.shown(t)
+		delete(out.Gone, t.ID)
 	}
 	return out
 }
--- a/internal/feed/leaving_test.go
+++ b/internal/feed/leaving_test.go
@@ -33,6 +33,7 @@
 	x := newFixture()
 	x.feed.dir = newDirectory(decodeStarts, 2*time.Second)
 	assert.Assert(t, x.feed.TargetLeaves("t#5"))
+	assert.Assert(t, x.feed.Directory().Gone["t#5"], "a verdict of that VM may name it")
 	x.feed.Take(Update{Snapshot: true, To: 1, Items: []fleet.Item{put("t", "5", 1)}})
 	assert.Equal(t, x.feed.Directory().Targets["t#5"].State, fleet.TargetDraining)
 }
--- a/internal/gateway/resting.go
+++ b/internal/gateway/resting.go
@@ -43,6 +43,9 @@
 // firstWake is how long it takes until the first target of the request's service takes requests of
 // this VM again; 0 if one of them does not rest.
 func (x *exchange) firstWake() time.Duration {
+	if x.g.Resting() == 0 {
+		return 0
+	}
 	var ready []string
 	for _, t := range x.g.cfg.Directory.Directory().Of(x.service.Name) {
 		if t.State == fleet.TargetReady {
