Remember a target's own word also where the store says the same

Callers could see: a request to a leaving target whose entry in the store is written over as ready. Cause: an answer's word was not taken down while the store's entry said that the target drains, so that a later entry could take it back. Evidence: TestEntryThatAgreedTakesBackATargetsOwnWord failed before. Found on reading the change. Also: a comment wrapped.

--- a/internal/edge/contents.go
+++ b/internal/edge/contents.go
@@ -111,9 +111,9 @@
 	return all, held
 }
 
-// tellTo tells a VM what is known that has just started or is heard again: it may decide next,
-// and has forgotten or not heard what was found. On a played day the VM that decided was killed, was the one that decides again
-// 2 s later, and let three more engines end under a content that was held.
+// tellTo tells a VM what is known that has just started or is heard again: it may decide next, and
+// has forgotten or not heard what was found. On a played day the VM that decided was killed, was the
+// one that decides again 2 s later, and let three more engines end under a content that was held.
 func (c *contents) tellTo(vm coord.VMID) {
 	c.mu.Lock()
 	found := c.table.Findings(c.node.now())
--- a/internal/feed/leaving.go
+++ b/internal/feed/leaving.go
@@ -34,25 +34,29 @@
 }
 
 // TargetLeaves takes a target's own word that it leaves, heard here or by another VM. It reports
-// whether that is news.
-func (f *Feed) TargetLeaves(id string) bool {
-	if t := f.Directory().Targets[id]; t != nil && t.State == fleet.TargetDraining {
+// whether that is news: nobody has said so before, the store included.
+func (f *Feed) TargetLeaves(id string) (news bool) {
+	if f.saidLeaving(id) {
 		return false
 	}
 	f.notify.Lock()
 	defer f.notify.Unlock()
+	t := f.Directory().Targets[id]
+	news = t == nil || t.State != fleet.TargetDraining
 	now := f.cfg.Now()
 	f.mu.Lock()
-	_, said := f.dir.leaving[id]
-	if said {
-		f.mu.Unlock()
-		return false
-	}
 	f.dir.leaving[id] = now
-	d, gone := f.settle(now, true)
+	d, gone := f.settle(now, news)
 	f.mu.Unlock()
 	f.publish(d, gone)
-	return true
+	return news
+}
+
+func (f *Feed) saidLeaving(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, said := f.dir.leaving[id]
+	return said
 }
 
 // Leaving lists the targets that said themselves that they leave.
--- a/internal/feed/leaving_test.go
+++ b/internal/feed/leaving_test.go
@@ -28,6 +28,16 @@
 	assert.Equal(t, state(x, "t#7"), fleet.TargetReady)
 }
 
+// TestEntryThatAgreedTakesBackATargetsOwnWord: the store had said so too, and says otherwise later.
+func TestEntryThatAgreedTakesBackATargetsOwnWord(t *testing.T) {
+	x := newFixture()
+	x.feed.dir = newDirectory(decodeStarts, 2*time.Second)
+	x.feed.Take(Update{Snapshot: true, To: 1, Items: []fleet.Item{put("t", "5!", 1)}})
+	assert.Assert(t, !x.feed.TargetLeaves("t#5"), "no news: all VMs have it from the store")
+	x.feed.Take(Update{From: 1, To: 2, Items: []fleet.Item{put("t", "5", 2)}})
+	assert.Equal(t, x.feed.Directory().Targets["t#5"].State, fleet.TargetDraining)
+}
+
 // TestOwnWordBeforeTheEntry: another VM heard of the target, and of its word, first.
 func TestOwnWordBeforeTheEntry(t *testing.T) {
 	x := newFixture()
