--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,7 +2,7 @@
 // platform's store, the sessions with other edge VMs, and the scheduler of model
 // requests, which one VM runs for all.
 //
-// edge.go builds the parts and run.go drives and stops them. beats.go keeps the roster,
+// edge.go builds the parts, gauges.go shows their state and run.go drives and stops them. beats.go keeps the roster,
 // leader.go finds who reads the store and who orders, peers.go and update.go speak with
 // other VMs. schedule.go runs the scheduler, orders.go carries out its orders, admit.go
 // asks for its verdicts, running.go remembers what runs and silence.go notices a
@@ -11,7 +11,6 @@
 package edge
 
 import (
-	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,7 +26,6 @@
 	"github.com/junctionfold/junctionfold/coord/duty"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/roster"
-	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/clock"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
@@ -261,44 +259,6 @@
 	return nil
 }
 
-func (n *Node) publishGauges() {
-	n.metrics.Gauge("open_requests", n.gateway.Open)
-	n.metrics.Gauge("peer_sessions", func() int64 { return int64(n.mesh.Sessions()) })
-	n.metrics.Gauge("peer_bytes_in_total", func() int64 { in, _ := n.mesh.Bytes(); return in })
-	n.metrics.Gauge("peer_bytes_out_total", func() int64 { _, out := n.mesh.Bytes(); return out })
-	n.metrics.Gauge("feed_revision", func() int64 { return int64(n.feed.Revision()) })
-	n.metrics.Gauge("feed_age_ms", func() int64 { return n.feed.Age().Milliseconds() })
-	n.metrics.Gauge("keys_within_ms", keysWithin(n.settings.Times).Milliseconds)
-	n.metrics.Gauge("feed_proven_ms", func() int64 { return n.feed.Proven().Milliseconds() })
-	n.metrics.Gauge("feed_items_refused", n.feed.Refused)
-	n.metrics.Gauge("targets_leaving", func() int64 { return int64(len(n.feed.Leaving())) })
-	n.metrics.Gauge("targets_resting", n.gateway.Resting)
-	n.metrics.Gauge("plain_waiting", func() int64 { return int64(n.lines.stats().Waiting) })
-	n.metrics.Gauge("plain_running", func() int64 { return int64(n.lines.stats().Running) })
-	n.metrics.Gauge("plain_limit", func() int64 { return int64(n.lines.stats().Limit) })
-	n.metrics.Gauge("plain_work_ms", func() int64 { return n.lines.stats().Work.Milliseconds() })
-	n.metrics.Gauge("contents_suspect", func() int64 { suspect, _, _ := n.contents.stats(); return suspect })
-	n.metrics.Gauge("contents_held", func() int64 { _, held, _ := n.contents.stats(); return held })
-	n.metrics.Gauge("contents_refused_total", func() int64 { _, _, refused := n.contents.stats(); return refused })
-	n.metrics.Map.Set("held_contents", expvar.Func(func() any { return n.contents.held() }))
-	n.metrics.Map.Set("teams", expvar.Func(func() any { return n.quotas.rows() }))
-	n.metrics.Gauge("scheduler_waiting", func() int64 { return int64(n.schedules.stats().Waiting) })
-	n.metrics.Gauge("adapter_loads", func() int64 { return int64(n.schedules.stats().Loads) })
-	for _, why := range scheduler.Causes() {
-		n.metrics.Gauge("places_freed_by_"+why.String(), func() int64 { return n.schedules.stats().Freed[why] })
-	}
-	n.metrics.Gauge("adapter_loads_limit", func() int64 { return int64(n.schedules.stats().MaxLoads) })
-	n.metrics.Gauge("adapter_load_ms", func() int64 { return n.schedules.stats().ColdLoad.Milliseconds() })
-	n.metrics.Gauge("adapter_load_kept_ms", func() int64 { return n.schedules.stats().WarmLoad.Milliseconds() })
-	n.metrics.Gauge("fleet_vms", n.vms.Load)
-	n.metrics.Gauge("config_version", func() int64 {
-		if c := n.feed.Directory().Config; c != nil {
-			return int64(c.Version)
-		}
-		return 0
-	})
-}
-
 // Ready reports whether the balancer may send new connections: not while this VM would
 // refuse its callers since it cannot judge their keys, which others can.
 func (n *Node) Ready() bool {
--- /dev/null
+++ b/internal/edge/gauges.go
@@ -0,0 +1,46 @@
+package edge
+
+import (
+	"expvar"
+
+	"github.com/junctionfold/junctionfold/coord/scheduler"
+)
+
+// publishGauges adds the state of the parts to the metrics.
+func (n *Node) publishGauges() {
+	n.metrics.Gauge("open_requests", n.gateway.Open)
+	n.metrics.Gauge("peer_sessions", func() int64 { return int64(n.mesh.Sessions()) })
+	n.metrics.Gauge("peer_bytes_in_total", func() int64 { in, _ := n.mesh.Bytes(); return in })
+	n.metrics.Gauge("peer_bytes_out_total", func() int64 { _, out := n.mesh.Bytes(); return out })
+	n.metrics.Gauge("feed_revision", func() int64 { return int64(n.feed.Revision()) })
+	n.metrics.Gauge("feed_age_ms", func() int64 { return n.feed.Age().Milliseconds() })
+	n.metrics.Gauge("keys_within_ms", keysWithin(n.settings.Times).Milliseconds)
+	n.metrics.Gauge("feed_proven_ms", func() int64 { return n.feed.Proven().Milliseconds() })
+	n.metrics.Gauge("feed_items_refused", n.feed.Refused)
+	n.metrics.Gauge("targets_leaving", func() int64 { return int64(len(n.feed.Leaving())) })
+	n.metrics.Gauge("targets_resting", n.gateway.Resting)
+	n.metrics.Gauge("plain_waiting", func() int64 { return int64(n.lines.stats().Waiting) })
+	n.metrics.Gauge("plain_running", func() int64 { return int64(n.lines.stats().Running) })
+	n.metrics.Gauge("plain_limit", func() int64 { return int64(n.lines.stats().Limit) })
+	n.metrics.Gauge("plain_work_ms", func() int64 { return n.lines.stats().Work.Milliseconds() })
+	n.metrics.Gauge("contents_suspect", func() int64 { suspect, _, _ := n.contents.stats(); return suspect })
+	n.metrics.Gauge("contents_held", func() int64 { _, held, _ := n.contents.stats(); return held })
+	n.metrics.Gauge("contents_refused_total", func() int64 { _, _, refused := n.contents.stats(); return refused })
+	n.metrics.Map.Set("held_contents", expvar.Func(func() any { return n.contents.held() }))
+	n.metrics.Map.Set("teams", expvar.Func(func() any { return n.quotas.rows() }))
+	n.metrics.Gauge("scheduler_waiting", func() int64 { return int64(n.schedules.stats().Waiting) })
+	n.metrics.Gauge("adapter_loads", func() int64 { return int64(n.schedules.stats().Loads) })
+	for _, why := range scheduler.Causes() {
+		n.metrics.Gauge("places_freed_by_"+why.String(), func() int64 { return n.schedules.stats().Freed[why] })
+	}
+	n.metrics.Gauge("adapter_loads_limit", func() int64 { return int64(n.schedules.stats().MaxLoads) })
+	n.metrics.Gauge("adapter_load_ms", func() int64 { return n.schedules.stats().ColdLoad.Milliseconds() })
+	n.metrics.Gauge("adapter_load_kept_ms", func() int64 { return n.schedules.stats().WarmLoad.Milliseconds() })
+	n.metrics.Gauge("fleet_vms", n.vms.Load)
+	n.metrics.Gauge("config_version", func() int64 {
+		if c := n.feed.Directory().Config; c != nil {
+			return int64(c.Version)
+		}
+		return 0
+	})
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -1,6 +1,6 @@
 // Package events is the log of an edge VM: one function for each event, so that
 // names and fields are the same wherever it is written. docs/OPERATIONS.md lists
-// them.
+// them. vm.go has the events of the VM itself, events.go the others.
 //
 // Failures, refusals and changes of what the process believes are always written.
 // Requests that went well are written as far as a budget allows; how many were
@@ -308,45 +308,6 @@
 // DutyNotTaken says why it does not.
 func (l *Log) DutyNotTaken(err error) { l.warn("duty_not_taken", log.Fields{"error": text(err)}) }
 
-// Suspended says for how long this VM was suspended.
-func (l *Log) Suspended(d time.Duration) {
-	l.warn("suspended", log.Fields{"suspended_ms": d.Milliseconds()})
-}
-
-// SuspensionsUnseen says that suspensions of this VM will not be noticed.
-func (l *Log) SuspensionsUnseen(err error) {
-	l.warn("suspensions_unseen", log.Fields{"error": text(err)})
-}
-
-// Paused says that this process stood still.
-func (l *Log) Paused(limit time.Duration) {
-	l.warn("paused", log.Fields{"longer_than_ms": limit.Milliseconds()})
-}
-
-// Started says where the process listens.
-func (l *Log) Started(door, peer, zone string, seeds []string) {
-	l.info("started", log.Fields{"door": door, "peer": peer, "zone": zone, "seeds": len(seeds)})
-}
-
-// Draining says that the process was told to stop.
-func (l *Log) Draining(open int64) { l.info("draining", log.Fields{"open": open}) }
-
-// DrainIncomplete says that requests were still open at the end of the grace.
-func (l *Log) DrainIncomplete(open int64, err error) {
-	l.warn("drain_incomplete", log.Fields{"open": open, "error": text(err)})
-}
-
-// Stopped is the last line.
-func (l *Log) Stopped() { l.info("stopped", log.Fields{}) }
-
-// SettingsReloaded says which keys changed and are in force; others need a restart.
-func (l *Log) SettingsReloaded(applied, needRestart []string) {
-	l.info("settings_reloaded", log.Fields{"applied": applied, "need_restart": needRestart})
-}
-
-// SettingsRefused says that a changed file is wrong; the settings before it stay.
-func (l *Log) SettingsRefused(err error) { l.warn("settings_refused", log.Fields{"error": text(err)}) }
-
 // PeerCallFailed is a message to another VM that was lost; what it carried is sent
 // again in another form or given up by its sender.
 func (l *Log) PeerCallFailed(call, peer string, err error) {
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -8,6 +8,7 @@
 	"go/token"
 	"io"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -84,9 +85,22 @@
 // written returns the names that the functions of this package write.
 func written(t *testing.T) []string {
 	t.Helper()
-	file, err := parser.ParseFile(token.NewFileSet(), "events.go", nil, 0)
+	files, err := filepath.Glob("*.go")
 	assert.NilError(t, err)
 	names := []string{"log_lines_dropped"} // written by the queue
+	for _, name := range files {
+		if !strings.HasSuffix(name, "_test.go") {
+			names = append(names, writtenIn(t, name)...)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func writtenIn(t *testing.T, name string) (names []string) {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+	assert.NilError(t, err)
 	ast.Inspect(file, func(n ast.Node) bool {
 		call, ok := n.(*ast.CallExpr)
 		if !ok || len(call.Args) != 2 {
@@ -98,7 +112,6 @@
 		}
 		return true
 	})
-	slices.Sort(names)
 	return names
 }
 
