Let one request of content try when its hold after three ends is over

Callers could see: what was held after three ends is refused as suspect for ten minutes more than it is held, and at a VM that hears of it when its hold is over for ten minutes anew. Cause: content with three ends was never let try, so that no more than three targets end while it is not known yet that one has; but that it was to count only while an end is not judged. A VM that learnt of three ends held the content from then on, whatever was left of the hold. Evidence: TestHeldContentIsNeverTriedAgain failed before.

--- a/coord/quarantine/findings.go
+++ b/coord/quarantine/findings.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+)
 
 // Finding is what is known of one content, to be told to other VMs and to operators.
 type Finding struct {
@@ -17,13 +21,25 @@
 	return Finding{Digest: d, Targets: c.targets, Since: c.since, Held: max(c.heldUntil.Sub(now), 0)}
 }
 
-// Learn takes what another VM found.
+// Learn takes what another VM found. What is held there is held here for as long; what is not any
+// more may be tried here as well.
 func (t *Table) Learn(now time.Time, f Finding) {
+	var held time.Time
+	if c := t.contents[f.Digest]; c != nil {
+		held = c.heldUntil
+	}
 	for _, target := range f.Targets {
 		t.addEnd(now, f.Digest, target, false)
 	}
-	if c := t.contents[f.Digest]; c != nil && f.Held > 0 {
-		c.heldUntil = now.Add(f.Held)
+	c := t.contents[f.Digest]
+	switch {
+	case c == nil:
+	case f.Held > 0:
+		c.heldUntil = coord.Later(held, now.Add(f.Held))
+	case held.IsZero() && len(c.targets) >= heldAfter:
+		c.heldUntil = now
+	default:
+		c.heldUntil = held
 	}
 }
 
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -135,7 +135,8 @@
 	if left := c.heldUntil.Sub(now); left > 0 {
 		return ReasonHeld, left
 	}
-	if t.running[d] > 0 || len(c.targets)+t.unsettled(d) >= heldAfter {
+	unsettled := t.unsettled(d)
+	if t.running[d] > 0 || unsettled > 0 && len(c.targets)+unsettled >= heldAfter {
 		return ReasonSuspect, pause
 	}
 	if c.trial != (Key{}) && c.trial != key && now.Sub(c.trialAt) < trialTime {
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -217,6 +217,26 @@
 	assert.Assert(t, begin(table, later, 4, 0, "c"))
 }
 
+// TestHeldContentIsNeverTriedAgain after three ends, here or where another VM told of them.
+func TestHeldContentIsNeverTriedAgain(t *testing.T) {
+	table := New()
+	three := Finding{Digest: digest(0), Targets: []string{"a", "b", "c"}, Held: holdTime}
+	table.Learn(at(0), three)
+	reason, _ := table.Check(at(1000), key(1), digest(0))
+	assert.Equal(t, reason, ReasonHeld)
+	after := at(1000).Add(holdTime)
+	assert.Assert(t, begin(table, after, 1, 0, "d"))
+	assert.Assert(t, !begin(table, after, 2, 0, "e"), "one at a time")
+	late := New()
+	three.Held = 0
+	late.Learn(at(0), three)
+	assert.Assert(t, begin(late, at(1000), 1, 0, "d"), "its hold is over")
+	crash(late, at(1100), 1)
+	reason, retry := late.Check(at(2000), key(2), digest(0))
+	assert.Equal(t, reason, ReasonHeld)
+	assert.Assert(t, retry > 12*time.Hour)
+}
+
 func TestSuspicionEnds(t *testing.T) {
 	table := New()
 	begin(table, at(0), 1, 0, "a")
