Hold content that ended well before for ten seconds first

Callers could see: what many ask for is refused for ten minutes, though nothing is wrong with it, after its targets ended three times for other causes with no good end in between; or after one target dropped it twice and another one ended. Cause: since content that ended well can become suspect again, ends that it has no part in count against it as against new content, and two broken runs at one target took its good name away. A guilty content ends one target more for that, ten seconds later. Evidence: TestContentThatRanWellIsHeldForLong and a new row of TestNotEvidence (the row holds on the code before as well; it guards the changed condition). TestContentThatRanWellBeginsToCrash stands. Also: judging stands in a file of its own (moved).

--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -55,6 +55,9 @@
 	// for somebody to look, and not for ever, since targets are mended.
 	holdTime = 10 * time.Minute
 	longHold = 24 * time.Hour
+	// probation is the first hold of content that ended well before: its targets may have ended
+	// for another cause.
+	probation = 10 * time.Second
 	// maxContents bounds the suspects; the half that matters least goes when it is reached.
 	// maxInnocent bounds the contents that ended well: some minutes of a heavy day. 24 bytes and
 	// a map's place each.
@@ -86,8 +89,8 @@
 	last    time.Time
 	// heldUntil is zero for suspects.
 	heldUntil time.Time
-	// trusted says that it ended well before, and that one end is not enough to suspect it.
-	trusted bool
+	// ranWell says that it ended well before, and trusted that one end is not enough to suspect it.
+	ranWell, trusted bool
 	// trial is the request that runs as the only one, from trialAt on.
 	trial   Key
 	trialAt time.Time
@@ -264,87 +267,3 @@
 		}
 	}
 }
-
-// Tick judges what broke off, and forgets what is old. It returns what is new.
-func (t *Table) Tick(now time.Time) (found []Finding) {
-	for target, inc := range t.incidents {
-		if now.Sub(inc.at) < settleTime {
-			continue
-		}
-		delete(t.incidents, target)
-		ended := float64(len(inc.broken)) >= brokenShare*float64(inc.ran)
-		only := t.candidates(inc) == 1
-		for _, r := range inc.broken {
-			if c := t.contents[r.digest]; !ended && c != nil && len(c.targets) == 0 {
-				delete(t.contents, r.digest)
-			}
-			if ended && t.judge(now, r, only) {
-				found = append(found, t.finding(now, r.digest))
-			}
-		}
-	}
-	for key, r := range t.runs {
-		if now.After(r.until.Add(endGrace)) {
-			t.forget(key, r)
-			t.freeTrial(key)
-		}
-	}
-	for d, c := range t.contents {
-		if now.Sub(c.last) > suspectTime && now.After(c.heldUntil.Add(suspectTime)) {
-			delete(t.contents, d)
-		}
-	}
-	return found
-}
-
-// candidates counts the contents among what broke off that have not ended well lately.
-func (t *Table) candidates(inc *incident) int {
-	seen := map[Digest]bool{}
-	for _, r := range inc.broken {
-		if !t.innocent.has(r.digest) {
-			seen[r.digest] = true
-		}
-	}
-	return len(seen)
-}
-
-// judge takes a run that broke off as its target ended, alone in question there or not. It
-// reports whether that tells something new of its content.
-func (t *Table) judge(now time.Time, r run, only bool) bool {
-	if !t.innocent.has(r.digest) {
-		return t.addEnd(now, r.digest, r.target, only)
-	}
-	c := t.contents[r.digest]
-	switch {
-	case c == nil:
-		t.add(r.digest, &content{since: now, last: now, targets: []string{r.target}, trusted: true})
-		return false
-	case c.trusted && !r.began.After(c.last):
-		return false // many targets ended at one moment, which says nothing of what they ran
-	}
-	t.innocent.remove(r.digest)
-	return t.addEnd(now, r.digest, r.target, false)
-}
-
-// addEnd takes that a target ended under a content, as the only candidate there or not, and
-// reports whether that is new.
-func (t *Table) addEnd(now time.Time, d Digest, target string, only bool) bool {
-	c := t.contents[d]
-	if c == nil {
-		c = &content{since: now}
-		t.add(d, c)
-	}
-	if slices.Contains(c.targets, target) {
-		return false
-	}
-	c.targets = append(c.targets, target)
-	c.last = now
-	c.trusted = false
-	switch {
-	case !c.heldUntil.IsZero():
-		c.heldUntil = now.Add(longHold)
-	case len(c.targets) >= heldAfter, len(c.targets) == heldAfter-1 && only:
-		c.heldUntil = now.Add(holdTime)
-	}
-	return true
-}
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -128,6 +128,14 @@
 				table.Tick(at(ms))
 			}
 		}},
+		{"a target drops what runs there, again and again, under content that ended well", func(table *Table) {
+			begin(table, at(0), 1, 0, "a")
+			table.Ended(at(5), key(1), true, false)
+			for k := 2; k < 12; k++ {
+				begin(table, at(1000*k), k, 0, "a")
+				crash(table, at(1000*k+10), k)
+			}
+		}},
 		{"a target ends under content that ended well before and after", func(table *Table) {
 			for k := range 10 {
 				begin(table, at(1000*k), 2*k, 0, "a")
@@ -262,6 +270,27 @@
 	assert.Equal(t, reason, ReasonHeld)
 }
 
+// TestContentThatRanWellIsHeldForLong: what makes all targets fail may be none of its doing.
+func TestContentThatRanWellIsHeldForLong(t *testing.T) {
+	table := New()
+	begin(table, at(0), 1, 0, "a")
+	table.Ended(at(5), key(1), true, false)
+	for k := 2; k < 5; k++ {
+		assert.Assert(t, begin(table, at(1000*k), k, 0, fmt.Sprint(k)))
+		crash(table, at(1000*k+100), k)
+	}
+	reason, retry := table.Check(at(5000), key(6), digest(0))
+	assert.Equal(t, reason, ReasonHeld)
+	assert.Assert(t, retry <= probation)
+	again := at(5000).Add(probation)
+	assert.Assert(t, begin(table, again, 7, 0, "b"), "one may try")
+	assert.Assert(t, !begin(table, again, 8, 0, "b"))
+	crash(table, again.Add(100*time.Millisecond), 7)
+	reason, retry = table.Check(again.Add(time.Second), key(9), digest(0))
+	assert.Equal(t, reason, ReasonHeld)
+	assert.Assert(t, retry > 12*time.Hour)
+}
+
 // TestContentAfterAFloodOfSuspects: a table full of suspects must not let new content crash targets.
 func TestContentAfterAFloodOfSuspects(t *testing.T) {
 	table := New()
