Blame the suspect for an end, not content beside it that ended well

Callers could see: what many ask for is refused for ten minutes, as something else that crashes its targets ran beside it three times. Cause: since content that ended well can become suspect again, each end with no good end in between counted against it, whatever else ran there. Crashes 0.35 s apart leave streams of 0.3 s no time to end well. Change: where targets have ended before under another content of what broke off, the end says nothing of content that ended well. TestContentThatRanWellIsBlamedForAnother failed before.

--- a/coord/quarantine/judge.go
+++ b/coord/quarantine/judge.go
@@ -14,11 +14,12 @@
 		delete(t.incidents, target)
 		ended := float64(len(inc.broken)) >= brokenShare*float64(inc.ran)
 		only := t.candidates(inc) == 1
+		explained := t.suspectAmong(inc)
 		for _, r := range inc.broken {
 			if c := t.contents[r.digest]; !ended && c != nil && len(c.targets) == 0 {
 				delete(t.contents, r.digest)
 			}
-			if ended && t.judge(now, r, only) {
+			if ended && t.judge(now, r, only, explained) {
 				found = append(found, t.finding(now, r.digest))
 			}
 		}
@@ -48,14 +49,25 @@
 	return len(seen)
 }
 
+// suspectAmong reports whether targets ended before under content of what broke off.
+func (t *Table) suspectAmong(inc *incident) bool {
+	return slices.ContainsFunc(inc.broken, func(r run) bool {
+		c := t.suspect(r.digest)
+		return c != nil && len(c.targets) > 0
+	})
+}
+
 // judge takes a run that broke off as its target ended, alone in question there or not. It
-// reports whether that tells something new of its content.
-func (t *Table) judge(now time.Time, r run, only bool) bool {
+// reports whether that tells something new of its content. An end that a suspect explains says
+// nothing of content that ended well.
+func (t *Table) judge(now time.Time, r run, only, explained bool) bool {
 	if !t.innocent.has(r.digest) {
 		return t.addEnd(now, r.digest, r.target, only)
 	}
 	c := t.contents[r.digest]
 	switch {
+	case explained:
+		return false
 	case c == nil:
 		t.add(r.digest, &content{since: now, last: now, targets: []string{r.target}, ranWell: true, trusted: true})
 		return false
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -270,6 +270,25 @@
 	assert.Equal(t, reason, ReasonHeld)
 }
 
+// TestContentThatRanWellIsBlamedForAnother that ran beside it at each end.
+func TestContentThatRanWellIsBlamedForAnother(t *testing.T) {
+	table := New()
+	begin(table, at(0), 1, 1, "a")
+	table.Ended(at(5), key(1), true, false)
+	for k := range 4 {
+		target, now := fmt.Sprint(k), at(1000*(k+1))
+		crashing := begin(table, now, 10+2*k, 0, target)
+		assert.Assert(t, begin(table, now, 11+2*k, 1, target), "end %d", k)
+		if crashing {
+			crash(table, now.Add(100*time.Millisecond), 10+2*k, 11+2*k)
+		}
+	}
+	reason, _ := table.Check(at(9000), key(30), digest(0))
+	assert.Equal(t, reason, ReasonHeld)
+	assert.Assert(t, begin(table, at(9000), 31, 1, "b"))
+	assert.Assert(t, begin(table, at(9000), 32, 1, "c"), "not one at a time")
+}
+
 // TestContentThatRanWellIsHeldForLong: what makes all targets fail may be none of its doing.
 func TestContentThatRanWellIsHeldForLong(t *testing.T) {
 	table := New()
