Drop a check of the clock that only tests' nodes would need

Every node has a clock: no role and no test runs into the check (internal/edge passes without it). Also: the comment on the package's files wrapped, and whose clocks Platform.Clocks are.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,7 +2,8 @@
 // platform's store, the sessions with other edge VMs, and the scheduler of model
 // requests, which one VM runs for all.
 //
-// edge.go builds the parts, gauges.go shows their state and run.go drives and stops them. beats.go keeps the roster,
+// edge.go builds the parts, gauges.go shows their state and run.go drives and stops them.
+// beats.go keeps the roster,
 // leader.go finds who reads the store and who orders, peers.go and update.go speak with
 // other VMs. schedule.go runs the scheduler, orders.go carries out its orders, admit.go
 // asks for its verdicts, running.go remembers what runs and silence.go notices a
@@ -44,7 +45,8 @@
 	Prefixes []string
 	Decode   func(fleet.Item) (fleet.Decoded, error)
 	Trim     func(fleet.Item) fleet.Item
-	Clocks   clock.Source
+	// Clocks are those of the machine.
+	Clocks clock.Source
 }
 
 // Times of the fleet's own protocols.
--- a/internal/edge/wake.go
+++ b/internal/edge/wake.go
@@ -9,9 +9,6 @@
 // suspension. It is called before each decision that one of these guards: what a request of a caller
 // may rest on, a verdict, a send and an order; and with each tick, for all others.
 func (n *Node) wake() {
-	if n.clock == nil {
-		return
-	}
 	if suspended := n.clock.Refresh(); suspended >= suspensionLogged {
 		n.log.Suspended(suspended)
 	}
