--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,6 +121,8 @@
 	lines     *lines
 	quotas    *quotas
 	contents  *contents
+	// rateLimits has what targets said of the rate of their requests.
+	rateLimits *rateLimits
 
 	// shown is the directory last logged; the feed's calls come one at a time.
 	shown *feed.Directory
@@ -193,6 +195,7 @@
 	n.lines = newLines(n)
 	n.quotas = newQuotas(n, s.Quota)
 	n.contents = newContents(n)
+	n.rateLimits = newRateLimits(n)
 	n.mesh = peer.New(peer.Config{
 		Self: self, Hall: s.Vm.Zone, Incarnation: incarnation, DialTimeout: peerDial, SilenceTimeout: peerSilence,
 	}, (*peerHandler)(n), n.peerAddress)
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -11,6 +11,7 @@
 	if said.Rest > 0 && n.gateway.AskRest(target, said.Rest) {
 		n.log.TargetSaid(target, said.Leaving, said.Rest)
 	}
+	n.rateLimits.heard(target, said.RateLimit)
 	if said.Leaving && n.feed.TargetLeaves(target) {
 		n.log.TargetSaid(target, said.Leaving, said.Rest)
 		for _, vm := range n.others() {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -243,6 +243,11 @@
 	l.info("target_said", log.Fields{"target": target, "leaving": leaving, "rest_ms": rest.Milliseconds()})
 }
 
+// RateLimitNamed says that a target named a limit of its requests a second, or another one than before.
+func (l *Log) RateLimitNamed(target string, perSecond float64) {
+	l.info("rate_limit_named", log.Fields{"target": target, "per_second": perSecond})
+}
+
 // ConfigAdopted says that a configuration is in force here.
 func (l *Log) ConfigAdopted(was, is uint64, routes, services int, revision uint64) {
 	l.info("config_adopted", log.Fields{
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -8,4 +8,17 @@
 	Leaving bool
 	// Rest is for how long it wants no requests from this VM; 0: it does not ask for rest.
 	Rest time.Duration
+	// RateLimit bounds the requests that it takes.
+	RateLimit RateLimit
 }
+
+// RateLimit bounds the requests that a target takes from all VMs together, for as long as its answers
+// name it.
+type RateLimit struct {
+	Named bool
+	// PerSecond is UnreadableRate where the named limit could not be read.
+	PerSecond float64
+}
+
+// UnreadableRate stands for a limit that was named and could not be read.
+const UnreadableRate = -1
