Keep targets within the rates that they name

Change: coord/ratelimit. The VM that is asked for targets, which sees all that it places, has a bucket for each limited target; scheduler and line choose it only while the bucket has a request. VMs that hear a new or lower limit tell all others, so that the next VM to be asked knows; it begins with empty buckets. A VM without a verdict sends nothing there. A verdict from before the word came, or one that was held up, is not acted on (the last look before the first byte). A higher limit, or none, counts only in an answer to a request that was placed by the present one, as answers overtake each other. A target that names zero, or gets nothing for 2 s, gets a request now and then: nothing else can tell that the limit has ended. Homes move to other targets by cost. Where all targets are limited, what they do not take in time is refused at once, and comes back at the rate at which they take it.

--- a/coord/line/line.go
+++ b/coord/line/line.go
@@ -23,6 +23,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/ratelimit"
 )
 
 // Target is a target of the service that takes requests.
@@ -79,12 +80,16 @@
 	waiting  []*Request
 	balancer *balance.Balancer
 	limit    limit
-	acts     []Action
+	// pacer keeps targets within the rates that they name, and returns spreads the callers that it
+	// refused.
+	pacer   *ratelimit.Pacer
+	returns ratelimit.Returns
+	acts    []Action
 }
 
 // New returns a Line that knows no target.
 func New() *Line {
-	return &Line{limit: newLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New()}
+	return &Line{limit: newLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer()}
 }
 
 // Times of the line.
@@ -204,7 +209,7 @@
 	}
 	l.rank(now)
 	rest := l.waiting[:0]
-	places := l.places(now)
+	perSecond, first := l.throughput(now)
 	full := false
 	for _, r := range l.waiting {
 		// Where one request finds no room, the next finds none: each look goes over all
@@ -213,7 +218,7 @@
 			continue
 		}
 		full = full || len(r.Exclude) == 0
-		if !l.giveUp(now, r, turn(len(rest), l.limit.work(), places)) {
+		if !l.giveUp(now, r, first+time.Duration(float64(len(rest))/perSecond*float64(time.Second)), perSecond) {
 			rest = append(rest, r)
 		}
 	}
@@ -250,14 +255,16 @@
 	if id == "" {
 		return false
 	}
+	l.pacer.Take(now, id)
 	l.running[id]++
 	l.grants[r.Key] = grant{target: id, beside: l.running[id], deadline: r.Deadline}
 	l.act(Action{Key: r.Key, Target: id})
 	return true
 }
 
-// giveUp refuses a request whose turn, which comes in some time, would be too late for it.
-func (l *Line) giveUp(now time.Time, r *Request, turn time.Duration) bool {
+// giveUp refuses a request whose turn, which comes in some time, would be too late for it, where
+// targets take so many requests a second.
+func (l *Line) giveUp(now time.Time, r *Request, turn time.Duration, perSecond float64) bool {
 	if !l.anyFor(r) {
 		l.refuse(r, ReasonNoTarget, noTargetPause)
 		return true
@@ -267,25 +274,54 @@
 		until = r.arrived.Add(lateWait)
 	}
 	if now.Add(turn).After(until) {
-		l.refuse(r, ReasonLine, min(max(turn, leastPause), mostPause))
+		l.refuse(r, ReasonLine, l.pause(now, turn, perSecond))
 		return true
 	}
 	return false
 }
 
-// places is how many requests targets work on at once.
-func (l *Line) places(now time.Time) (n int) {
+// pause is when a refused caller is to come back whose turn would come in some time.
+func (l *Line) pause(now time.Time, turn time.Duration, perSecond float64) time.Duration {
+	if l.pacer.Any() {
+		return max(l.returns.Next(now, len(l.waiting), perSecond), leastPause)
+	}
+	return min(max(turn, leastPause), mostPause)
+}
+
+// throughput is how many requests targets take a second, as many as they work on at once or as they limit
+// themselves to, and the expected time until one of them takes the next.
+func (l *Line) throughput(now time.Time) (perSecond float64, first time.Duration) {
+	work := l.limit.work()
+	first = ratelimit.MaxWait
+	unlimited := 0.0
 	for _, t := range l.targets {
-		if !l.balancer.Ejected(now, t.ID) {
-			n += max(l.limit.of(t.Slots)-spare, 1)
+		if l.balancer.Ejected(now, t.ID) {
+			continue
+		}
+		takes := float64(max(l.limit.of(t.Slots)-spare, 1)) / work.Seconds()
+		if rate, limited := l.pacer.Rate(t.ID); limited {
+			takes = min(takes, rate)
+			first = min(first, l.pacer.Wait(now, t.ID))
+		} else {
+			unlimited += takes
 		}
+		perSecond += takes
 	}
-	return n
+	if perSecond == 0 { // all are ejected
+		return 1 / work.Seconds(), work
+	}
+	if unlimited > 0 {
+		first = min(first, time.Duration(float64(time.Second)/unlimited))
+	}
+	return perSecond, first
 }
 
-// turn is the expected time until the turn of a request that has so many others before it.
-func turn(ahead int, work time.Duration, places int) time.Duration {
-	return time.Duration(float64(ahead+1) * float64(work) / float64(max(places, 1)))
+// SetRates replaces the rates that targets limit their requests to, in requests a second. share is the
+// part of the fleet that asks this VM.
+func (l *Line) SetRates(now time.Time, rates map[string]float64, share float64) []Action {
+	l.pacer.SetShare(now, share)
+	l.pacer.SetRates(now, rates)
+	return l.settle(now)
 }
 
 // anyFor reports whether there is a target that a request may go to.
@@ -306,7 +342,10 @@
 			continue
 		}
 		open = append(open, c)
-		if l.running[t.ID] < l.limit.of(t.Slots) {
+		if l.pacer.Due(now, t.ID) && l.hasRoom(now, t) {
+			return l.balancer.Pick(now, []balance.Target{c}, nil)
+		}
+		if l.hasRoom(now, t) {
 			room = append(room, c)
 		}
 	}
@@ -314,13 +353,18 @@
 		return l.balancer.Pick(now, room, nil)
 	}
 	for _, t := range l.targets {
-		if !slices.Contains(r.Exclude, t.ID) && l.running[t.ID] < l.limit.of(t.Slots) {
+		if !slices.Contains(r.Exclude, t.ID) && l.hasRoom(now, t) {
 			room = append(room, balance.Target{ID: t.ID, Near: t.Zone == r.Zone})
 		}
 	}
 	return l.balancer.Pick(now, room, nil)
 }
 
+// hasRoom reports whether a target takes one request more now.
+func (l *Line) hasRoom(now time.Time, t Target) bool {
+	return l.running[t.ID] < l.limit.of(t.Slots) && l.pacer.Open(now, t.ID)
+}
+
 func (l *Line) refuse(r *Request, reason string, retry time.Duration) {
 	l.act(Action{Key: r.Key, Reason: reason, RetryAfter: retry})
 }
--- /dev/null
+++ b/coord/ratelimit/pacer_test.go
@@ -0,0 +1,90 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// drain takes all that a target may get at a moment.
+func drain(p *Pacer, now time.Time, target string) (n int) {
+	for p.Open(now, target) {
+		p.Take(now, target)
+		n++
+	}
+	return n
+}
+
+// over takes all that a target may get in a time, looked at every 10 ms.
+func over(p *Pacer, from time.Time, d time.Duration, target string) (n int) {
+	for at := time.Duration(0); at < d; at += 10 * time.Millisecond {
+		n += drain(p, from.Add(at), target)
+	}
+	return n
+}
+
+func TestPacer(t *testing.T) {
+	p := NewPacer()
+	assert.Assert(t, p.Open(start, "a") && !p.Any())
+	p.SetRates(start, map[string]float64{"a": 2})
+	assert.Assert(t, p.Any())
+	assert.Equal(t, drain(p, start, "a"), 0, "it begins empty")
+	assert.Equal(t, p.Wait(start, "a"), 500*time.Millisecond)
+	assert.Equal(t, over(p, start, 4*time.Second, "a"), 7)
+	assert.Equal(t, drain(p, start.Add(time.Minute), "a"), 1, "an idle time is not made up for")
+	assert.Assert(t, p.Open(start, "b"))
+	rate, limited := p.Rate("a")
+	assert.Assert(t, limited && rate == 2)
+
+	p.SetShare(start.Add(time.Minute), 0.5)
+	assert.Equal(t, over(p, start.Add(time.Minute), 4*time.Second, "a"), 4, "0.2 were left")
+	p.SetRates(start.Add(2*time.Minute), nil)
+	assert.Assert(t, !p.Any() && p.Open(start, "a"))
+}
+
+func TestResetEmptiesBuckets(t *testing.T) {
+	p := NewPacer()
+	p.SetRates(start, map[string]float64{"a": 10})
+	now := start.Add(time.Minute)
+	p.Reset(now)
+	assert.Equal(t, drain(p, now, "a"), 0)
+}
+
+// TestTargetThatTakesNothingIsProbed: else it could not say that its limit has ended.
+func TestTargetThatTakesNothingIsProbed(t *testing.T) {
+	p := NewPacer()
+	p.SetRates(start, map[string]float64{"a": 0})
+	assert.Equal(t, over(p, start, 21*time.Second, "a"), 4)
+}
+
+func TestLimitThatChanges(t *testing.T) {
+	p := NewPacer()
+	p.SetRates(start, map[string]float64{"a": 100})
+	now := start.Add(time.Minute)
+	p.SetRates(now, map[string]float64{"a": 1})
+	assert.Equal(t, drain(p, now, "a"), 1, "what the bucket held by the limit before is gone")
+	p.SetRates(now, map[string]float64{"a": 1e300})
+	assert.Equal(t, p.Wait(now, "a"), time.Duration(0))
+}
+
+func TestDue(t *testing.T) {
+	p := NewPacer()
+	p.SetRates(start, map[string]float64{"a": 4})
+	assert.Assert(t, !p.Due(start.Add(time.Second), "a") && !p.Due(start.Add(time.Minute), "b"))
+	now := start.Add(probeAfter)
+	assert.Assert(t, p.Due(now, "a"))
+	p.Take(now, "a")
+	assert.Assert(t, !p.Due(now.Add(time.Second), "a"))
+}
+
+// TestReturnsAreSpread over the time in which refused callers can be served.
+func TestReturnsAreSpread(t *testing.T) {
+	var r Returns
+	for i := range 10 {
+		assert.Equal(t, r.Next(start, 2, 4), time.Duration(3+i)*250*time.Millisecond)
+	}
+	assert.Equal(t, r.Next(start.Add(time.Minute), 0, 4), 250*time.Millisecond)
+	assert.Equal(t, r.Next(start.Add(time.Minute), 1000, 4), MaxWait)
+	assert.Equal(t, r.Next(start.Add(time.Minute), 0, 0), MaxWait)
+}
--- a/coord/scheduler/homes.go
+++ b/coord/scheduler/homes.go
@@ -123,7 +123,7 @@
 		}
 		d := s.delay(now, t, r) + s.loadTime(t, r.Ref)
 		cost := d + time.Duration(t.crowd.now(now)*float64(crowdCost))
-		cost += s.speed.Reading(t.promised())
+		cost += s.speed.Reading(t.promised()) + s.rateCost(t)
 		cost += time.Duration(rendezvous.Mix(t.hash, key) % uint64(tieSpan))
 		if best != nil && cost >= least {
 			continue
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -78,11 +78,6 @@
 	})
 }
 
-// usable reports whether requests of r may go to t at all.
-func (s *Scheduler) usable(now time.Time, t *target, r *Request) bool {
-	return t.ready && t.health.open(now) && !slices.Contains(r.Resting, t.id) && (!slices.Contains(r.Exclude, t.id) || t.arriving(now, r.Ref))
-}
-
 // place grants, refuses, or starts what r waits for. It returns false when r has
 // to wait.
 func (s *Scheduler) place(now time.Time, r *Request) bool {
@@ -96,8 +91,7 @@
 	}
 	home, homeDelay, any := s.bestHome(now, r)
 	if !any {
-		s.refuse(r, "no_target", noTargetPause)
-		return true
+		return s.placeLater(now, r)
 	}
 	if r.Ref.IsBase() {
 		if home == nil {
@@ -121,6 +115,15 @@
 	return true
 }
 
+// placeLater lets a request for which no target can be used now wait, or refuses it.
+func (s *Scheduler) placeLater(now time.Time, r *Request) bool {
+	if refused, limited := s.waitForRate(now, r); limited {
+		return refused
+	}
+	s.refuse(r, "no_target", noTargetPause)
+	return true
+}
+
 // quickest is the least time to the first event of a waiting request, if it were sent
 // now: the prompt of one whose adapter no target holds has to be read whole.
 func (s *Scheduler) quickest(r *Request) time.Duration {
@@ -150,7 +153,11 @@
 		if !holds {
 			return
 		}
-		if d := wait + s.delay(now, t, r); best == nil || d < delay {
+		d := wait + s.delay(now, t, r)
+		if wait == 0 && s.pacer.Due(now, t.id) {
+			d = 0
+		}
+		if best == nil || d < delay {
 			best, delay = t, d
 		}
 	}
@@ -192,6 +199,7 @@
 func (s *Scheduler) grant(now time.Time, t *target, r *Request) {
 	priority, _ := s.urgency(now, t, r)
 	prompt := t.engine.Begin(now, s.speed, t.uncached(r), priority)
+	s.pacer.Take(now, t.id)
 	t.running++
 	t.crowd.add(now)
 	g := &grant{
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -20,7 +20,7 @@
 // requests that run, place.go the choice of a target, homes.go that of targets to load an
 // adapter at, loads.go how long loads take (learnt, coord/loadtime), heat.go how often adapters are asked for,
 // orders.go and reports.go how places are brought about and checked, freed.go what frees
-// them, health.go failing targets.
+// them, health.go failing targets, limited.go those that limit the rate of their requests.
 package scheduler
 
 import (
@@ -32,6 +32,7 @@
 	"github.com/junctionfold/junctionfold/coord/enginecost"
 	"github.com/junctionfold/junctionfold/coord/loadlimit"
 	"github.com/junctionfold/junctionfold/coord/loadtime"
+	"github.com/junctionfold/junctionfold/coord/ratelimit"
 )
 
 // Scheduler is the state for one service.
@@ -68,6 +69,11 @@
 	cold, warm    *loadtime.Estimate
 	loadNumber    uint64
 	nextModelLoad time.Time
+	// pacer keeps targets within the rates that they name. rateWaiting are the requests that wait for
+	// it, counted anew with each round, and returns the callers that it refused.
+	pacer       *ratelimit.Pacer
+	rateWaiting int
+	returns     ratelimit.Returns
 	// settledAt is when waiting requests were last gone over.
 	settledAt time.Time
 	// searches is how many homes may still be looked for in this round.
@@ -95,6 +101,7 @@
 		crowded:  map[coord.AdapterRef]crowdedHome{},
 		versions: map[coord.AdapterRef]int64{},
 		toldAt:   map[coord.VMID]time.Time{},
+		pacer:    ratelimit.NewPacer(),
 	}
 }
 
@@ -119,6 +126,7 @@
 	began := acting && !s.acting
 	s.acting = acting
 	if began {
+		s.pacer.Reset(now)
 		s.keepUntil = now.Add(adoptTime)
 		s.untold = make(map[coord.VMID]bool, len(others))
 		for _, vm := range others {
@@ -259,12 +267,13 @@
 	}
 	s.rank(now)
 	s.searches = maxSearches
+	s.rateWaiting = 0
 	s.spreadCrowded(now)
 	rest := s.waiting[:0]
 	stuck := map[coord.AdapterRef]bool{}
 	for _, r := range s.waiting {
 		// What does not help one request for an adapter does not help the next.
-		if stuck[r.Ref] && now.Before(r.FirstBy) && len(r.Exclude)+len(r.Resting) == 0 || !s.place(now, r) {
+		if stuck[r.Ref] && s.rateWaiting == 0 && now.Before(r.FirstBy) && len(r.Exclude)+len(r.Resting) == 0 || !s.place(now, r) {
 			rest = append(rest, r)
 			stuck[r.Ref] = true
 		}
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/ratelimit"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
@@ -97,6 +98,7 @@
 	if err == nil && verdict.Reason != scheduler.ReasonMoved {
 		out := verdictFromProto(r, a.Ticket, acting, verdict)
 		out.Lag = max(n.now().Sub(asked)-time.Duration(verdict.WaitedMs)*time.Millisecond, 0)
+		out.Decided = n.now().Add(-out.Lag)
 		n.metrics.VerdictLag.Observe(out.Lag)
 		return out, true, 0
 	}
@@ -200,6 +202,7 @@
 		Target: v.Target, Address: v.Address, AdapterVersion: v.AdapterVersion, Priority: int(v.Priority),
 		RetryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, Reason: v.Reason, OverQuota: v.OverQuota,
 		Placed: events.Copy{Revision: v.FeedRevision, Age: time.Duration(v.FeedAgeMs) * time.Millisecond},
+		Rate:   ratelimit.Limit{PerSecond: v.LimitPerSecond, Stamp: v.LimitStamp},
 	}
 }
 
@@ -242,7 +245,7 @@
 // to any target that holds it.
 func (n *Node) lastKnown(r *gateway.AdmitRequest) gateway.Verdict {
 	v := gateway.Verdict{
-		Service: r.Service, From: n.settings.Vm.Id, Ticket: n.tickets.Add(1),
+		Service: r.Service, From: n.settings.Vm.Id, Ticket: n.tickets.Add(1), Decided: n.now(),
 		Priority: scheduler.EnginePriority(r.Route.Priority),
 		Placed:   events.Copy{Revision: n.feed.Revision(), Age: n.feed.Age()},
 	}
@@ -269,7 +272,8 @@
 }
 
 func usable(t *fleet.Target, r *gateway.AdmitRequest) bool {
-	return t != nil && t.State == fleet.TargetReady && !slices.Contains(r.Exclude, t.ID) && !slices.Contains(r.Resting, t.ID)
+	return t != nil && t.State == fleet.TargetReady && !slices.Contains(r.Exclude, t.ID) && !slices.Contains(r.Resting, t.ID) &&
+		!slices.Contains(r.Limited, t.ID)
 }
 
 func holdsModel(t *fleet.Target, model string) bool {
--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -49,6 +49,7 @@
 	n.onRosterChanges(changes)
 	n.updateDuty()
 	n.quotas.tick()
+	n.rateLimits.tick(n.heardShare())
 	n.feed.Expire()
 	for _, vm := range n.listeners() {
 		go n.beatTo(vm)
@@ -139,6 +140,7 @@
 		if c.Restarted != 0 || c.Old == "" || c.Old == roster.Suspect.String() {
 			n.contents.tellTo(c.VM)
 			go n.tellLeaving(c.VM, n.feed.Leaving())
+			n.rateLimits.tellTo(c.VM)
 		}
 		n.log.PeerChanged(string(c.VM), c.Old, c.New, c.Silent)
 		if c.New == roster.Suspect.String() || c.New == "" {
--- a/internal/edge/decide.go
+++ b/internal/edge/decide.go
@@ -68,7 +68,7 @@
 		return v
 	}
 	if r.Plain {
-		return gateway.Verdict{Service: r.Service, From: n.settings.Vm.Id, Ticket: n.tickets.Add(1), Alone: true}
+		return gateway.Verdict{Service: r.Service, From: n.settings.Vm.Id, Ticket: n.tickets.Add(1), Alone: true, Decided: n.now()}
 	}
 	v := n.lastKnown(r)
 	if v.Target != "" {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -212,7 +212,7 @@
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: n.pool,
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		VMs:   func() int { return int(n.vms.Load()) }, Bounds: leavingBounds(s.Times), KeysWithin: keysWithin(s.Times),
-		Heard: n.targetSaid, Wake: n.wake, Log: l, Metrics: metrics, Now: n.now,
+		Heard: n.targetSaid, RateLimits: n.rateLimits, Wake: n.wake, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
 	return n, n.listen()
--- a/internal/edge/lines.go
+++ b/internal/edge/lines.go
@@ -53,7 +53,7 @@
 		}
 		pl := ls.services[name]
 		if pl == nil {
-			pl = &plainLine{service: name, l: line.New(), waiters: waiters{}}
+			pl = &plainLine{service: name, l: ls.newLine(), waiters: waiters{}}
 			ls.services[name] = pl
 		}
 		pl.targets, pl.usable, pl.revision = map[string]*fleet.Target{}, nil, d.Revision
@@ -67,6 +67,14 @@
 	}
 }
 
+// newLine returns an empty line that knows which targets limit their rate.
+func (ls *lines) newLine() *line.Line {
+	l := line.New()
+	rates, share := ls.node.rateLimits.current()
+	l.SetRates(ls.node.now(), rates, share)
+	return l
+}
+
 // setActing says whether other VMs ask this one.
 func (ls *lines) setActing(acting bool) {
 	ls.mu.Lock()
@@ -74,7 +82,7 @@
 	for _, pl := range ls.services {
 		ls.answer(pl, pl.l.HandBack(scheduler.ReasonMoved))
 		if acting {
-			pl.l = line.New()
+			pl.l = ls.newLine()
 			ls.answer(pl, pl.l.SetTargets(ls.node.now(), pl.usable))
 		}
 	}
@@ -148,7 +156,7 @@
 // answer gives verdicts to those who wait. ls.mu is held.
 func (ls *lines) answer(pl *plainLine, acts []line.Action) {
 	for _, a := range acts {
-		answered := pl.waiters.answer(a.Key, pl.targets, &schema.Verdict{
+		answered := pl.waiters.answer(a.Key, pl.targets, ls.node.rateLimits.Limit(a.Target), &schema.Verdict{
 			Target: a.Target, RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
 			FeedRevision: pl.revision, FeedAgeMs: ls.node.feed.Age().Milliseconds(),
 		})
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -3,15 +3,17 @@
 import (
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/gateway"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
-// targetSaid takes what a target said of itself beside an answer to this VM.
-func (n *Node) targetSaid(target string, said fleet.Notice) {
+// targetSaid takes what a target said of itself beside an answer to this VM. v is the verdict on which
+// the answered request was sent; nil: it is not known, or was none.
+func (n *Node) targetSaid(target string, said fleet.Notice, v *gateway.Verdict) {
 	if said.Rest > 0 && n.gateway.AskRest(target, said.Rest) {
 		n.log.TargetSaid(target, said.Leaving, said.Rest)
 	}
-	n.rateLimits.heard(target, said.RateLimit)
+	n.rateLimits.heard(target, said.RateLimit, v)
 	if said.Leaving && n.feed.TargetLeaves(target) {
 		n.log.TargetSaid(target, said.Leaving, said.Rest)
 		for _, vm := range n.others() {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -27,7 +27,7 @@
 			Version: a.Version, Holder: n.settings.Vm.Id, Fence: fence, Expect: a.Expect,
 		})
 	}
-	n.targetSaid(t.ID, answer.Notice)
+	n.targetSaid(t.ID, answer.Notice, nil)
 	result := answer.Result
 	n.logOrder(t, a, fence, result, err, n.now().Sub(began))
 	if result == fleet.OrderFenced {
@@ -79,7 +79,7 @@
 // incarnation asked for is gone; that of an earlier one says nothing.
 func (ss *schedules) read(sc *schedule, t *fleet.Target) {
 	report, err := ss.node.platform.Engines.Report(context.Background(), t.ID, t.Address)
-	ss.node.targetSaid(t.ID, report.Notice)
+	ss.node.targetSaid(t.ID, report.Notice, nil)
 	another := err == nil && t.Started != 0 && report.Started != 0 && report.Started != t.Started
 	if another {
 		err = errReborn
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -70,6 +70,11 @@
 	case *schema.Call_Leaving:
 		n.heardLeaving(body.Leaving)
 		return emptyReply()
+	case *schema.Call_RateLimits:
+		for _, m := range body.RateLimits.Limits {
+			n.rateLimits.take(from, m)
+		}
+		return emptyReply()
 	case *schema.Call_Heartbeat:
 		return emptyReply()
 	}
--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -103,8 +103,9 @@
 	n := q.node
 	now := n.now()
 	n.mu.Lock()
-	size, live, noticed := n.roster.Size(), n.roster.Heard(), n.roster.SuspectAfter()
+	size, noticed := n.roster.Size(), n.roster.SuspectAfter()
 	n.mu.Unlock()
+	share := n.heardShare()
 	known := size
 	if size == 1 || now.Sub(n.began) < fleetKnown {
 		known = 0
@@ -112,7 +113,7 @@
 	alone := n.isAlone()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.SetShare(now, float64(live)/float64(size))
+	q.ledger.SetShare(now, share)
 	q.reserve.SetFleet(now, known, noticed)
 	q.reserve.SetAlone(now, alone)
 	for key, c := range q.charged {
@@ -122,6 +123,13 @@
 	}
 }
 
+// heardShare is the part of the fleet that this VM hears.
+func (n *Node) heardShare() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return float64(n.roster.Heard()) / float64(n.roster.Size())
+}
+
 // acts reports whether other VMs ask this one.
 func (n *Node) acts() bool { return *n.acting.Load() == coord.VMID(n.settings.Vm.Id) }
 
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/ratelimit"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -63,6 +64,8 @@
 	if sc == nil {
 		sc = &schedule{service: name, s: scheduler.New(cfg), waiters: waiters{}}
 		ss.services[name] = sc
+		rates, share := ss.node.rateLimits.current()
+		sc.s.SetRates(now, rates, share)
 		sc.s.SetActing(now, ss.acting, nil)
 		sc.s.SetLease(now, ss.fence)
 	}
@@ -260,9 +263,9 @@
 	for _, a := range acts {
 		switch a.Kind {
 		case scheduler.ActGrant:
-			sc.verdict(a, ss.node.feed.Age())
+			sc.verdict(a, ss.node.rateLimits.Limit(a.Target), ss.node.feed.Age())
 		case scheduler.ActRefuse:
-			sc.verdict(a, ss.node.feed.Age())
+			sc.verdict(a, ss.node.rateLimits.Limit(a.Target), ss.node.feed.Age())
 			if a.Reason != scheduler.ReasonMoved {
 				st := sc.s.Stats()
 				ss.node.log.VerdictRefused(string(a.Key.VM), a.Key.Ticket, sc.service, a.Reason, st.Waiting, st.Loads, st.MaxLoads)
@@ -281,8 +284,8 @@
 }
 
 // verdict answers the VM that waits for it. age is that of this VM's copy of the store.
-func (sc *schedule) verdict(a scheduler.Action, age time.Duration) {
-	sc.waiters.answer(a.Key, sc.targets, &schema.Verdict{
+func (sc *schedule) verdict(a scheduler.Action, limit ratelimit.Limit, age time.Duration) {
+	sc.waiters.answer(a.Key, sc.targets, limit, &schema.Verdict{
 		Target: a.Target, AdapterVersion: a.Version, Priority: int32(a.Priority), RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
 		FeedRevision: sc.revision, FeedAgeMs: age.Milliseconds(),
 	})
--- a/internal/edge/verdicts.go
+++ b/internal/edge/verdicts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/ratelimit"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/schema"
 )
@@ -19,9 +20,9 @@
 	return verdict
 }
 
-// answer gives a request its verdict, with the target's address. It reports whether the request
+// answer gives a request its verdict, with the target's address and limit. It reports whether the request
 // was waiting.
-func (w waiters) answer(key coord.RequestKey, targets map[string]*fleet.Target, v *schema.Verdict) bool {
+func (w waiters) answer(key coord.RequestKey, targets map[string]*fleet.Target, limit ratelimit.Limit, v *schema.Verdict) bool {
 	verdict := w[key]
 	if verdict == nil {
 		return false
@@ -30,6 +31,7 @@
 	if t := targets[v.Target]; t != nil {
 		v.Address = t.Address
 	}
+	v.LimitPerSecond, v.LimitStamp = limit.PerSecond, limit.Stamp
 	verdict <- v
 	return true
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -123,13 +123,15 @@
 	// target: ready, draining, gone or unknown.
 	Sender      Copy
 	TargetState string
+	// RateLimit is the target's limit by which it was placed, in requests a second; 0: none.
+	RateLimit float64
 }
 
 func (s Sent) fields(f log.Fields) log.Fields {
 	f["placed_revision"], f["placed_age_ms"] = s.Placed.Revision, s.Placed.Age.Milliseconds()
 	f["verdict_lag_ms"], f["connect_ms"] = s.VerdictLag.Milliseconds(), s.Connect.Milliseconds()
 	f["sender_revision"], f["sender_age_ms"] = s.Sender.Revision, s.Sender.Age.Milliseconds()
-	f["target_state"] = s.TargetState
+	f["target_state"], f["rate_limit"] = s.TargetState, s.RateLimit
 	return f
 }
 
@@ -248,6 +250,11 @@
 	l.info("rate_limit_named", log.Fields{"target": target, "per_second": perSecond})
 }
 
+// RateLimitEnded says that a target names no limit any more.
+func (l *Log) RateLimitEnded(target string) {
+	l.info("rate_limit_ended", log.Fields{"target": target})
+}
+
 // ConfigAdopted says that a configuration is in force here.
 func (l *Log) ConfigAdopted(was, is uint64, routes, services int, revision uint64) {
 	l.info("config_adopted", log.Fields{
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/junctionfold/junctionfold/coord/balance"
 	"github.com/junctionfold/junctionfold/coord/quarantine"
+	"github.com/junctionfold/junctionfold/coord/ratelimit"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -50,6 +51,9 @@
 	Exclude []string
 	// Resting are the targets that want no requests from this VM for now.
 	Resting []string
+	// Limited are the targets that limit the rate of their requests: only the VM that is asked may
+	// choose them.
+	Limited []string
 }
 
 // Verdict is a target, or a refusal if Target is empty.
@@ -74,4 +78,8 @@
 	Placed events.Copy
 	// Lag is the time that question and verdict were under way; 0: decided here.
 	Lag time.Duration
+	// Decided is when the verdict was given at the earliest.
+	Decided time.Time
+	// Rate is the limit by which the target gets the request; its Stamp is 0 if it has none.
+	Rate ratelimit.Limit
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,8 +2,8 @@
 // finds its route, gets it a target, sends it there and returns the answer.
 //
 // gateway.go reads requests, identify.go finds whose they are and answers.go answers them without a target, routes.go finds
-// routes, plain.go and model.go choose targets and repeat attempts, leaving.go and resting.go leave
-// targets alone that say so, relay.go carries answers back, and resume.go goes on with a stream that
+// routes, plain.go and model.go choose targets and repeat attempts, leaving.go, resting.go and
+// limited.go leave targets alone that say so, relay.go carries answers back, and resume.go goes on with a stream that
 // broke off.
 //
 // What a caller is told is what is known: 503 and 429 say that the request has
@@ -55,8 +55,11 @@
 	VMs func() int
 	// Bounds are for targets that leave.
 	Bounds Bounds
-	// Heard takes what a target said of itself beside an answer. It must not wait.
-	Heard func(target string, said fleet.Notice)
+	// Heard takes what a target said of itself beside an answer, and the verdict on which the answered
+	// request was sent; nil: that is not known. It must not wait.
+	Heard func(target string, said fleet.Notice, v *Verdict)
+	// RateLimits knows which targets limit the rate of their requests.
+	RateLimits RateLimits
 	// Wake looks whether this VM was suspended, which Now and all ages count from then on.
 	Wake func()
 	// KeysWithin is how old a copy of the store may be to judge keys by; 0: any.
@@ -140,6 +143,8 @@
 	runs    int
 	exclude []string
 	stream  stream
+	// verdict is the one that is acted on.
+	verdict Verdict
 	// line closes the request in the log.
 	line events.Request
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/ratelimit"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
@@ -241,6 +244,12 @@
 	}
 }
 
+// knownLimits are the limits of targets.
+type knownLimits map[string]ratelimit.Limit
+
+func (k knownLimits) Limit(target string) ratelimit.Limit { return k[target] }
+func (k knownLimits) Limited() []string                   { return slices.Sorted(maps.Keys(k)) }
+
 func newFixture(t *testing.T, backends ...*backend) *fixture {
 	dir := &feed.Directory{Config: testConfig(), Targets: map[string]*fleet.Target{}}
 	for _, b := range backends {
@@ -249,8 +258,8 @@
 	x := &fixture{directory: &fixedDirectory{dir: dir}, admission: &fixedAdmission{}}
 	x.gateway = New(Config{
 		VM: "vm", Zone: "z-a", Codec: testCodec{}, Directory: x.directory, Admission: x.admission, Pool: hop.New(nil),
-		Wake: func() {},
-		Heard: func(target string, said fleet.Notice) {
+		Wake: func() {}, RateLimits: knownLimits{},
+		Heard: func(target string, said fleet.Notice, _ *Verdict) {
 			if said.Rest > 0 {
 				x.gateway.AskRest(target, said.Rest)
 			}
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -66,6 +66,9 @@
 	case x.g.cfg.Bounds.tooOld(sent.VerdictLag, sent.Sender.Age):
 		return x.withdrawn(errOldVerdict)
 	}
+	if err := x.checkRate(target); err != nil {
+		return x.withdrawn(err)
+	}
 	return nil
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -22,7 +22,7 @@
 		v := x.g.cfg.Admission.Admit(x.ctx, &AdmitRequest{
 			Service: x.service.Name, Team: x.teamName(), Cost: x.cost(x.runs), Request: &x.req, Route: x.route,
 			Deadline: x.deadline, FirstBy: x.firstBy(asked), Age: x.age, Content: x.digest, Exclude: x.exclude,
-			Resting: x.g.resting(),
+			Resting: x.g.resting(), Limited: x.g.cfg.RateLimits.Limited(),
 		})
 		x.line.Admit += x.g.cfg.Now().Sub(asked)
 		x.line.DecidedBy = v.From
@@ -50,6 +50,12 @@
 	}
 }
 
+// acceptVerdict takes a verdict to act on.
+func (x *exchange) acceptVerdict(v Verdict) {
+	x.verdict = v
+	x.line.Sent = events.Sent{Placed: v.Placed, VerdictLag: v.Lag, RateLimit: v.Rate.PerSecond}
+}
+
 // firstBy returns when the caller leaves if no event comes. A caller that has a part of the
 // stream waits from the last event, which came as good as now.
 func (x *exchange) firstBy(now time.Time) time.Time {
@@ -67,7 +73,7 @@
 // nothing was answered.
 func (x *exchange) tryModel(v Verdict) (again bool) {
 	sent := x.g.cfg.Now()
-	x.line.Sent = events.Sent{Placed: v.Placed, VerdictLag: v.Lag}
+	x.acceptVerdict(v)
 	answer, err := x.send(x.ctx, destination{
 		target: v.Target, address: v.Address, adapterVersion: v.AdapterVersion,
 		priority: v.Priority, after: x.stream.lastEvent,
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -84,6 +84,7 @@
 	r := &AdmitRequest{
 		Service: x.service.Name, Plain: true, Team: x.teamName(), Cost: x.cost(runs), Request: &x.req, Route: x.route,
 		Deadline: x.deadline, Content: x.digest, Exclude: exclude, Resting: x.g.resting(),
+		Limited: x.g.cfg.RateLimits.Limited(),
 	}
 	if x.route.Objective > 0 {
 		r.FirstBy = x.began.Add(x.route.Objective - x.age)
@@ -92,7 +93,7 @@
 	x.line.Admit += x.g.cfg.Now().Sub(asked)
 	x.line.DecidedBy = v.From
 	if v.Alone {
-		x.pickAlone(&v, slices.Concat(exclude, r.Resting))
+		x.pickAlone(&v, slices.Concat(exclude, r.Resting, r.Limited))
 	}
 	if v.Alone && v.Target != "" {
 		x.g.cfg.Admission.Chosen(r, v)
@@ -141,7 +142,7 @@
 	ctx, cancel := context.WithTimeout(x.ctx, limit)
 	began := x.g.cfg.Now()
 	a := &attempt{sent: true, cancel: cancel}
-	x.line.Sent = events.Sent{Placed: v.Placed, VerdictLag: v.Lag}
+	x.acceptVerdict(v)
 	a.answer, a.err = x.send(ctx, destination{target: v.Target, address: v.Address, priority: noPriority})
 	if a.err == nil {
 		a.class = x.g.cfg.Codec.Classify(x.req.ID, a.answer.Status, a.answer.Header)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -42,12 +42,22 @@
 		AckWithin: x.g.cfg.Bounds.InFlight,
 		Check:     func() error { return x.beforeSending(d.target, x.g.cfg.Now().Sub(began)) },
 		Mine: func(status int, h http.Header) bool {
-			x.g.cfg.Heard(d.target, x.g.cfg.Codec.Notice(status, h))
-			return x.g.cfg.Codec.Classify(x.req.ID, status, h) != fleet.Foreign
+			said, class := x.g.cfg.Codec.Notice(status, h), x.g.cfg.Codec.Classify(x.req.ID, status, h)
+			x.g.cfg.Heard(d.target, said, x.verdictOf(class))
+			return class != fleet.Foreign
 		},
 	})
 }
 
+// verdictOf returns the verdict on which the request was sent that got an answer of this class; nil: the
+// answer is to another request, or perhaps of another process.
+func (x *exchange) verdictOf(class fleet.Class) *Verdict {
+	if class == fleet.Foreign || class == fleet.Misplaced {
+		return nil
+	}
+	return &x.verdict
+}
+
 // connectionReserve of a target's connections is left for orders and for VMs
 // that are not known yet.
 const connectionReserve = 0.1
