--- a/coord/ratelimit/fleet_test.go
+++ b/coord/ratelimit/fleet_test.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -204,7 +203,7 @@
 			}
 			for _, w := range ways {
 				worst, used := newTrial(vms, rate, 1).play(w.new(), 40*time.Second)
-				t.Log(fmt.Sprintf("%d VMs, %.1f a second, %s: worst window %.2f of what is allowed, %.2f of the limit used", vms, rate, w.name, worst, used))
+				t.Logf("%d VMs, %.1f a second, %s: worst window %.2f of what is allowed, %.2f of the limit used", vms, rate, w.name, worst, used)
 				if w.name == "paced by one VM" {
 					assert.Check(t, worst <= 1 && used > 0.5, "%v %v", worst, used)
 				}
