--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -292,6 +292,12 @@
 	l.info("store_history_gone", log.Fields{"revision": revision})
 }
 
+// StoreRelisted says what a list of everything brought: the revisions of the copy before and of the list,
+// and how many items it has and changed here.
+func (l *Log) StoreRelisted(was, listed uint64, items, changed int) {
+	l.info("store_relisted", log.Fields{"was": was, "listed": listed, "items": items, "changed": changed})
+}
+
 // FeedGap says that changes that another VM has could not be had.
 func (l *Log) FeedGap(peer string, revision uint64, err error) {
 	l.warn("feed_gap", log.Fields{"peer": peer, "revision": revision, "error": text(err)})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -262,7 +262,9 @@
 	if err != nil {
 		return f.cfg.retryPause()
 	}
-	f.takeAndPassOn(u)
+	was := f.Revision()
+	changed := f.takeAndPassOn(u)
+	f.cfg.Log.StoreRelisted(was, u.To, len(u.Items), changed)
 	return f.cfg.pollGap()
 }
 
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -27,11 +27,13 @@
 // That nothing changed they learn from the roster. A VM that is no reader reads only when
 // it has heard nothing fresh: its readers have lost the store, and those of others
 // probably have too. Who reads a change first passes it on, so that it is no change to
-// those who read after.
-func (f *Feed) takeAndPassOn(u Update) {
-	if news, _ := f.take(u); len(news.Items) > 0 {
+// those who read after. It returns how many items changed here.
+func (f *Feed) takeAndPassOn(u Update) (changed int) {
+	news, _ := f.take(u)
+	if len(news.Items) > 0 {
 		f.cfg.Peers.PassOn(news)
 	}
+	return len(news.Items)
 }
 
 // catchUpFromPeer is for a VM that the store turns away while it serves others.
