Order the store's changes by its era, then by revision

A copy at revision 97 asked on from 97, got 410, read a list at a lower revision and took nothing of it whose key it held with a higher one, and asked on from 97 again; six VMs read 174 and 196 lists so. Where the new revisions passed the lost ones before the next watch, what lay between was missing for good and the copy counted as proven.

Change: fleet.Revision orders by era, then number, and is made where Store-Era is read. Decisions stay: configuration and adapter versions, leaving and gone targets, starts. What the copy lacks has the time of lapses. One list is enough: the others ask who has it.

Tests changed: types of revisions, and apply returns a struct; none asks for less.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -201,7 +201,7 @@
 		Service: r.Service, Ticket: ticket, From: string(from),
 		Target: v.Target, Address: v.Address, AdapterVersion: v.AdapterVersion, Priority: int(v.Priority),
 		RetryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, Reason: v.Reason, OverQuota: v.OverQuota,
-		Placed: events.Copy{Revision: v.FeedRevision, Age: time.Duration(v.FeedAgeMs) * time.Millisecond},
+		Placed: events.Copy{Revision: fleet.Revision(v.FeedRevision), Age: time.Duration(v.FeedAgeMs) * time.Millisecond},
 		Rate:   ratelimit.Limit{PerSecond: v.LimitPerSecond, Stamp: v.LimitStamp},
 	}
 }
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -9,6 +9,7 @@
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/roster"
+	"github.com/junctionfold/junctionfold/internal/fleet"
 )
 
 // Figures of who reads and who orders.
@@ -104,7 +105,7 @@
 		n.log.DutyNotTaken(err)
 	}
 	n.mu.Lock()
-	n.duty.Take(n.now(), revision, err == nil)
+	n.duty.Take(n.now(), fenceBase(revision), err == nil)
 	fence := n.duty.Fence()
 	n.roster.SetFence(fence)
 	n.mu.Unlock()
@@ -116,6 +117,13 @@
 	n.beatAll()
 }
 
+// eraStep is how many revisions an era counts for in fencing numbers: more than the store loses when it is
+// restored. At 1,500 targets it makes some 1,250 a second.
+const eraStep = 1 << 20
+
+// fenceBase is a number that grows with the revisions of the store and does not fall when it is restored.
+func fenceBase(r fleet.Revision) uint64 { return r.Number() + r.Era()*eraStep }
+
 // maxTickAge is how old the last look at the fleet may be for an order: a VM that
 // stood still must look again first.
 const maxTickAge = 2*slowHeartbeat + 100*time.Millisecond
--- a/internal/edge/lines.go
+++ b/internal/edge/lines.go
@@ -35,7 +35,7 @@
 	targets map[string]*fleet.Target
 	usable  []line.Target
 	// revision of the store that targets show.
-	revision uint64
+	revision fleet.Revision
 }
 
 func newLines(n *Node) *lines { return &lines{node: n, services: map[string]*plainLine{}} }
@@ -158,7 +158,7 @@
 	for _, a := range acts {
 		answered := pl.waiters.answer(a.Key, pl.targets, ls.node.rateLimits.Limit(a.Target), &schema.Verdict{
 			Target: a.Target, RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
-			FeedRevision: pl.revision, FeedAgeMs: ls.node.feed.Age().Milliseconds(),
+			FeedRevision: uint64(pl.revision), FeedAgeMs: ls.node.feed.Age().Milliseconds(),
 		})
 		if answered && a.Target == "" && a.Reason != scheduler.ReasonMoved {
 			ls.node.log.LineRefused(string(a.Key.VM), a.Key.Ticket, pl.service, a.Reason, pl.l.Stats())
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -78,3 +78,13 @@
 	})
 	return c
 }
+
+// TestFencingNumbersAfterTheStoreIsRestored are not below those before it.
+func TestFencingNumbersAfterTheStoreIsRestored(t *testing.T) {
+	before, err := fleet.NewRevision(1, 900_000)
+	assert.NilError(t, err)
+	after, err := fleet.NewRevision(2, 10)
+	assert.NilError(t, err)
+	assert.Assert(t, fenceBase(after) > fenceBase(before))
+	assert.Equal(t, fenceBase(7), uint64(7))
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,6 +9,7 @@
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/feed"
+	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/peer"
 	"github.com/junctionfold/junctionfold/schema"
 )
@@ -45,7 +46,7 @@
 		n.feed.TakeFrom(from, u)
 		return emptyReply()
 	case *schema.Call_FeedPull:
-		u, ok := n.feed.Since(body.FeedPull.After)
+		u, ok := n.feed.Since(fleet.Revision(body.FeedPull.After))
 		if !ok {
 			return &schema.Reply{Error: "nothing read from the store yet"}
 		}
@@ -62,7 +63,7 @@
 	case *schema.Call_FeedProof:
 		p := n.feed.Proof()
 		return &schema.Reply{Body: &schema.Reply_FeedState{FeedState: &schema.FeedState{
-			LastChange: p.LastChange, ProvenMs: provenMs(p.Proven),
+			LastChange: uint64(p.LastChange), ProvenMs: provenMs(p.Proven),
 		}}}
 	case *schema.Call_Suspects:
 		n.contents.learn(body.Suspects)
@@ -106,7 +107,7 @@
 		out.Counts = append(out.Counts, b.Count)
 	}
 	s := n.feed.State()
-	out.FeedLastChange, out.FeedRevision = s.LastChange, s.To
+	out.FeedLastChange, out.FeedRevision = uint64(s.LastChange), uint64(s.To)
 	out.FeedAgeMs, out.FeedReads = s.Age.Milliseconds(), s.Reads
 	return out
 }
@@ -167,7 +168,7 @@
 		go n.askRoster(from)
 	}
 	n.feed.Heard(from, feed.State{
-		LastChange: r.FeedLastChange, To: r.FeedRevision,
+		LastChange: fleet.Revision(r.FeedLastChange), To: fleet.Revision(r.FeedRevision),
 		Age: time.Duration(r.FeedAgeMs) * time.Millisecond, Reads: r.FeedReads,
 	})
 }
@@ -220,7 +221,7 @@
 var errNoPeer = errors.New("no other VM is known")
 
 // Pull asks some other VM for what changed after a revision.
-func (p *feedPeers) Pull(ctx context.Context, after uint64) (feed.Update, error) {
+func (p *feedPeers) Pull(ctx context.Context, after fleet.Revision) (feed.Update, error) {
 	err := errNoPeer
 	for _, vm := range shuffled((*Node)(p).others(), fanout) {
 		var u feed.Update
@@ -246,13 +247,13 @@
 	if state == nil {
 		return vm, feed.Proof{}, errors.Newf("%s answered without the state of its copy", vm)
 	}
-	return vm, feed.Proof{LastChange: state.LastChange, Proven: time.Duration(state.ProvenMs) * time.Millisecond}, nil
+	return vm, feed.Proof{LastChange: fleet.Revision(state.LastChange), Proven: time.Duration(state.ProvenMs) * time.Millisecond}, nil
 }
 
 // PullFrom asks one VM.
-func (p *feedPeers) PullFrom(ctx context.Context, vm coord.VMID, after uint64) (feed.Update, error) {
+func (p *feedPeers) PullFrom(ctx context.Context, vm coord.VMID, after fleet.Revision) (feed.Update, error) {
 	reply, err := (*Node)(p).mesh.Call(ctx, vm, &schema.Call{Body: &schema.Call_FeedPull{
-		FeedPull: &schema.FeedPull{After: after},
+		FeedPull: &schema.FeedPull{After: uint64(after)},
 	}})
 	if err != nil {
 		return feed.Update{}, err
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -34,7 +34,7 @@
 	waiters waiters
 	targets map[string]*fleet.Target
 	// revision of the store that targets show.
-	revision uint64
+	revision fleet.Revision
 }
 
 func newSchedules(n *Node) *schedules {
@@ -287,6 +287,6 @@
 func (sc *schedule) verdict(a scheduler.Action, limit ratelimit.Limit, age time.Duration) {
 	sc.waiters.answer(a.Key, sc.targets, limit, &schema.Verdict{
 		Target: a.Target, AdapterVersion: a.Version, Priority: int32(a.Priority), RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
-		FeedRevision: sc.revision, FeedAgeMs: age.Milliseconds(),
+		FeedRevision: uint64(sc.revision), FeedAgeMs: age.Milliseconds(),
 	})
 }
--- a/internal/edge/update.go
+++ b/internal/edge/update.go
@@ -32,10 +32,10 @@
 )
 
 func updateToProto(u feed.Update) *schema.FeedUpdate {
-	out := &schema.FeedUpdate{From: u.From, To: u.To, Snapshot: u.Snapshot, AgeMs: u.Age.Milliseconds(), Reads: u.Reads, ProvenMs: provenMs(u.Proven)}
+	out := &schema.FeedUpdate{From: uint64(u.From), To: uint64(u.To), Snapshot: u.Snapshot, AgeMs: u.Age.Milliseconds(), Reads: u.Reads, ProvenMs: provenMs(u.Proven)}
 	for _, i := range u.Items {
 		out.Items = append(out.Items, &schema.StoreItem{
-			Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted,
+			Key: i.Key, Value: i.Value, Revision: uint64(i.Revision), Deleted: i.Deleted,
 		})
 	}
 	if proto.Size(out) < packAbove {
@@ -59,7 +59,7 @@
 
 func updateFromProto(u *schema.FeedUpdate) (feed.Update, error) {
 	out := feed.Update{
-		From: u.From, To: u.To, Snapshot: u.Snapshot, Age: time.Duration(u.AgeMs) * time.Millisecond,
+		From: fleet.Revision(u.From), To: fleet.Revision(u.To), Snapshot: u.Snapshot, Age: time.Duration(u.AgeMs) * time.Millisecond,
 		Reads: u.Reads, Proven: time.Duration(u.ProvenMs) * time.Millisecond,
 	}
 	items := u.Items
@@ -75,7 +75,7 @@
 		items = unpacked.Items
 	}
 	for _, i := range items {
-		out.Items = append(out.Items, fleet.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+		out.Items = append(out.Items, fleet.Item{Key: i.Key, Value: i.Value, Revision: fleet.Revision(i.Revision), Deleted: i.Deleted})
 	}
 	return out, nil
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -17,6 +17,8 @@
 	"github.com/apex/log"
 	"golang.org/x/time/rate"
 
+	"github.com/junctionfold/junctionfold/internal/fleet"
+
 	"github.com/junctionfold/junctionfold/coord/line"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/logging"
@@ -104,7 +106,7 @@
 
 // Copy is a copy of the store by which a VM decided.
 type Copy struct {
-	Revision uint64
+	Revision fleet.Revision
 	// Age is the time since it was known to be current.
 	Age time.Duration
 }
@@ -233,7 +235,7 @@
 }
 
 // TargetChanged says that a target was seen, changed its state, or is gone.
-func (l *Log) TargetChanged(target, service, was, is string, revision uint64) {
+func (l *Log) TargetChanged(target, service, was, is string, revision fleet.Revision) {
 	l.info("target_changed", log.Fields{
 		"target": target, "service": service, "was": was, "is": is, "revision": revision,
 	})
@@ -256,7 +258,7 @@
 }
 
 // ConfigAdopted says that a configuration is in force here.
-func (l *Log) ConfigAdopted(was, is uint64, routes, services int, revision uint64) {
+func (l *Log) ConfigAdopted(was, is uint64, routes, services int, revision fleet.Revision) {
 	l.info("config_adopted", log.Fields{
 		"was": was, "is": is, "routes": routes, "services": services, "revision": revision,
 	})
@@ -273,33 +275,39 @@
 
 // ItemRefused says that an item of the store could not be read, or a part of it: once for
 // each key and reason in a row.
-func (l *Log) ItemRefused(key string, revision uint64, err error) {
+func (l *Log) ItemRefused(key string, revision fleet.Revision, err error) {
 	l.warn("store_item_refused", log.Fields{"key": key, "revision": revision, "error": text(err)})
 }
 
 // StoreLost says that the store failed to answer; StoreRegained that it does again.
-func (l *Log) StoreLost(err error, revision uint64) {
+func (l *Log) StoreLost(err error, revision fleet.Revision) {
 	l.warn("store_lost", log.Fields{"error": text(err), "revision": revision})
 }
 
 // StoreRegained says that the store answers again.
-func (l *Log) StoreRegained(revision uint64) {
+func (l *Log) StoreRegained(revision fleet.Revision) {
 	l.info("store_regained", log.Fields{"revision": revision})
 }
 
 // StoreHistoryGone says that everything is read anew.
-func (l *Log) StoreHistoryGone(revision uint64) {
+func (l *Log) StoreHistoryGone(revision fleet.Revision) {
 	l.info("store_history_gone", log.Fields{"revision": revision})
 }
 
 // StoreRelisted says what a list of everything brought: the revisions of the copy before and of the list,
 // and how many items it has and changed here.
-func (l *Log) StoreRelisted(was, listed uint64, items, changed int) {
+func (l *Log) StoreRelisted(was, listed fleet.Revision, items, changed int) {
 	l.info("store_relisted", log.Fields{"was": was, "listed": listed, "items": items, "changed": changed})
 }
 
+// StoreEraBegan says that the store was restored from an older copy: the revision of the VM's copy before,
+// that of the first snapshot since, its items and how many differ.
+func (l *Log) StoreEraBegan(was, is fleet.Revision, items, changed int) {
+	l.info("store_era_began", log.Fields{"was": was, "is": is, "items": items, "changed": changed})
+}
+
 // FeedGap says that changes that another VM has could not be had.
-func (l *Log) FeedGap(peer string, revision uint64, err error) {
+func (l *Log) FeedGap(peer string, revision fleet.Revision, err error) {
 	l.warn("feed_gap", log.Fields{"peer": peer, "revision": revision, "error": text(err)})
 }
 
@@ -319,7 +327,7 @@
 }
 
 // DutyTaken says under which number this VM orders.
-func (l *Log) DutyTaken(fence, revision uint64) {
+func (l *Log) DutyTaken(fence uint64, revision fleet.Revision) {
 	l.info("duty_taken", log.Fields{"fence": fence, "revision": revision})
 }
 
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -22,7 +22,7 @@
 // Update is what changed in the store after revision From up to To. A snapshot
 // holds all items at To.
 type Update struct {
-	From, To uint64
+	From, To fleet.Revision
 	Snapshot bool
 	Items    []fleet.Item
 	// Age is how long ago the sender knew this to be current; negative: unknown.
@@ -39,9 +39,9 @@
 // cache is a copy of the store's items. It is not safe for concurrent use.
 type cache struct {
 	items    map[string]fleet.Item
-	revision uint64
+	revision fleet.Revision
 	// lastChange is the revision of the newest change that matters here.
-	lastChange uint64
+	lastChange fleet.Revision
 	// fresh is the latest time at which the copy is known to have been current, by read.
 	fresh time.Time
 	read  readID
@@ -49,7 +49,10 @@
 	proven time.Time
 	// changes are the newest ones, in order; all after logFrom are there.
 	changes []fleet.Item
-	logFrom uint64
+	logFrom fleet.Revision
+	// restored are the keys with values from the copy that the store was restored from: the next value
+	// counts as a change even if it is the same.
+	restored map[string]bool
 }
 
 // unknownAge is the age of a copy that was never known to be current: negative also in
@@ -64,39 +67,86 @@
 // loaded reports whether the copy was ever complete.
 func (c *cache) loaded() bool { return c.revision > 0 }
 
-// apply takes an update and returns the items that are new here. gap reports
-// that changes before the update are missing, so that it was not taken.
-func (c *cache) apply(now time.Time, u Update) (changed []fleet.Item, gap bool) {
-	if !u.Snapshot && (!c.loaded() || u.From > c.revision) {
-		return nil, true
+// applied is what an update did to a copy.
+type applied struct {
+	// changed are the items that are new here.
+	changed []fleet.Item
+	// gap says that changes before the update are missing, so that it was not taken.
+	gap bool
+	// began says that it is the first of an era of the store.
+	began bool
+}
+
+// apply takes an update.
+func (c *cache) apply(now time.Time, u Update) (out applied) {
+	if c.loaded() && u.To.Era() < c.revision.Era() {
+		return out // of a history that is over
+	}
+	out.began = c.loaded() && u.To.Era() > c.revision.Era()
+	if !u.Snapshot && (!c.loaded() || out.began || u.From > c.revision) {
+		return applied{gap: true}
+	}
+	if out.began {
+		c.beginEra(u.To)
 	}
 	if u.Snapshot {
 		u.Items = append(u.Items, c.missingFrom(u)...)
 	}
 	for _, item := range u.Items {
-		old, held := c.items[item.Key]
-		if held && old.Revision >= item.Revision || !held && item.Deleted {
-			continue
-		}
-		c.items[item.Key] = item
-		if held && old.Deleted == item.Deleted && bytes.Equal(old.Value, item.Value) {
-			continue
+		if c.put(item) {
+			out.changed = append(out.changed, item)
+			c.lastChange = max(c.lastChange, item.Revision)
 		}
-		changed = append(changed, item)
-		c.lastChange = max(c.lastChange, item.Revision)
+	}
+	if out.began {
+		c.markRestored(u.Items)
 	}
 	c.prove(u)
 	if u.To >= c.revision {
 		c.revision = u.To
 		c.refresh(now, u.Age, readID{u.To, u.Reads})
 	}
-	c.remember(u, changed)
-	return changed, false
+	c.remember(u, out.changed)
+	return out
+}
+
+// put takes one item. It reports whether it is a change.
+func (c *cache) put(item fleet.Item) (changed bool) {
+	old, held := c.items[item.Key]
+	if held && old.Revision >= item.Revision || !held && item.Deleted {
+		return false
+	}
+	c.items[item.Key] = item
+	restored := c.restored[item.Key]
+	delete(c.restored, item.Key)
+	return !held || restored || old.Deleted != item.Deleted || !bytes.Equal(old.Value, item.Value)
+}
+
+// beginEra makes room for the first snapshot of an era. What the copy holds is of a history that is over:
+// its revisions do not say what is newer, and its reads prove nothing of the new one.
+func (c *cache) beginEra(to fleet.Revision) {
+	c.lastChange = to.EraStart()
+	c.proven = time.Time{}
+	c.restored = nil
+}
+
+// markRestored takes that items are as the copy has them that the store was restored from, as far as is
+// known.
+func (c *cache) markRestored(items []fleet.Item) {
+	c.restored = map[string]bool{}
+	for _, item := range items {
+		if !item.Deleted {
+			c.restored[item.Key] = true
+		}
+	}
 }
 
 // readID names one read of the store: by its revision, and by a count above that of
 // every read which the reader knew of.
-type readID struct{ revision, count uint64 }
+type readID struct {
+	revision fleet.Revision
+	count    uint64
+}
 
 func (r readID) after(other readID) bool {
 	return r.revision > other.revision || r.revision == other.revision && r.count > other.count
@@ -131,12 +181,12 @@
 }
 
 // proveBy takes the answer of a VM that was asked how current its copy is. behind reports that
-// this copy lacks changes of that one: it is not proven then.
+// this copy lacks changes of that one: it is not proven then, nor by a copy of an earlier era.
 func (c *cache) proveBy(asked time.Time, p Proof) (behind bool) {
 	if !c.loaded() || p.LastChange > c.revision {
 		return true
 	}
-	if p.Proven >= 0 {
+	if p.Proven >= 0 && p.LastChange.Era() == c.revision.Era() {
 		c.proven = coord.Later(c.proven, asked.Add(-p.Proven))
 	}
 	return false
@@ -202,7 +252,7 @@
 
 // since returns what changed after a revision, or a snapshot when that is no
 // longer known.
-func (c *cache) since(now time.Time, after uint64) Update {
+func (c *cache) since(now time.Time, after fleet.Revision) Update {
 	u := Update{From: after, To: c.revision, Age: now.Sub(c.fresh), Reads: c.read.count, Proven: c.provenAge(now)}
 	if c.fresh.IsZero() {
 		u.Age = unknownAge
--- a/internal/feed/copy.go
+++ b/internal/feed/copy.go
@@ -19,25 +19,38 @@
 	f.noteRunning(now)
 	f.dir.known = f.cache.fresh
 	news = Update{From: f.cache.lastChange, To: u.To, Reads: u.Reads}
-	news.Items, gap = f.cache.apply(now, u)
-	for _, item := range news.Items {
-		if err := f.dir.take(now, item); err != nil {
+	was := f.cache.revision
+	done := f.cache.apply(now, u)
+	news.Items = done.changed
+	if done.began {
+		f.cfg.Log.StoreEraBegan(was, u.To, len(u.Items), len(done.changed))
+		f.dir.beginEra(now)
+		news = Update{From: u.To.EraStart(), To: u.To, Reads: u.Reads, Items: done.changed}
+	}
+	for _, item := range done.changed {
+		if err := f.dir.takeChange(now, item, done.began); err != nil {
 			f.refused.Add(1)
 			f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
 		}
 	}
-	d, gone := f.settle(now, len(news.Items) > 0)
+	d, gone := f.settle(now, len(done.changed) > 0 || done.began)
 	proven := f.cache.proven
 	f.mu.Unlock()
 	f.publish(d, gone)
 	f.proven.Store(&proven)
-	return news, gap
+	return news, done.gap
 }
 
 // settle drops targets whose grace is over. It returns the directory if it changed, else
 // nil, and the ids of the targets that were dropped. f.mu is held.
 func (f *Feed) settle(now time.Time, changed bool) (d *Directory, gone []string) {
 	gone = f.dir.expire(now)
+	for _, item := range f.dir.endedDoubts(now) {
+		changed = true
+		if err := f.dir.take(now, item); err != nil {
+			f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
+		}
+	}
 	if !changed && len(gone) == 0 {
 		return nil, nil
 	}
--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -21,7 +21,7 @@
 	// Gone are ids of targets that are not listed, and were dropped lately or said that they leave.
 	Gone map[string]bool
 	// Revision of the store that this shows.
-	Revision uint64
+	Revision fleet.Revision
 }
 
 // Of returns the targets of a service by id.
@@ -73,6 +73,8 @@
 	started map[string]startHeard
 	// refused is why the value of a key could not be read, as far as it was logged.
 	refused map[string]string
+	// doubtful are entries of targets that were gone before the store was restored, by key.
+	doubtful map[string]doubtfulItem
 	// away is until when removals may be lapses of the store's absence.
 	away time.Time
 	// leaving are the targets that said that they leave.
@@ -93,6 +95,18 @@
 		refused:  map[string]string{},
 		versions: map[fleet.AdapterRef]fleet.AdapterVersion{},
 		leaving:  leavers{},
+		doubtful: map[string]doubtfulItem{},
+	}
+}
+
+// beginEra takes that the store was restored from an older copy. What it lacks is written again within the
+// time of lapses. A target that was leaving goes on to leave, whatever the copy says of it.
+func (d *directory) beginEra(now time.Time) {
+	d.returned(now)
+	for _, t := range d.targets {
+		if t.State == fleet.TargetDraining {
+			d.leaving[t.ID] = now
+		}
 	}
 }
 
@@ -123,6 +137,53 @@
 	return err
 }
 
+// takeChange carries one changed item in; restored says that it may be as the copy had it that the store was
+// restored from. A target that is gone stays so then, until it writes again or is still there when the
+// lease of an entry that nobody renews is over.
+func (d *directory) takeChange(now time.Time, item fleet.Item, restored bool) error {
+	delete(d.doubtful, item.Key)
+	if restored && d.isGone(item) {
+		d.doubtful[item.Key] = doubtfulItem{item: item, until: now.Add(doubtTime)}
+		return nil
+	}
+	return d.take(now, item)
+}
+
+// endedDoubts returns the doubtful entries that are still listed, when it is time to take them.
+func (d *directory) endedDoubts(now time.Time) (out []fleet.Item) {
+	for key, doubt := range d.doubtful {
+		if !now.Before(doubt.until) {
+			out = append(out, doubt.item)
+			delete(d.doubtful, key)
+		}
+	}
+	return out
+}
+
+// doubtTime is how long an entry that nobody renews is listed at most after the store is back: three
+// heartbeats of targets, and one for their jitter.
+const doubtTime = 5 * time.Second
+
+// doubtfulItem is an entry of a target that was gone before the store was restored.
+type doubtfulItem struct {
+	item  fleet.Item
+	until time.Time
+}
+
+// isGone reports whether an item announces a target that is gone.
+func (d *directory) isGone(item fleet.Item) bool {
+	if item.Deleted {
+		return false
+	}
+	decoded, err := d.decode(item)
+	if err != nil || decoded.Target == nil {
+		return false
+	}
+	_, dropped := d.dropped[decoded.Target.ID]
+	_, going := d.gone[item.Key]
+	return dropped || going
+}
+
 func (d *directory) carry(now time.Time, item fleet.Item) error {
 	if item.Deleted {
 		d.leave(now, item.Key)
@@ -253,7 +314,7 @@
 	return out
 }
 
-func (d *directory) publish(revision uint64) *Directory {
+func (d *directory) publish(revision fleet.Revision) *Directory {
 	out := &Directory{
 		Config: d.config, Revision: revision,
 		Targets:  make(map[string]*fleet.Target, len(d.targets)),
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -113,6 +113,9 @@
 	dir    *directory
 	down   bool // the store failed when last read
 	asking bool // a question to another VM is under way
+	// listAt is when this VM, which does not read for the others, lists the store itself after its history
+	// is gone; zero: it need not.
+	listAt time.Time
 	// ranAt is when this VM was last seen to run, resumedAt when it ran again after it
 	// had stood still.
 	ranAt, resumedAt time.Time
@@ -160,7 +163,7 @@
 }
 
 // Revision returns the store's revision up to which the copy is complete.
-func (f *Feed) Revision() uint64 {
+func (f *Feed) Revision() fleet.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.cache.revision
@@ -225,7 +228,7 @@
 	return u, nil
 }
 
-func (f *Feed) pull(ctx context.Context, after uint64) (Update, error) {
+func (f *Feed) pull(ctx context.Context, after fleet.Revision) (Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	asked := f.cfg.Now()
@@ -239,10 +242,13 @@
 	began := f.cfg.Now()
 	from := f.Revision()
 	items, revision, err := f.cfg.Store.Watch(ctx, "", from, wait)
-	if errors.Is(err, fleet.ErrHistoryGone) {
+	if errors.Is(err, fleet.ErrHistoryGone) || err == nil && revision.Era() > from.Era() {
 		f.cfg.Log.StoreHistoryGone(from)
 		return f.relist(ctx)
 	}
+	if err == nil && revision.Era() < from.Era() {
+		err = errEraOver
+	}
 	f.note(err)
 	if err != nil {
 		f.catchUpFromPeer(ctx, from)
@@ -255,19 +261,55 @@
 	return max(gap-f.cfg.Now().Sub(began), 0)
 }
 
-// relist reads everything anew when the history is gone.
+// errEraOver marks an answer of an era of the store that is over.
+var errEraOver = errors.Mark(errors.New("the answer is of an era that is over"), fleet.ErrStore)
+
+// relist reads everything anew when the history is gone. One list is enough for all VMs: those that do not
+// read for the others wait for it first.
 func (f *Feed) relist(ctx context.Context) time.Duration {
+	was := f.Revision()
+	if !f.cfg.Peers.Reader() {
+		if pause := f.awaitList(ctx, was); pause > 0 {
+			return pause
+		}
+	}
 	u, err := f.list(ctx)
+	if err == nil && u.To.Era() < was.Era() {
+		err = errEraOver
+	}
 	f.note(err)
 	if err != nil {
 		return f.cfg.retryPause()
 	}
-	was := f.Revision()
 	changed := f.takeAndPassOn(u)
 	f.cfg.Log.StoreRelisted(was, u.To, len(u.Items), changed)
 	return f.cfg.pollGap()
 }
 
+// awaitList asks a reader for what it has read since a revision, and returns how long to wait for it; 0:
+// this VM is to list.
+func (f *Feed) awaitList(ctx context.Context, was fleet.Revision) (pause time.Duration) {
+	f.askReader(ctx)
+	now := f.cfg.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cache.revision != was {
+		f.listAt = time.Time{}
+		return ownGap
+	}
+	if f.listAt.IsZero() {
+		f.listAt = now.Add(leastRetryGap + rand.N(min(time.Duration(f.cfg.Peers.VMs())*joinGap, maxListWait)))
+	}
+	if wait := f.listAt.Sub(now); wait > 0 {
+		return wait
+	}
+	f.listAt = time.Time{}
+	return 0
+}
+
+// maxListWait bounds how long VMs wait for a reader's list.
+const maxListWait = 500 * time.Millisecond
+
 // note logs when the store is lost and regained.
 func (f *Feed) note(err error) {
 	f.mu.Lock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -18,11 +18,11 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func put(key, value string, revision uint64) fleet.Item {
+func put(key, value string, revision fleet.Revision) fleet.Item {
 	return fleet.Item{Key: key, Value: []byte(value), Revision: revision}
 }
 
-func removal(key string, revision uint64) fleet.Item {
+func removal(key string, revision fleet.Revision) fleet.Item {
 	return fleet.Item{Key: key, Revision: revision, Deleted: true}
 }
 
@@ -33,7 +33,7 @@
 		updates []Update
 		gap     bool // of the last one
 		want    map[string]string
-		at      uint64
+		at      fleet.Revision
 	}{
 		{"a snapshot", nil, false, map[string]string{"a": "1", "b": "1"}, 10},
 		{"a change", []Update{{From: 10, To: 11, Items: []fleet.Item{put("a", "2", 11)}}}, false, map[string]string{"a": "2", "b": "1"}, 11},
@@ -48,10 +48,10 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			c := newCache()
-			_, gap := c.apply(start, first)
+			gap := c.apply(start, first).gap
 			assert.Assert(t, !gap)
 			for _, u := range row.updates {
-				_, gap = c.apply(start, u)
+				gap = c.apply(start, u).gap
 			}
 			assert.Equal(t, gap, row.gap)
 			got := map[string]string{}
@@ -67,7 +67,7 @@
 }
 
 func TestChangeBeforeAnySnapshotIsAGap(t *testing.T) {
-	_, gap := newCache().apply(start, Update{From: 0, To: 5})
+	gap := newCache().apply(start, Update{From: 0, To: 5}).gap
 	assert.Assert(t, gap)
 }
 
@@ -91,8 +91,8 @@
 	base := []fleet.Item{put("a", "1", 3), put("c", "1", 4)}
 	for _, row := range []struct {
 		name   string
-		listed uint64 // the revision of the list that comes last
-		asked  uint64 // the revision from which the other VM asks
+		listed fleet.Revision // the revision of the list that comes last
+		asked  fleet.Revision // the revision from which the other VM asks
 	}{
 		{"asked from the list's revision", 11, 11},
 		{"asked from between", 10, 11},
@@ -106,7 +106,7 @@
 			other := newCache()
 			other.apply(start, Update{Snapshot: true, To: row.asked, Items: base, Reads: 1})
 			other.apply(start, c.since(start, row.asked))
-			assert.Equal(t, other.revision, uint64(12))
+			assert.Equal(t, other.revision, fleet.Revision(12))
 			assert.Equal(t, string(other.items["c"].Value), "2")
 		})
 	}
@@ -119,7 +119,7 @@
 	c.apply(start, Update{Snapshot: true, To: 1})
 	c.apply(start, Update{From: 1, To: 5000, Items: []fleet.Item{put("newer", "1", 5000), put("older", "1", 2)}})
 	many := Update{From: 1, To: 3 + maxChanges}
-	for i := range uint64(maxChanges) {
+	for i := range fleet.Revision(maxChanges) {
 		many.Items = append(many.Items, put(fmt.Sprint("k", i), "1", 3+i))
 	}
 	c.apply(start, many)
@@ -130,7 +130,7 @@
 func TestSinceAfterManyChanges(t *testing.T) {
 	c := newCache()
 	c.apply(start, Update{Snapshot: true, To: 1})
-	for i := range uint64(2 * maxChanges) {
+	for i := range fleet.Revision(2 * maxChanges) {
 		c.apply(start, Update{From: 1 + i, To: 2 + i, Items: []fleet.Item{put("k", fmt.Sprint(i), 2+i)}})
 	}
 	assert.Equal(t, len(c.changes), maxChanges)
@@ -162,10 +162,11 @@
 func TestOneReadDoesNotRenewACopy(t *testing.T) {
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	for _, row := range []struct {
-		name      string
-		to, reads uint64
-		age       time.Duration
-		fresh     int // ms
+		name  string
+		to    fleet.Revision
+		reads uint64
+		age   time.Duration
+		fresh int // ms
 	}{
 		{"the same read, slower", 10, 4, 500 * time.Millisecond, 300},
 		{"the same read, quicker", 10, 4, 800 * time.Millisecond, 200},
@@ -301,18 +302,18 @@
 // fakeStore answers with what a test puts in.
 type fakeStore struct {
 	items    []fleet.Item
-	revision uint64
+	revision fleet.Revision
 	err      error
 	lists    int
 	watches  int
 }
 
-func (s *fakeStore) List(context.Context, string) ([]fleet.Item, uint64, error) {
+func (s *fakeStore) List(context.Context, string) ([]fleet.Item, fleet.Revision, error) {
 	s.lists++
 	return s.items, s.revision, s.err
 }
 
-func (s *fakeStore) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]fleet.Item, uint64, error) {
+func (s *fakeStore) Watch(_ context.Context, _ string, after fleet.Revision, _ time.Duration) ([]fleet.Item, fleet.Revision, error) {
 	s.watches++
 	var out []fleet.Item
 	for _, i := range s.items {
@@ -323,26 +324,26 @@
 	return out, s.revision, s.err
 }
 
-func (s *fakeStore) Revision(context.Context) (uint64, error) { return s.revision, s.err }
+func (s *fakeStore) Revision(context.Context) (fleet.Revision, error) { return s.revision, s.err }
 
 // fakePeers is one other VM.
 type fakePeers struct {
 	reader bool
 	passed []Update
-	pull   func(after uint64) (Update, error)
+	pull   func(after fleet.Revision) (Update, error)
 }
 
 func (p *fakePeers) Reader() bool    { return p.reader }
 func (p *fakePeers) VMs() int        { return 7 }
 func (p *fakePeers) PassOn(u Update) { p.passed = append(p.passed, u) }
-func (p *fakePeers) Pull(_ context.Context, after uint64) (Update, error) {
+func (p *fakePeers) Pull(_ context.Context, after fleet.Revision) (Update, error) {
 	return p.pull(after)
 }
 func (p *fakePeers) AskReader(context.Context) (coord.VMID, Proof, error) {
 	u, err := p.pull(0)
 	return "b", Proof{LastChange: u.To, Proven: u.Proven}, err
 }
-func (p *fakePeers) PullFrom(_ context.Context, _ coord.VMID, after uint64) (Update, error) {
+func (p *fakePeers) PullFrom(_ context.Context, _ coord.VMID, after fleet.Revision) (Update, error) {
 	return p.pull(after)
 }
 
@@ -357,7 +358,7 @@
 func newFixture() *fixture {
 	x := &fixture{
 		store: &fakeStore{revision: 5, items: []fleet.Item{put("c", "1", 4), put("t1", "x", 5)}},
-		peers: &fakePeers{pull: func(uint64) (Update, error) { return Update{}, errors.New("nobody") }},
+		peers: &fakePeers{pull: func(fleet.Revision) (Update, error) { return Update{}, errors.New("nobody") }},
 		now:   start,
 	}
 	x.feed = New(Config{
@@ -390,7 +391,7 @@
 func TestStoreAwayAtStartAPeerHelps(t *testing.T) {
 	x := newFixture()
 	x.store.err = errors.New("away")
-	x.peers.pull = func(uint64) (Update, error) {
+	x.peers.pull = func(fleet.Revision) (Update, error) {
 		return Update{Snapshot: true, To: 5, Items: x.store.items, Age: 2 * time.Second}, nil
 	}
 	x.step(t)
@@ -406,7 +407,7 @@
 		x.store.err = errors.New("away")
 		x.step(t)
 		pulls := 0
-		x.peers.pull = func(after uint64) (Update, error) {
+		x.peers.pull = func(after fleet.Revision) (Update, error) {
 			pulls++
 			return Update{Snapshot: true, To: 5, Items: x.store.items}, nil
 		}
@@ -487,7 +488,7 @@
 	x.step(t)
 	x.now = x.now.Add(x.feed.staleAfter() + staleJitter)
 	x.store.err = errors.New("turned away")
-	x.peers.pull = func(after uint64) (Update, error) {
+	x.peers.pull = func(after fleet.Revision) (Update, error) {
 		return Update{From: after, To: 6, Items: []fleet.Item{put("c", "2", 6)}}, nil
 	}
 	x.step(t)
@@ -497,8 +498,8 @@
 func TestGapIsFilledFromTheSender(t *testing.T) {
 	x := newFixture()
 	x.step(t)
-	x.peers.pull = func(after uint64) (Update, error) {
-		assert.Equal(t, after, uint64(5))
+	x.peers.pull = func(after fleet.Revision) (Update, error) {
+		assert.Equal(t, after, fleet.Revision(5))
 		return Update{From: 5, To: 8, Items: []fleet.Item{put("c", "2", 6), put("t2", "y", 8)}}, nil
 	}
 	x.feed.TakeFrom("vm", Update{From: 7, To: 8, Items: []fleet.Item{put("t2", "y", 8)}})
@@ -514,15 +515,15 @@
 	x.store.revision = 9
 	x.step(t)
 	assert.Equal(t, len(x.peers.passed), 0)
-	assert.Equal(t, x.feed.Revision(), uint64(9))
+	assert.Equal(t, x.feed.Revision(), fleet.Revision(9))
 }
 
 func TestHeard(t *testing.T) {
 	for _, row := range []struct {
 		name           string
-		lastChange, to uint64
+		lastChange, to fleet.Revision
 		pulled         bool
-		revision       uint64
+		revision       fleet.Revision
 		fresh          bool
 	}{
 		{"nothing new", 5, 5, false, 5, true},
@@ -533,15 +534,15 @@
 		t.Run(row.name, func(t *testing.T) {
 			x := newFixture()
 			x.step(t)
-			pulled := make(chan uint64, 1)
-			x.peers.pull = func(after uint64) (Update, error) {
+			pulled := make(chan fleet.Revision, 1)
+			x.peers.pull = func(after fleet.Revision) (Update, error) {
 				pulled <- after
 				return Update{From: 5, To: 8, Items: []fleet.Item{put("c", "2", 7)}}, nil
 			}
 			x.now = x.now.Add(time.Second)
 			x.feed.Heard("vm", State{LastChange: row.lastChange, To: row.to, Age: 100 * time.Millisecond, Reads: 2})
 			if row.pulled {
-				assert.Equal(t, <-pulled, uint64(5))
+				assert.Equal(t, <-pulled, fleet.Revision(5))
 				for x.feed.Revision() != row.revision {
 					runtime.Gosched()
 				}
@@ -558,7 +559,7 @@
 	x.step(t)
 	x.feed.Take(Update{From: 5, To: 6, Items: []fleet.Item{put("?", "", 6)}})
 	assert.Equal(t, x.feed.Directory().Config.Version, uint64(1))
-	assert.Equal(t, x.feed.Revision(), uint64(6))
+	assert.Equal(t, x.feed.Revision(), fleet.Revision(6))
 }
 
 func TestExpireTellsWhoIsGone(t *testing.T) {
--- a/internal/feed/incarnation_test.go
+++ b/internal/feed/incarnation_test.go
@@ -63,7 +63,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			d := newDirectory(decodeStarts, 2*time.Second)
 			for i, value := range row.entries {
-				item := put("t", value, uint64(i+1))
+				item := put("t", value, fleet.Revision(i+1))
 				item.Deleted = value == "x"
 				_ = d.take(start.Add(time.Duration(i)*100*time.Millisecond), item) // an error where it is of another writer
 			}
@@ -87,7 +87,7 @@
 	d := newDirectory(decodeStarts, 2*time.Second)
 	assert.NilError(t, d.take(start, put("t", "5", 1)))
 	said := 0
-	for i := range uint64(20) {
+	for i := range fleet.Revision(20) {
 		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
 		if d.take(now, put("t", "?", 2+i)) != nil {
 			said++
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/fleet"
 )
 
 // Peers reaches the other VMs.
@@ -16,28 +18,36 @@
 	// PassOn sends an update to all other VMs, without waiting.
 	PassOn(u Update)
 	// Pull asks any other VM for what changed after a revision.
-	Pull(ctx context.Context, after uint64) (Update, error)
+	Pull(ctx context.Context, after fleet.Revision) (Update, error)
 	// AskReader asks a VM that reads the store for the others how current its copy is.
 	AskReader(ctx context.Context) (vm coord.VMID, p Proof, err error)
 	// PullFrom asks one.
-	PullFrom(ctx context.Context, vm coord.VMID, after uint64) (Update, error)
+	PullFrom(ctx context.Context, vm coord.VMID, after fleet.Revision) (Update, error)
 }
 
 // takeAndPassOn takes what this VM has read, and tells the others what changed by it.
 // That nothing changed they learn from the roster. A VM that is no reader reads only when
 // it has heard nothing fresh: its readers have lost the store, and those of others
 // probably have too. Who reads a change first passes it on, so that it is no change to
-// those who read after. It returns how many items changed here.
+// those who read after. The first read of an era is told without its items, which are asked for where
+// they are missing. It returns how many items changed here.
 func (f *Feed) takeAndPassOn(u Update) (changed int) {
+	before := f.Revision()
 	news, _ := f.take(u)
-	if len(news.Items) > 0 {
+	changed = len(news.Items)
+	if before != 0 && news.To.Era() > before.Era() {
+		news.Items = nil
 		f.cfg.Peers.PassOn(news)
+		return changed
 	}
-	return len(news.Items)
+	if changed > 0 {
+		f.cfg.Peers.PassOn(news)
+	}
+	return changed
 }
 
 // catchUpFromPeer is for a VM that the store turns away while it serves others.
-func (f *Feed) catchUpFromPeer(ctx context.Context, from uint64) {
+func (f *Feed) catchUpFromPeer(ctx context.Context, from fleet.Revision) {
 	u, err := f.pull(ctx, from)
 	if err != nil {
 		f.cfg.Log.PeerCallFailed("feed_pull", "any", err)
@@ -50,7 +60,7 @@
 type State struct {
 	// LastChange is the revision of its newest change, To the one up to which it is
 	// complete.
-	LastChange, To uint64
+	LastChange, To fleet.Revision
 	// Age is the time since it was known to be current, by the read with the count
 	// Reads; negative: unknown.
 	Age   time.Duration
@@ -71,7 +81,7 @@
 // Proof is what a VM answers that is asked how current its copy is.
 type Proof struct {
 	// LastChange is the revision of its newest change.
-	LastChange uint64
+	LastChange fleet.Revision
 	// Proven bounds the time since its copy was current; negative: unknown.
 	Proven time.Duration
 }
@@ -120,7 +130,23 @@
 // TakeFrom takes an update that another VM passed on; what is missing before it
 // is asked of that VM.
 func (f *Feed) TakeFrom(vm coord.VMID, u Update) {
-	if f.Take(u) {
+	if !f.Take(u) {
+		return
+	}
+	if u.To.Era() > f.Revision().Era() && f.Revision() != 0 {
+		go f.joinEra(vm, u.To)
+		return
+	}
+	f.pullFrom(vm)
+}
+
+// joinGap spreads the VMs that ask one of them for everything that the store holds.
+const joinGap = 5 * time.Millisecond
+
+// joinEra asks a VM for the first snapshot of an era, unless another one has brought it meanwhile.
+func (f *Feed) joinEra(vm coord.VMID, to fleet.Revision) {
+	time.Sleep(rand.N(time.Duration(f.cfg.Peers.VMs()) * joinGap))
+	if f.Revision().Era() < to.Era() {
 		f.pullFrom(vm)
 	}
 }
@@ -139,7 +165,7 @@
 }
 
 // Since answers another VM's Pull.
-func (f *Feed) Since(after uint64) (Update, bool) {
+func (f *Feed) Since(after fleet.Revision) (Update, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.cache.loaded() {
--- a/internal/feed/proof_test.go
+++ b/internal/feed/proof_test.go
@@ -258,7 +258,7 @@
 	x.feed.Heard("b", State{LastChange: 5, To: 9, Reads: 9})
 	assert.Equal(t, x.feed.Age(), time.Duration(0), "what it is told has no bound")
 	assert.Assert(t, x.feed.Proven() > revokeWithin)
-	x.peers.pull = func(uint64) (Update, error) { return Update{}, errors.New("nobody") }
+	x.peers.pull = func(fleet.Revision) (Update, error) { return Update{}, errors.New("nobody") }
 	x.step(t)
 	assert.Assert(t, x.feed.Proven() > revokeWithin, "nothing was read: its copy seems young")
 }
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -41,7 +41,9 @@
 	mu    sync.Mutex
 	rand  *rand.Rand
 	items map[string]fleet.Item
-	at    uint64
+	at    fleet.Revision
+	// log has all changes of the present history.
+	log []fleet.Item
 	// changed is closed, and made anew, at each change of the store.
 	changed chan struct{}
 	// turnedAway are the VMs that the store does not serve, and silent how.
@@ -49,6 +51,7 @@
 	silent     bool
 	message    time.Duration // how long a message between VMs takes
 	calls      int           // of watches
+	lists      int
 	// cut VMs reach no other, and held is how long what comes to a VM is held up.
 	cut  map[int]bool
 	held map[int]time.Duration
@@ -68,6 +71,7 @@
 	defer f.mu.Unlock()
 	f.at++
 	f.items[key] = put(key, value, f.at)
+	f.log = append(f.log, f.items[key])
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -87,27 +91,30 @@
 	return ctx.Err()
 }
 
-func (v *vmOf) List(ctx context.Context, _ string) ([]fleet.Item, uint64, error) {
+func (v *vmOf) List(ctx context.Context, _ string) ([]fleet.Item, fleet.Revision, error) {
 	if err := v.serves(ctx, 0); err != nil {
 		return nil, 0, err
 	}
 	items, at, _ := v.after(0)
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	v.fleet.lists++
 	return items, at, nil
 }
 
-func (v *vmOf) after(revision uint64) ([]fleet.Item, uint64, chan struct{}) {
+func (v *vmOf) after(revision fleet.Revision) ([]fleet.Item, fleet.Revision, chan struct{}) {
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
 	var out []fleet.Item
 	for _, i := range v.fleet.items {
-		if i.Revision > revision {
+		if i.Revision.Number() > revision.Number() {
 			out = append(out, i)
 		}
 	}
 	return out, v.fleet.at, v.fleet.changed
 }
 
-func (v *vmOf) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]fleet.Item, uint64, error) {
+func (v *vmOf) Watch(ctx context.Context, _ string, after fleet.Revision, wait time.Duration) ([]fleet.Item, fleet.Revision, error) {
 	v.fleet.mu.Lock()
 	v.fleet.calls++
 	v.fleet.mu.Unlock()
@@ -115,6 +122,9 @@
 		return nil, 0, err
 	}
 	items, at, changed := v.after(after)
+	if after.Number() > at.Number() {
+		return nil, 0, fleet.ErrHistoryGone
+	}
 	if len(items) == 0 && wait > 0 {
 		select {
 		case <-changed:
@@ -126,7 +136,7 @@
 	return items, at, v.serves(ctx, 0)
 }
 
-func (v *vmOf) Revision(context.Context) (uint64, error) { return 0, nil }
+func (v *vmOf) Revision(context.Context) (fleet.Revision, error) { return 0, nil }
 
 func (v *vmOf) Reader() bool { return v.n < fleetReaders }
 
@@ -142,7 +152,7 @@
 
 func vmID(n int) coord.VMID { return coord.VMID(fmt.Sprint(n)) }
 
-func (v *vmOf) Pull(ctx context.Context, after uint64) (Update, error) {
+func (v *vmOf) Pull(ctx context.Context, after fleet.Revision) (Update, error) {
 	return v.PullFrom(ctx, vmID(v.fleet.draw()), after)
 }
 
@@ -155,7 +165,7 @@
 	return vmID(n), p, v.back(ctx)
 }
 
-func (v *vmOf) PullFrom(ctx context.Context, vm coord.VMID, after uint64) (Update, error) {
+func (v *vmOf) PullFrom(ctx context.Context, vm coord.VMID, after fleet.Revision) (Update, error) {
 	for n, other := range v.fleet.feeds {
 		if vmID(n) != vm {
 			continue
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -185,7 +185,7 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision uint64
+	Revision Revision
 	Deleted  bool
 }
 
@@ -201,14 +201,14 @@
 // Store reads the platform's store. Each method is one or more calls; none is
 // repeated.
 type Store interface {
-	// List returns all items with a prefix, and the revision from which to
-	// watch on.
-	List(ctx context.Context, prefix string) (items []Item, revision uint64, err error)
+	// List returns all items with a prefix, of one era, and the revision from which to watch on.
+	List(ctx context.Context, prefix string) (items []Item, revision Revision, err error)
 	// Watch returns changes after a revision as soon as there is one, or none
-	// after wait; and the revision from which to go on.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (items []Item, revision uint64, err error)
+	// after wait; and the revision from which to go on. That may be of another era than after: the
+	// changes are of no use then.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (items []Item, revision Revision, err error)
 	// Revision reads the newest revision.
-	Revision(ctx context.Context) (uint64, error)
+	Revision(ctx context.Context) (Revision, error)
 }
 
 // Decoded is what one item of the store holds. At most one field is set; none,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,7 @@
 	// Proven is an upper bound on how long ago it was current.
 	Proven() time.Duration
 	// Revision of the store up to which it is complete.
-	Revision() uint64
+	Revision() fleet.Revision
 }
 
 // Config holds what a Gateway needs.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -213,7 +213,7 @@
 func (d *fixedDirectory) Directory() *feed.Directory { return d.dir }
 func (d *fixedDirectory) Age() time.Duration         { return d.age }
 func (d *fixedDirectory) Proven() time.Duration      { return d.proven }
-func (d *fixedDirectory) Revision() uint64           { return d.dir.Revision }
+func (d *fixedDirectory) Revision() fleet.Revision   { return d.dir.Revision }
 
 type fixture struct {
 	gateway   *Gateway
