Tell VMs of a configuration that the store has lost

What callers could see: after the store is restored from an older copy, a VM that starts, or that had not heard of the newest configuration, serves by the one in the copy until the operator writes again: routes that were changed, and keys that were taken away. Cause: versions do not fall on a VM that had the newer one, but nobody tells the others: copies agree. Ruled out: sending it to each VM that starts, which has a copy as a rule; keeping it in the copy of the store, where its revision says nothing. Change: heartbeats carry the version in force; a VM whose copy lacks nothing and whose version is lower asks the sender for the item (FeedPull.config) and takes it beside its copy. Evidence: TestVMThatNeverHadALostConfiguration; without the question it ends with version 1 instead of 4. What remains: until the first heartbeat, 50 to 200 ms, a VM that starts goes by the copy.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -46,6 +46,9 @@
 		n.feed.TakeFrom(from, u)
 		return emptyReply()
 	case *schema.Call_FeedPull:
+		if body.FeedPull.Config {
+			return n.configReply()
+		}
 		u, ok := n.feed.Since(fleet.Revision(body.FeedPull.After))
 		if !ok {
 			return &schema.Reply{Error: "nothing read from the store yet"}
@@ -82,6 +85,16 @@
 	return &schema.Reply{Error: "call of no known kind"}
 }
 
+// configReply answers with the configuration in force, as an update of one item.
+func (n *Node) configReply() *schema.Reply {
+	item, ok := n.feed.ConfigInForce()
+	if !ok {
+		return &schema.Reply{Error: "no configuration is in force"}
+	}
+	u := feed.Update{From: item.Revision, To: item.Revision, Items: []fleet.Item{item}}
+	return &schema.Reply{Body: &schema.Reply_Feed{Feed: updateToProto(u)}}
+}
+
 func emptyReply() *schema.Reply {
 	return &schema.Reply{Body: &schema.Reply_Empty{Empty: &schema.Empty{}}}
 }
@@ -108,7 +121,7 @@
 	}
 	s := n.feed.State()
 	out.FeedLastChange, out.FeedRevision = uint64(s.LastChange), uint64(s.To)
-	out.FeedAgeMs, out.FeedReads = s.Age.Milliseconds(), s.Reads
+	out.FeedAgeMs, out.FeedReads, out.ConfigVersion = s.Age.Milliseconds(), s.Reads, s.ConfigVersion
 	return out
 }
 
@@ -169,7 +182,7 @@
 	}
 	n.feed.Heard(from, feed.State{
 		LastChange: fleet.Revision(r.FeedLastChange), To: fleet.Revision(r.FeedRevision),
-		Age: time.Duration(r.FeedAgeMs) * time.Millisecond, Reads: r.FeedReads,
+		Age: time.Duration(r.FeedAgeMs) * time.Millisecond, Reads: r.FeedReads, ConfigVersion: r.ConfigVersion,
 	})
 }
 
@@ -252,9 +265,23 @@
 
 // PullFrom asks one VM.
 func (p *feedPeers) PullFrom(ctx context.Context, vm coord.VMID, after fleet.Revision) (feed.Update, error) {
-	reply, err := (*Node)(p).mesh.Call(ctx, vm, &schema.Call{Body: &schema.Call_FeedPull{
-		FeedPull: &schema.FeedPull{After: uint64(after)},
-	}})
+	return p.pull(ctx, vm, &schema.FeedPull{After: uint64(after)})
+}
+
+// PullConfig asks one VM for the configuration in force there.
+func (p *feedPeers) PullConfig(ctx context.Context, vm coord.VMID) (fleet.Item, error) {
+	u, err := p.pull(ctx, vm, &schema.FeedPull{Config: true})
+	if err != nil {
+		return fleet.Item{}, err
+	}
+	if len(u.Items) != 1 {
+		return fleet.Item{}, errors.Newf("%s answered with %d items for a configuration", vm, len(u.Items))
+	}
+	return u.Items[0], nil
+}
+
+func (p *feedPeers) pull(ctx context.Context, vm coord.VMID, ask *schema.FeedPull) (feed.Update, error) {
+	reply, err := (*Node)(p).mesh.Call(ctx, vm, &schema.Call{Body: &schema.Call_FeedPull{FeedPull: ask}})
 	if err != nil {
 		return feed.Update{}, err
 	}
--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -61,9 +61,11 @@
 	grace, latest time.Duration
 	decode        func(fleet.Item) (fleet.Decoded, error)
 	config        *fleet.Config
-	targets       map[string]*fleet.Target // by key
-	gone          map[string]time.Time     // when to drop a target, by key
-	versions      map[fleet.AdapterRef]fleet.AdapterVersion
+	// configItem is the item that config is from.
+	configItem fleet.Item
+	targets    map[string]*fleet.Target // by key
+	gone       map[string]time.Time     // when to drop a target, by key
+	versions   map[fleet.AdapterRef]fleet.AdapterVersion
 	// dropped are the ids of targets that are gone, and since when.
 	dropped map[string]time.Time
 	// replaced are ids of those that a later start replaced, not told yet.
@@ -195,7 +197,7 @@
 		d.leave(now, item.Key)
 		return err
 	case decoded.Config != nil:
-		return d.takeConfig(decoded.Config)
+		return d.takeConfig(item, decoded.Config)
 	case decoded.Target != nil:
 		return d.takeTarget(now, item.Key, decoded.Target)
 	case decoded.Version != nil:
@@ -217,12 +219,12 @@
 // takeConfig takes a configuration, also one of which a part could not be understood: that
 // must not keep back the rest. A service that its routes name and that was not understood
 // keeps its description from before.
-func (d *directory) takeConfig(c *fleet.Config) error {
+func (d *directory) takeConfig(item fleet.Item, c *fleet.Config) error {
 	if d.config != nil && c.Version < d.config.Version {
 		return nil
 	}
 	before := d.config
-	d.config = c
+	d.config, d.configItem = c, item
 	if len(c.Findings) == 0 {
 		return nil
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -330,6 +330,7 @@
 type fakePeers struct {
 	reader bool
 	passed []Update
+	config fleet.Item
 	pull   func(after fleet.Revision) (Update, error)
 }
 
@@ -347,6 +348,10 @@
 	return p.pull(after)
 }
 
+func (p *fakePeers) PullConfig(context.Context, coord.VMID) (fleet.Item, error) {
+	return p.config, nil
+}
+
 type fixture struct {
 	store *fakeStore
 	peers *fakePeers
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -23,6 +23,8 @@
 	AskReader(ctx context.Context) (vm coord.VMID, p Proof, err error)
 	// PullFrom asks one.
 	PullFrom(ctx context.Context, vm coord.VMID, after fleet.Revision) (Update, error)
+	// PullConfig asks one for the item of the configuration that is in force there.
+	PullConfig(ctx context.Context, vm coord.VMID) (fleet.Item, error)
 }
 
 // takeAndPassOn takes what this VM has read, and tells the others what changed by it.
@@ -65,6 +67,8 @@
 	// Reads; negative: unknown.
 	Age   time.Duration
 	Reads uint64
+	// ConfigVersion is that of the configuration in force; 0: none.
+	ConfigVersion uint64
 }
 
 // State returns the state of this VM's copy.
@@ -75,6 +79,9 @@
 	if !f.cache.fresh.IsZero() {
 		s.Age = f.cfg.Now().Sub(f.cache.fresh)
 	}
+	if f.dir.config != nil {
+		s.ConfigVersion = f.dir.config.Version
+	}
 	return s
 }
 
@@ -110,21 +117,61 @@
 	f.noteRunning(now)
 	behind := f.cache.confirm(now, other)
 	ask := behind && (f.cache.loaded() || other.To > 0) && !f.asking
-	f.asking = f.asking || ask
+	lost := !behind && f.dir.config != nil && other.ConfigVersion > f.dir.config.Version && !f.asking
+	f.asking = f.asking || ask || lost
 	f.mu.Unlock()
-	if ask {
-		go f.askFor(vm)
+	switch {
+	case ask:
+		go f.askFor(func() { f.pullFrom(vm) })
+	case lost:
+		go f.askFor(func() { f.pullConfig(vm) })
 	}
 }
 
-// askFor asks a VM for what is missing here, one question at a time.
-func (f *Feed) askFor(vm coord.VMID) {
+// askFor asks one question at a time for what is missing here.
+func (f *Feed) askFor(ask func()) {
 	defer func() {
 		f.mu.Lock()
 		f.asking = false
 		f.mu.Unlock()
 	}()
-	f.pullFrom(vm)
+	ask()
+}
+
+// pullConfig asks a VM for the configuration in force there. The store has lost it, and this VM has not
+// heard of it before.
+func (f *Feed) pullConfig(vm coord.VMID) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	item, err := f.cfg.Peers.PullConfig(ctx, vm)
+	if err != nil {
+		f.cfg.Log.PeerCallFailed("config_pull", string(vm), err)
+		return
+	}
+	f.takeDecided(item)
+}
+
+// takeDecided takes an item on the word of another VM, beside the copy of the store.
+func (f *Feed) takeDecided(item fleet.Item) {
+	f.notify.Lock()
+	defer f.notify.Unlock()
+	now := f.cfg.Now()
+	f.mu.Lock()
+	if err := f.dir.take(now, item); err != nil {
+		f.refused.Add(1)
+		f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
+	}
+	d, gone := f.settle(now, true)
+	f.mu.Unlock()
+	f.publish(d, gone)
+}
+
+// ConfigInForce returns the item of the configuration in force, for VMs that have not heard of it; ok is
+// false if there is none.
+func (f *Feed) ConfigInForce() (item fleet.Item, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dir.configItem, f.dir.config != nil
 }
 
 // TakeFrom takes an update that another VM passed on; what is missing before it
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -182,6 +182,26 @@
 	assert.Assert(t, x.feed.Directory().Targets["x"] == nil)
 }
 
+// TestVMThatNeverHadALostConfiguration takes it from another VM, and keeps its copy of the store.
+func TestVMThatNeverHadALostConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture()
+		defer x.feed.cfg.Log.Close()
+		x.feed.Take(Update{Snapshot: true, To: in(2, 5), Items: []fleet.Item{put("c", "1", in(2, 4))}})
+		x.peers.config = put("c", "4", in(1, 90))
+		x.feed.Heard("b", State{LastChange: in(2, 4), To: in(2, 5), ConfigVersion: 4})
+		synctest.Wait()
+		assert.Equal(t, x.feed.Directory().Config.Version, uint64(4))
+		assert.Equal(t, x.feed.Revision(), in(2, 5))
+		item, ok := x.feed.ConfigInForce()
+		assert.Assert(t, ok && string(item.Value) == "4")
+		x.feed.Take(Update{From: in(2, 5), To: in(2, 6), Items: []fleet.Item{put("c", "2", in(2, 6))}})
+		assert.Equal(t, x.feed.Directory().Config.Version, uint64(4))
+		x.feed.Take(Update{From: in(2, 6), To: in(2, 7), Items: []fleet.Item{put("c", "5", in(2, 7))}})
+		assert.Equal(t, x.feed.Directory().Config.Version, uint64(5))
+	})
+}
+
 // TestAnswersOfAnotherEra: one of a later era is followed by a list, one of an earlier is dropped.
 func TestAnswersOfAnotherEra(t *testing.T) {
 	x := newFixture()
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -165,6 +165,21 @@
 	return vmID(n), p, v.back(ctx)
 }
 
+func (v *vmOf) PullConfig(ctx context.Context, vm coord.VMID) (fleet.Item, error) {
+	for n, other := range v.fleet.feeds {
+		if vmID(n) != vm {
+			continue
+		}
+		if err := v.reach(ctx, n); err != nil {
+			return fleet.Item{}, err
+		}
+		if item, ok := other.ConfigInForce(); ok {
+			return item, v.back(ctx)
+		}
+	}
+	return fleet.Item{}, errors.New("no configuration is in force")
+}
+
 func (v *vmOf) PullFrom(ctx context.Context, vm coord.VMID, after fleet.Revision) (Update, error) {
 	for n, other := range v.fleet.feeds {
 		if vmID(n) != vm {
