Keep tickets above an incarnation that rises after the start

What callers could see: requests of a VM that restarted while the time of day was set back wait for a verdict until their time is over. Cause: incarnations and tickets begin with the time of day. Others remember a higher incarnation, so the VM's rises above it, and its tickets stay below: when the others hear of the new incarnation they forget what has lower tickets as of the process before, requests that wait among it. Evidence: TestTicketsOfARestartAfterTheTimeOfDayFellBack failed before (ticket 1001, incarnation 5001). Change: tickets are raised with the incarnation. Those from before that, some 100 ms after a start, are still forgotten.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -158,10 +158,23 @@
 func (n *Node) mergeRoster(r *schema.Roster) {
 	n.mu.Lock()
 	changes := n.roster.Merge(n.now(), entriesFromProto(r))
+	incarnation := n.roster.Self().Incarnation
 	n.mu.Unlock()
+	n.outgrowTickets(incarnation)
 	n.onRosterChanges(changes)
 }
 
+// outgrowTickets keeps tickets above this process's incarnation, which rises when another VM remembers a
+// higher one: others take lower tickets for those of the process before.
+func (n *Node) outgrowTickets(incarnation uint64) {
+	for {
+		last := n.tickets.Load()
+		if last >= incarnation || n.tickets.CompareAndSwap(last, incarnation) {
+			return
+		}
+	}
+}
+
 // heardRoster takes what a heartbeat carries. Entries that this VM lacks are asked
 // of the sender.
 func (n *Node) heardRoster(from coord.VMID, r *schema.Roster) {
