--- a/coord/line/line.go
+++ b/coord/line/line.go
@@ -5,7 +5,8 @@
 // and repeats feed the load. So one VM, the one that is asked for
 // engines, counts what runs at each target and lets the rest wait in one line:
 //
-//   - a target gets as many requests as it works on, and one more (limit.go);
+//   - a target gets as many requests as it works on, and one more (limit.go), and no more a second than it
+//     limits itself to (rates.go);
 //   - those that can still be in time go first, by priority and age, then the others;
 //   - one whose turn comes too late for that waits among the others, or is refused at once with
 //     the time at which the line will be shorter. A line that takes all in the order of age
@@ -280,50 +281,6 @@
 	return false
 }
 
-// pause is when a refused caller is to come back whose turn would come in some time.
-func (l *Line) pause(now time.Time, turn time.Duration, perSecond float64) time.Duration {
-	if l.pacer.Any() {
-		return max(l.returns.Next(now, len(l.waiting), perSecond), leastPause)
-	}
-	return min(max(turn, leastPause), mostPause)
-}
-
-// throughput is how many requests targets take a second, as many as they work on at once or as they limit
-// themselves to, and the expected time until one of them takes the next.
-func (l *Line) throughput(now time.Time) (perSecond float64, first time.Duration) {
-	work := l.limit.work()
-	first = ratelimit.MaxWait
-	unlimited := 0.0
-	for _, t := range l.targets {
-		if l.balancer.Ejected(now, t.ID) {
-			continue
-		}
-		takes := float64(max(l.limit.of(t.Slots)-spare, 1)) / work.Seconds()
-		if rate, limited := l.pacer.Rate(t.ID); limited {
-			takes = min(takes, rate)
-			first = min(first, l.pacer.Wait(now, t.ID))
-		} else {
-			unlimited += takes
-		}
-		perSecond += takes
-	}
-	if perSecond == 0 { // all are ejected
-		return 1 / work.Seconds(), work
-	}
-	if unlimited > 0 {
-		first = min(first, time.Duration(float64(time.Second)/unlimited))
-	}
-	return perSecond, first
-}
-
-// SetRates replaces the rates that targets limit their requests to, in requests a second. share is the
-// part of the fleet that asks this VM.
-func (l *Line) SetRates(now time.Time, rates map[string]float64, share float64) []Action {
-	l.pacer.SetShare(now, share)
-	l.pacer.SetRates(now, rates)
-	return l.settle(now)
-}
-
 // anyFor reports whether there is a target that a request may go to.
 func (l *Line) anyFor(r *Request) bool {
 	return slices.ContainsFunc(l.targets, func(t Target) bool { return !slices.Contains(r.Exclude, t.ID) })
@@ -360,11 +317,6 @@
 	return l.balancer.Pick(now, room, nil)
 }
 
-// hasRoom reports whether a target takes one request more now.
-func (l *Line) hasRoom(now time.Time, t Target) bool {
-	return l.running[t.ID] < l.limit.of(t.Slots) && l.pacer.Open(now, t.ID)
-}
-
 func (l *Line) refuse(r *Request, reason string, retry time.Duration) {
 	l.act(Action{Key: r.Key, Reason: reason, RetryAfter: retry})
 }
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -117,8 +117,8 @@
 	n.beatAll()
 }
 
-// eraStep is how many revisions an era counts for in fencing numbers: more than the store loses when it is
-// restored. At 1,500 targets it makes some 1,250 a second.
+// eraStep is how many revisions an era counts for in fencing numbers: more than a store loses when it is
+// restored.
 const eraStep = 1 << 20
 
 // fenceBase is a number that grows with the revisions of the store and does not fall when it is restored.
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -7,7 +7,8 @@
 //
 // feed.go reads the store and peers.go tells and asks other VMs, copy.go takes what they
 // bring and proof.go keeps it proven where keys are judged by it; cache.go is the copy, directory.go
-// what it means and leaving.go what targets say of themselves beside it.
+// what it means and leaving.go what targets say of themselves beside it; restored.go begins the eras of a store
+// that is restored from an older copy.
 package feed
 
 import (
@@ -122,25 +123,6 @@
 	return !held || restored || old.Deleted != item.Deleted || !bytes.Equal(old.Value, item.Value)
 }
 
-// beginEra makes room for the first snapshot of an era. What the copy holds is of a history that is over:
-// its revisions do not say what is newer, and its reads prove nothing of the new one.
-func (c *cache) beginEra(to fleet.Revision) {
-	c.lastChange = to.EraStart()
-	c.proven = time.Time{}
-	c.restored = nil
-}
-
-// markRestored takes that items are as the copy has them that the store was restored from, as far as is
-// known.
-func (c *cache) markRestored(items []fleet.Item) {
-	c.restored = map[string]bool{}
-	for _, item := range items {
-		if !item.Deleted {
-			c.restored[item.Key] = true
-		}
-	}
-}
-
 // readID names one read of the store: by its revision, and by a count above that of
 // every read which the reader knew of.
 type readID struct {
--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -101,17 +101,6 @@
 	}
 }
 
-// beginEra takes that the store was restored from an older copy. What it lacks is written again within the
-// time of lapses. A target that was leaving goes on to leave, whatever the copy says of it.
-func (d *directory) beginEra(now time.Time) {
-	d.returned(now)
-	for _, t := range d.targets {
-		if t.State == fleet.TargetDraining {
-			d.leaving[t.ID] = now
-		}
-	}
-}
-
 // returned says that the store was away and is back.
 func (d *directory) returned(now time.Time) { d.away = now.Add(lapseGrace) }
 
@@ -139,53 +128,6 @@
 	return err
 }
 
-// takeChange carries one changed item in; restored says that it may be as the copy had it that the store was
-// restored from. A target that is gone stays so then, until it writes again or is still there when the
-// lease of an entry that nobody renews is over.
-func (d *directory) takeChange(now time.Time, item fleet.Item, restored bool) error {
-	delete(d.doubtful, item.Key)
-	if restored && d.isGone(item) {
-		d.doubtful[item.Key] = doubtfulItem{item: item, until: now.Add(doubtTime)}
-		return nil
-	}
-	return d.take(now, item)
-}
-
-// endedDoubts returns the doubtful entries that are still listed, when it is time to take them.
-func (d *directory) endedDoubts(now time.Time) (out []fleet.Item) {
-	for key, doubt := range d.doubtful {
-		if !now.Before(doubt.until) {
-			out = append(out, doubt.item)
-			delete(d.doubtful, key)
-		}
-	}
-	return out
-}
-
-// doubtTime is how long an entry that nobody renews is listed at most after the store is back: three
-// heartbeats of targets, and one for their jitter.
-const doubtTime = 5 * time.Second
-
-// doubtfulItem is an entry of a target that was gone before the store was restored.
-type doubtfulItem struct {
-	item  fleet.Item
-	until time.Time
-}
-
-// isGone reports whether an item announces a target that is gone.
-func (d *directory) isGone(item fleet.Item) bool {
-	if item.Deleted {
-		return false
-	}
-	decoded, err := d.decode(item)
-	if err != nil || decoded.Target == nil {
-		return false
-	}
-	_, dropped := d.dropped[decoded.Target.ID]
-	_, going := d.gone[item.Key]
-	return dropped || going
-}
-
 func (d *directory) carry(now time.Time, item fleet.Item) error {
 	if item.Deleted {
 		d.leave(now, item.Key)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -286,30 +286,6 @@
 	return f.cfg.pollGap()
 }
 
-// awaitList asks a reader for what it has read since a revision, and returns how long to wait for it; 0:
-// this VM is to list.
-func (f *Feed) awaitList(ctx context.Context, was fleet.Revision) (pause time.Duration) {
-	f.askReader(ctx)
-	now := f.cfg.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.cache.revision != was {
-		f.listAt = time.Time{}
-		return ownGap
-	}
-	if f.listAt.IsZero() {
-		f.listAt = now.Add(leastRetryGap + rand.N(min(time.Duration(f.cfg.Peers.VMs())*joinGap, maxListWait)))
-	}
-	if wait := f.listAt.Sub(now); wait > 0 {
-		return wait
-	}
-	f.listAt = time.Time{}
-	return 0
-}
-
-// maxListWait bounds how long VMs wait for a reader's list.
-const maxListWait = 500 * time.Millisecond
-
 // note logs when the store is lost and regained.
 func (f *Feed) note(err error) {
 	f.mu.Lock()
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
@@ -138,42 +137,6 @@
 	ask()
 }
 
-// pullConfig asks a VM for the configuration in force there. The store has lost it, and this VM has not
-// heard of it before.
-func (f *Feed) pullConfig(vm coord.VMID) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	item, err := f.cfg.Peers.PullConfig(ctx, vm)
-	if err != nil {
-		f.cfg.Log.PeerCallFailed("config_pull", string(vm), err)
-		return
-	}
-	f.takeDecided(item)
-}
-
-// takeDecided takes an item on the word of another VM, beside the copy of the store.
-func (f *Feed) takeDecided(item fleet.Item) {
-	f.notify.Lock()
-	defer f.notify.Unlock()
-	now := f.cfg.Now()
-	f.mu.Lock()
-	if err := f.dir.take(now, item); err != nil {
-		f.refused.Add(1)
-		f.cfg.Log.ItemRefused(item.Key, item.Revision, err)
-	}
-	d, gone := f.settle(now, true)
-	f.mu.Unlock()
-	f.publish(d, gone)
-}
-
-// ConfigInForce returns the item of the configuration in force, for VMs that have not heard of it; ok is
-// false if there is none.
-func (f *Feed) ConfigInForce() (item fleet.Item, ok bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.dir.configItem, f.dir.config != nil
-}
-
 // TakeFrom takes an update that another VM passed on; what is missing before it
 // is asked of that VM.
 func (f *Feed) TakeFrom(vm coord.VMID, u Update) {
@@ -187,17 +150,6 @@
 	f.pullFrom(vm)
 }
 
-// joinGap spreads the VMs that ask one of them for everything that the store holds.
-const joinGap = 5 * time.Millisecond
-
-// joinEra asks a VM for the first snapshot of an era, unless another one has brought it meanwhile.
-func (f *Feed) joinEra(vm coord.VMID, to fleet.Revision) {
-	time.Sleep(rand.N(time.Duration(f.cfg.Peers.VMs()) * joinGap))
-	if f.Revision().Era() < to.Era() {
-		f.pullFrom(vm)
-	}
-}
-
 func (f *Feed) pullFrom(vm coord.VMID) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
