Wait for a reader's list at each loss of the history

Cause: when a VM was to list by itself was kept after the list had come from elsewhere, so that at the next loss of the store's history, however much later, it listed at once. Found by reading. Change: the time is kept with the revision that it is for. Evidence: TestEachLossOfHistoryWaitsForAReader failed before (2 lists, wanted 1) and passes now.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -114,8 +114,9 @@
 	down   bool // the store failed when last read
 	asking bool // a question to another VM is under way
 	// listAt is when this VM, which does not read for the others, lists the store itself after its history
-	// is gone; zero: it need not.
-	listAt time.Time
+	// since listFrom is gone.
+	listAt   time.Time
+	listFrom fleet.Revision
 	// ranAt is when this VM was last seen to run, resumedAt when it ran again after it
 	// had stood still.
 	ranAt, resumedAt time.Time
--- a/internal/feed/restored.go
+++ b/internal/feed/restored.go
@@ -93,17 +93,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cache.revision != was {
-		f.listAt = time.Time{}
 		return ownGap
 	}
-	if f.listAt.IsZero() {
+	if f.listFrom != was {
+		f.listFrom = was
 		f.listAt = now.Add(leastRetryGap + rand.N(min(time.Duration(f.cfg.Peers.VMs())*joinGap, maxListWait)))
 	}
-	if wait := f.listAt.Sub(now); wait > 0 {
-		return wait
-	}
-	f.listAt = time.Time{}
-	return 0
+	return max(f.listAt.Sub(now), 0)
 }
 
 // maxListWait bounds how long VMs wait for a reader's list.
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -219,6 +219,24 @@
 	assert.Equal(t, x.feed.Revision(), in(3, 9))
 }
 
+// TestEachLossOfHistoryWaitsForAReader, also one long after the last that this VM did not have to list for.
+func TestEachLossOfHistoryWaitsForAReader(t *testing.T) {
+	x := newFixture()
+	x.step(t)
+	x.store.err = fleet.ErrHistoryGone
+	for n := range fleet.Revision(3) {
+		x.now = x.now.Add(time.Minute)
+		x.step(t)
+		assert.Equal(t, x.store.lists, 1, "the reader's list is waited for")
+		x.feed.Take(Update{From: 5 + n, To: 6 + n})
+	}
+	x.now = x.now.Add(time.Minute)
+	x.step(t)
+	x.now = x.now.Add(leastRetryGap + maxListWait)
+	x.step(t)
+	assert.Equal(t, x.store.lists, 2)
+}
+
 // restore takes the store back to an earlier revision.
 func (f *vmFleet) restore(to fleet.Revision) {
 	f.mu.Lock()
