Spread returns only where a target of the service is limited

Cause: each line knows the limits of all services' targets, and took any of them for one of its own when it told refused callers when to come back: up to 10 s instead of 1 s. Found by reading; a line of TestAllTargetsLimited guards it (it failed before).

--- a/coord/line/limited_test.go
+++ b/coord/line/limited_test.go
@@ -52,7 +52,8 @@
 	for i, pause := range pauses[:20] {
 		assert.Assert(t, pause >= time.Duration(i)*300*time.Millisecond, "the %d. comes back in %s", i, pause)
 	}
-	b.l.SetRates(b.now, nil, 1)
+	b.l.SetRates(b.now, map[string]float64{"of another service": 1}, 1)
+	assert.Equal(t, b.l.pause(b.now, 2*mostPause, 0.1), mostPause)
 	got, _ = b.ask(time.Second)
 	assert.Equal(t, got["a"]+got["b"], 50)
 }
--- a/coord/line/rates.go
+++ b/coord/line/rates.go
@@ -1,6 +1,7 @@
 package line
 
 import (
+	"slices"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
@@ -14,6 +15,14 @@
 	return l.settle(now)
 }
 
+// anyLimited reports whether a target of the service limits its rate.
+func (l *Line) anyLimited() bool {
+	return slices.ContainsFunc(l.targets, func(t Target) bool {
+		_, limited := l.pacer.Rate(t.ID)
+		return limited
+	})
+}
+
 // hasRoom reports whether a target takes one request more now.
 func (l *Line) hasRoom(now time.Time, t Target) bool {
 	return l.running[t.ID] < l.limit.of(t.Slots) && l.pacer.Open(now, t.ID)
@@ -49,7 +58,7 @@
 
 // pause is when a refused caller is to come back whose turn would come in some time.
 func (l *Line) pause(now time.Time, turn time.Duration, perSecond float64) time.Duration {
-	if l.pacer.Any() {
+	if l.anyLimited() {
 		return max(l.returns.Next(now, len(l.waiting), perSecond), leastPause)
 	}
 	return min(max(turn, leastPause), mostPause)
--- a/coord/ratelimit/pacer.go
+++ b/coord/ratelimit/pacer.go
@@ -83,9 +83,6 @@
 	}
 }
 
-// Any reports whether any target is limited.
-func (p *Pacer) Any() bool { return len(p.buckets) > 0 }
-
 // Open reports whether a target may get a request now.
 func (p *Pacer) Open(now time.Time, target string) bool {
 	b := p.buckets[target]
--- a/coord/ratelimit/pacer_test.go
+++ b/coord/ratelimit/pacer_test.go
@@ -26,9 +26,8 @@
 
 func TestPacer(t *testing.T) {
 	p := NewPacer()
-	assert.Assert(t, p.Open(start, "a") && !p.Any())
+	assert.Assert(t, p.Open(start, "a"))
 	p.SetRates(start, map[string]float64{"a": 2})
-	assert.Assert(t, p.Any())
 	assert.Equal(t, drain(p, start, "a"), 0, "it begins empty")
 	assert.Equal(t, p.Wait(start, "a"), 500*time.Millisecond)
 	assert.Equal(t, over(p, start, 4*time.Second, "a"), 7)
@@ -40,7 +39,8 @@
 	p.SetShare(start.Add(time.Minute), 0.5)
 	assert.Equal(t, over(p, start.Add(time.Minute), 4*time.Second, "a"), 4, "0.2 were left")
 	p.SetRates(start.Add(2*time.Minute), nil)
-	assert.Assert(t, !p.Any() && p.Open(start, "a"))
+	_, limited = p.Rate("a")
+	assert.Assert(t, !limited && p.Open(start, "a"))
 }
 
 func TestResetEmptiesBuckets(t *testing.T) {
