Show limited targets and the store's era in edge-status and the metrics

Operators could see how many targets limit their rate, and not which, nor the era of the copy. rate_limits in the metrics lists them. docs/PROMISES.md has what is not kept. Ran: internal/cli, internal/edge.

--- a/internal/cli/edgestatus.go
+++ b/internal/cli/edgestatus.go
@@ -22,6 +22,8 @@
 	ConfigVersion int64                       `json:"config_version"`
 	VMs           int64                       `json:"fleet_vms"`
 	Open          int64                       `json:"open_requests"`
+	FeedEra       int64                       `json:"feed_era"`
+	FeedRevision  int64                       `json:"feed_revision"`
 	FeedAge       int64                       `json:"feed_age_ms"`
 	Proven        int64                       `json:"feed_proven_ms"`
 	KeysWithin    int64                       `json:"keys_within_ms"`
@@ -34,11 +36,12 @@
 	Suspect       int64                       `json:"contents_suspect"`
 	Teams         map[string]edge.TeamRow     `json:"teams"`
 	Held          map[string]edge.HeldContent `json:"held_contents"`
+	RateLimits    map[string]float64          `json:"rate_limits"`
 }
 
 func edgeStatusCommand() *cobra.Command {
 	var address string
-	cmd := &cobra.Command{Use: "edge-status", Short: "Show what an edge VM knows of its copy, teams, lines and held contents", Args: cobra.NoArgs}
+	cmd := &cobra.Command{Use: "edge-status", Short: "Show what an edge VM knows of its copy, teams, lines, limited targets and held contents", Args: cobra.NoArgs}
 	cmd.Flags().StringVar(&address, "metrics", "http://127.0.0.1:9403", "URL of the VM's metrics")
 	asJSON := jsonFlag(cmd)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
@@ -59,8 +62,8 @@
 }
 
 func (m *edgeMetrics) print(w io.Writer) error {
-	_, err := fmt.Fprintf(w, "configuration %d, %d VMs, %d requests open\ncopy of the store: known current %d ms ago, proven %s\nmodels: %d wait, %d of %d loads under way\nplain: %d wait, %d of %d run\n\n",
-		m.ConfigVersion, m.VMs, m.Open, m.FeedAge, m.proof(), m.Waiting, m.Loads, m.LoadsLimit, m.PlainWaiting, m.PlainRunning, m.PlainLimit)
+	_, err := fmt.Fprintf(w, "configuration %d, %d VMs, %d requests open\ncopy of the store: era %d, revision %d, known current %d ms ago, proven %s\nmodels: %d wait, %d of %d loads under way\nplain: %d wait, %d of %d run\n\n",
+		m.ConfigVersion, m.VMs, m.Open, m.FeedEra, m.FeedRevision, m.FeedAge, m.proof(), m.Waiting, m.Loads, m.LoadsLimit, m.PlainWaiting, m.PlainRunning, m.PlainLimit)
 	if err != nil {
 		return err
 	}
@@ -73,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if err := m.printRateLimits(w); err != nil {
+		return err
+	}
 	if _, err := fmt.Fprintf(w, "\ncontents: %d suspect, %d held\n", m.Suspect, len(m.Held)); err != nil || len(m.Held) == 0 {
 		return err
 	}
@@ -84,6 +90,18 @@
 	})
 }
 
+// printRateLimits lists the targets that limit the rate of their requests.
+func (m *edgeMetrics) printRateLimits(w io.Writer) error {
+	if len(m.RateLimits) == 0 {
+		return nil
+	}
+	return table(w, "\nLIMITED TARGET\tREQUESTS A SECOND", func(t *tabwriter.Writer) {
+		for _, id := range slices.Sorted(maps.Keys(m.RateLimits)) {
+			fmt.Fprintf(t, "%s\t%g\n", id, m.RateLimits[id])
+		}
+	})
+}
+
 // proof is the bound on the copy's age against that up to which keys are judged.
 func (m *edgeMetrics) proof() string {
 	if m.KeysWithin == 0 {
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -21,6 +21,7 @@
 	n.metrics.Gauge("targets_leaving", func() int64 { return int64(len(n.feed.Leaving())) })
 	n.metrics.Gauge("targets_resting", n.gateway.Resting)
 	n.metrics.Gauge("targets_rate_limited", func() int64 { return int64(len(n.rateLimits.Limited())) })
+	n.metrics.Map.Set("rate_limits", expvar.Func(func() any { rates, _ := n.rateLimits.current(); return rates }))
 	n.metrics.Gauge("plain_waiting", func() int64 { return int64(n.lines.stats().Waiting) })
 	n.metrics.Gauge("plain_running", func() int64 { return int64(n.lines.stats().Running) })
 	n.metrics.Gauge("plain_limit", func() int64 { return int64(n.lines.stats().Limit) })
