Let requests wait for a base model that is on its way

Cause: with the rates of targets came a look at whether a target holds the model, in the place that says whether a request may go to any target at all. Change: the look stands where requests wait for limited targets only. Evidence: TestRequestForABaseModelOnItsWayIsRefused failed before (a refusal), passes now.

--- a/coord/scheduler/limited.go
+++ b/coord/scheduler/limited.go
@@ -27,7 +27,8 @@
 	var first time.Duration
 	for _, id := range s.ids {
 		rate, paced := s.pacer.Rate(id)
-		if !paced || !s.eligible(now, s.targets[id], r) {
+		t := s.targets[id]
+		if !paced || !s.eligible(now, t, r) || r.Ref.IsBase() && !t.models[r.Ref.Model] {
 			continue
 		}
 		wait := s.pacer.Wait(now, id)
@@ -60,9 +61,6 @@
 
 // eligible reports whether r may go to t, apart from t's rate.
 func (s *Scheduler) eligible(now time.Time, t *target, r *Request) bool {
-	if r.Ref.IsBase() && !t.models[r.Ref.Model] {
-		return false
-	}
 	return t.ready && t.health.open(now) && !slices.Contains(r.Resting, t.id) && (!slices.Contains(r.Exclude, t.id) || t.arriving(now, r.Ref))
 }
 
--- a/coord/scheduler/limited_test.go
+++ b/coord/scheduler/limited_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord"
 )
 
 // limit sets the rates of targets, in requests a second.
@@ -123,3 +125,14 @@
 		b.want(ActGrant)
 	}
 }
+
+// TestRequestForABaseModelOnItsWayIsRefused: it waits for the load, limited targets or not.
+func TestRequestForABaseModelOnItsWayIsRefused(t *testing.T) {
+	b := newBench(t, config(3), nil)
+	b.ticket++
+	b.take(b.s.Submit(b.now, Request{
+		Key: Key{VM: "vm", Ticket: b.ticket}, Ref: coord.AdapterRef{Model: "other"}, PromptTokens: 10,
+		Objective: 800 * time.Millisecond, Deadline: b.now.Add(15 * time.Second),
+	}))
+	b.want()
+}
