Wait a quarter of a second at most for another VM's list

Cause: a VM that does not read for the others waits for a list after its history is gone, 0.25 to 0.75 s. It asks the store only when it has heard nothing for 0.9 s and more, so word of a leaving target could take 1.1 + 0.75 s and the list where 2 s are allowed and all readers are turned away. Change: up to 5 ms for each VM of the fleet, 0.25 s at most.

--- a/internal/feed/restored.go
+++ b/internal/feed/restored.go
@@ -97,13 +97,13 @@
 	}
 	if f.listFrom != was {
 		f.listFrom = was
-		f.listAt = now.Add(leastRetryGap + rand.N(min(time.Duration(f.cfg.Peers.VMs())*joinGap, maxListWait)))
+		f.listAt = now.Add(rand.N(min(time.Duration(f.cfg.Peers.VMs())*joinGap, maxListWait)))
 	}
 	return max(f.listAt.Sub(now), 0)
 }
 
-// maxListWait bounds how long VMs wait for a reader's list.
-const maxListWait = 500 * time.Millisecond
+// maxListWait bounds how long VMs wait for a reader's list: word of a leaving target may be in it.
+const maxListWait = 250 * time.Millisecond
 
 // joinGap spreads the VMs that ask one of them for everything that the store holds.
 const joinGap = 5 * time.Millisecond
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -232,7 +232,7 @@
 	}
 	x.now = x.now.Add(time.Minute)
 	x.step(t)
-	x.now = x.now.Add(leastRetryGap + maxListWait)
+	x.now = x.now.Add(maxListWait)
 	x.step(t)
 	assert.Equal(t, x.store.lists, 2)
 }
