One way to tell how long requests take at a rate, one body for two tests

The same conversion of a number of requests and a rate into a time stood in coord/ratelimit, coord/line and coord/scheduler: ratelimit.Span serves all three (the same expression, so the same values). The tests of a rest and of a limit that begin while a request is under way differed in one line: placedAnew has the rest, with its three assertions as they were. A comment of feed.settle names what it does by now. Behaviour is meant to stay.

--- a/coord/line/line.go
+++ b/coord/line/line.go
@@ -219,7 +219,7 @@
 			continue
 		}
 		full = full || len(r.Exclude) == 0
-		if !l.giveUp(now, r, first+time.Duration(float64(len(rest))/perSecond*float64(time.Second)), perSecond) {
+		if !l.giveUp(now, r, first+ratelimit.Span(float64(len(rest)), perSecond), perSecond) {
 			rest = append(rest, r)
 		}
 	}
--- a/coord/ratelimit/pacer.go
+++ b/coord/ratelimit/pacer.go
@@ -129,7 +129,7 @@
 	return timeFor(1-b.tokens, b.fill)
 }
 
-// timeFor is how long so many requests take at a rate.
+// timeFor is how long so many requests take at a rate, MaxWait at most.
 func timeFor(requests, perSecond float64) time.Duration {
 	if requests <= 0 {
 		return 0
@@ -137,7 +137,12 @@
 	if perSecond <= 0 {
 		return MaxWait
 	}
-	return min(time.Duration(requests/perSecond*float64(time.Second)), MaxWait)
+	return min(Span(requests, perSecond), MaxWait)
+}
+
+// Span is how long so many requests take at a rate above 0, however long that is.
+func Span(requests, perSecond float64) time.Duration {
+	return time.Duration(requests / perSecond * float64(time.Second))
 }
 
 // MaxWait is the longest wait that is told: nobody waits for longer.
--- a/coord/scheduler/limited.go
+++ b/coord/scheduler/limited.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/junctionfold/junctionfold/coord/ratelimit"
 )
 
 // ReasonRateLimit is the reason of refusals where all targets limit the rate of their requests.
@@ -41,7 +43,7 @@
 	if !limited {
 		return false, false
 	}
-	turn := first + time.Duration(float64(s.rateWaiting)/perSecond*float64(time.Second))
+	turn := first + ratelimit.Span(float64(s.rateWaiting), perSecond)
 	if now.Add(turn).After(r.waitsUntil()) {
 		s.refuse(r, ReasonRateLimit, s.returns.Next(now, s.rateWaiting, perSecond))
 		return true, true
--- a/internal/feed/copy.go
+++ b/internal/feed/copy.go
@@ -41,7 +41,7 @@
 	return news, done.gap
 }
 
-// settle drops targets whose grace is over. It returns the directory if it changed, else
+// settle drops targets whose grace is over, and takes entries that were doubtful for long enough. It returns the directory if it changed, else
 // nil, and the ids of the targets that were dropped. f.mu is held.
 func (f *Feed) settle(now time.Time, changed bool) (d *Directory, gone []string) {
 	gone = f.dir.expire(now)
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -36,19 +36,9 @@
 
 // TestLimitNamedWhileARequestIsUnderWay: nothing is sent there, and no retry is counted.
 func TestLimitNamedWhileARequestIsUnderWay(t *testing.T) {
-	for _, path := range []string{"/stream/x", "/once/x", "/again/x"} {
-		t.Run(path, func(t *testing.T) {
-			a, b := newBackend(t, "a"), newBackend(t, "b")
-			x := newFixture(t, a, b)
-			x.admission.targets = append(x.admission.targets, a.target(), b.target())
-			x.admission.plain = plainVerdicts(a, b)
-			x.gateway.cfg.RateLimits = knownLimits{"a": {PerSecond: 1, Stamp: 1, Since: time.Now().Add(time.Hour)}}
-			answer, _ := x.send(t, "POST", path, "")
-			assert.Equal(t, answer.StatusCode, 200)
-			assert.Equal(t, a.runs(), 0)
-			assert.Equal(t, b.runs(), 1)
-		})
-	}
+	placedAnew(t, func(x *fixture) {
+		x.gateway.cfg.RateLimits = knownLimits{"a": {PerSecond: 1, Stamp: 1, Since: time.Now().Add(time.Hour)}}
+	})
 }
 
 // TestVMAloneSendsToALimitedTarget: nobody counts what it sends.
--- a/internal/gateway/resting_test.go
+++ b/internal/gateway/resting_test.go
@@ -18,13 +18,20 @@
 
 // TestRestBeginsWhileARequestIsUnderWay: it is placed anew, and counts for no retry.
 func TestRestBeginsWhileARequestIsUnderWay(t *testing.T) {
+	placedAnew(t, func(x *fixture) {
+		x.gateway.cfg.Pool = hop.New(func() { x.gateway.AskRest("a", time.Minute) })
+	})
+}
+
+// placedAnew sends requests of each kind, whose verdicts name a first: they run once at b, and not at a.
+func placedAnew(t *testing.T, prepare func(x *fixture)) {
 	for _, path := range []string{"/stream/x", "/once/x", "/again/x"} {
 		t.Run(path, func(t *testing.T) {
 			a, b := newBackend(t, "a"), newBackend(t, "b")
 			x := newFixture(t, a, b)
 			x.admission.targets = append(x.admission.targets, a.target(), b.target())
 			x.admission.plain = plainVerdicts(a, b)
-			x.gateway.cfg.Pool = hop.New(func() { x.gateway.AskRest("a", time.Minute) })
+			prepare(x)
 			answer, _ := x.send(t, "POST", path, "")
 			assert.Equal(t, answer.StatusCode, 200)
 			assert.Equal(t, a.runs(), 0)
