Log how a target delimits the body of its answer

Hypotheses: (1) some answers have neither a length nor chunks, and the end of the connection is taken as the end of the body, to which our own framing then vouches; (2) a stream is resumed, and the second target's end counts as that of a complete stream; (3) the last write to the caller after a failure still ends the response properly. The logs could not tell (1) from (3).

Change: hop.Response.CloseDelimited, and the field framing (length, chunked, close) in request_ended. No decision uses it.

Conclusion: the three can be told apart now.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -101,6 +101,9 @@
 	// Took is the total duration, AdmitTime the time spent on decisions of the scheduler, and
 	// FirstEventTime the time from sending to the first event of the response.
 	Took, AdmitTime, FirstEventTime time.Duration
+	// Framing is how the body of the last response is delimited: length, chunked or close; empty if
+	// there was no response.
+	Framing string
 	// Sent describes the state on which the last attempt was placed and sent.
 	Sent SendInfo
 	Err  error
@@ -154,7 +157,7 @@
 		"team": r.Team, "key": hex.EncodeToString(r.Key), "proven_ms": r.ConfirmedAge.Milliseconds(),
 		"sends": r.Attempts, "target": r.Target, "decided_by": r.DecidedBy, "adapter": r.Adapter,
 		"took_ms": r.Took.Milliseconds(), "admit_ms": r.AdmitTime.Milliseconds(), "first_ms": r.FirstEventTime.Milliseconds(),
-		"error": errorText(r.Err),
+		"framing": r.Framing, "error": errorText(r.Err),
 	}))
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,7 +37,7 @@
 	x.g.cfg.Codec.Encode(h, fleet.CallMetadata{
 		Target: d.target, Remaining: remaining, Priority: d.priority, AdapterVersion: d.adapterVersion, LastEventID: d.lastEventID, Team: x.teamName(),
 	})
-	return x.g.cfg.Pool.Do(ctx, &hop.Request{
+	resp, err := x.g.cfg.Pool.Do(ctx, &hop.Request{
 		Key: d.target, Address: d.address, MaxConns: x.maxConnections(),
 		Method: x.r.Method, Path: x.requestTarget, Host: x.r.Host, Header: h, Body: x.body,
 		AckTimeout: x.g.cfg.DrainBounds.InFlight,
@@ -48,6 +48,10 @@
 			return class != fleet.Mismatched
 		},
 	})
+	if err == nil {
+		x.logEntry.Framing = resp.Framing()
+	}
+	return resp, err
 }
 
 // decisionFor returns the decision on which the request was sent whose response has this class;
--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -16,6 +16,10 @@
 	Header http.Header
 	// Length is the length of the body in bytes; -1 if unknown.
 	Length int64
+	// CloseDelimited reports that the body has neither a length nor chunks and ends with its
+	// connection (RFC 9112, section 6.3). The target may have closed it before the body was
+	// complete.
+	CloseDelimited bool
 
 	pool            *Pool
 	conn            *conn
@@ -91,11 +95,29 @@
 	r.Status = resp.StatusCode
 	r.Header = resp.Header
 	r.Length = resp.ContentLength
+	r.CloseDelimited = isCloseDelimited(resp)
 	r.body = resp.Body
 	r.closeConn = resp.Close
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// isCloseDelimited reports whether the body of a response ends with its connection.
+func isCloseDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// Framing returns the name for logs of how the body is delimited.
+func (r *Response) Framing() string {
+	switch {
+	case r.CloseDelimited:
+		return "close"
+	case r.Length >= 0:
+		return "length"
+	}
+	return "chunked"
+}
+
+// Read reads the body. It returns io.EOF at the end of a complete body, and where the connection of
+// a CloseDelimited body was closed.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if err == io.EOF {
