Relay all bytes of a long answer of unknown length

What callers saw: of an answer in chunks that is longer than 256 KB, to a request for a plain service, bytes 4,097 to 262,145 were missing, and the answer was framed as complete.

Cause: what readBuffered had read was copied into copyBody's buffer of 4 KB as the first chunk; the rest of it was dropped. Answers with a length of more than 256 KB are not buffered, so they were whole.

Evidence: TestLongChunkedAnswerLosesBytes failed before: 266,239 of 524,288 bytes reached the caller.

Change: the bytes read before are passed on as they are, without the buffer.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -685,3 +685,18 @@
 		})
 	}
 }
+
+// TestLongChunkedAnswerLosesBytes checks an answer of unknown length that is too long to be buffered.
+func TestLongChunkedAnswerLosesBytes(t *testing.T) {
+	want := strings.Repeat("0123456789abcdef", 2*maxBufferedBytes/16)
+	a := newBackend(t, "a")
+	a.handler = func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).Flush() // omits the length
+		_, _ = io.WriteString(w, want)
+	}
+	x := newFixture(t, a)
+	resp, body := x.send(t, http.MethodPost, "/once/x", "prompt")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, len(body), len(want))
+	assert.Assert(t, body == want)
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -169,12 +169,12 @@
 func (x *exchange) copyBody(resp *hop.Response, prefix []byte, transform func([]byte) ([]byte, error)) error {
 	buffer := copyBuffers.Get().(*[copyBufferSize]byte)
 	defer copyBuffers.Put(buffer)
-	for n, readErr := copy(buffer[:], prefix), error(nil); ; n, readErr = resp.Read(buffer[:]) {
-		b, err := transform(buffer[:n])
+	for b, readErr := prefix, error(nil); ; {
+		out, err := transform(b)
 		if err != nil {
 			return err
 		}
-		if err := x.write(b); err != nil {
+		if err := x.write(out); err != nil {
 			return err
 		}
 		if readErr == io.EOF {
@@ -183,6 +183,9 @@
 		if readErr != nil {
 			return errors.Wrap(readErr, "read answer")
 		}
+		var n int
+		n, readErr = resp.Read(buffer[:])
+		b = buffer[:n]
 	}
 }
 
