Do not vouch for answers that end with their connection

What callers saw: an answer that a target had broken off arrived as complete: a stream without length or chunks whose connection was closed reached the caller in chunks, with a proper last chunk; a whole answer got a Content-Length.

Cause: io.EOF at the end of a body that is delimited by its connection was taken as proof that the body is complete, and our own framing then vouched for it. The scheduler was told that the request succeeded, which closed circuit breakers and made its content known good. Class: a statement about the end that our hop makes and the one before did not.

Change: such an answer is handed on as it came, without length or chunks, and ends with the caller's connection. An event stream that ends inside an event was broken off, whatever its framing, and so was a JSON body that does not parse: routes that may be resumed go on at another target, idempotent requests run again, all others end with a reset connection. The caller's connection is reset if this process dies in between. An end that shows nothing is reported as unverified.

A stream that breaks off between two events without framing cannot be told from a whole one; the caller is told as little as the VM knows.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -39,6 +39,9 @@
 	Abandoned
 	// Disconnected: failed, because the connection was lost.
 	Disconnected
+	// Unverified: the response ended with its connection, which does not tell whether it was
+	// complete.
+	Unverified
 )
 
 const (
@@ -78,7 +81,7 @@
 
 // String returns the ending's name for logs.
 func (e Ending) String() string {
-	return [...]string{"ok", "busy", "failed", "hung", "unreachable", "abandoned", "broke"}[e]
+	return [...]string{"ok", "busy", "failed", "hung", "unreachable", "abandoned", "broke", "unverified"}[e]
 }
 
 // Balancer holds one VM's statistics of targets.
@@ -146,6 +149,10 @@
 	case OK:
 		s.timeouts = 0
 		s.observe(0, duration)
+	case Unverified:
+		// The target answers, but the next timeout ejects it again.
+		s.timeouts = min(s.timeouts, ejectAfterTimeouts-1)
+		s.observe(0, duration)
 	case Failed, Disconnected:
 		s.observe(1, s.latency)
 	case Busy:
--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -43,7 +43,7 @@
 	}
 	s.release(now, key, g)
 	g.target.health.recordEnding(now, ending)
-	if ending == EndedOK {
+	if ending == EndedOK || ending == EndedUnverified {
 		s.recordLoadTiming(now, g, false)
 	}
 	if ending == EndedOK && !g.firstEventAt.IsZero() {
--- a/coord/scheduler/health.go
+++ b/coord/scheduler/health.go
@@ -28,6 +28,10 @@
 	case EndedOK:
 		h.consecutiveFailures = 0
 		h.probing = false
+	case EndedUnverified:
+		// The target answers, but the next failure ejects it again.
+		h.consecutiveFailures = min(h.consecutiveFailures, ejectAfterFailures-1)
+		h.probing = false
 	case EndedFailed, EndedDisconnected:
 		h.recordFailures(now, 1)
 	case EndedUnreachable:
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -75,11 +75,14 @@
 	EndedWithdrawn
 	// EndedDisconnected: the target failed and its connection broke.
 	EndedDisconnected
+	// EndedUnverified: the response ended with its connection, which does not tell whether it was
+	// complete.
+	EndedUnverified
 )
 
 // String returns the name that logs use.
 func (e Ending) String() string {
-	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned", "withdrawn", "broke"}[e]
+	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned", "withdrawn", "broke", "unverified"}[e]
 }
 
 // ActionKind is the kind of an action.
--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -148,7 +148,7 @@
 	q.release(key, g)
 	q.balancer.Done(now, g.target, ending, duration)
 	switch {
-	case ending == balance.OK || ending == balance.Failed && duration > 0:
+	case ending == balance.OK || ending == balance.Unverified || ending == balance.Failed && duration > 0:
 		q.limit.observe(duration)
 	case ending == balance.Busy:
 		q.limit.recordRejection(g.inFlight, q.slots(g.target))
--- a/internal/edge/endings.go
+++ b/internal/edge/endings.go
@@ -16,6 +16,7 @@
 	scheduler.EndedUnreachable:  schema.Ending_ENDING_UNREACHABLE,
 	scheduler.EndedAbandoned:    schema.Ending_ENDING_ABANDONED,
 	scheduler.EndedWithdrawn:    schema.Ending_ENDING_WITHDRAWN,
+	scheduler.EndedUnverified:   schema.Ending_ENDING_UNVERIFIED,
 }
 
 var endings = inverse(protoEndings)
@@ -30,6 +31,7 @@
 	balance.Abandoned:    schema.Ending_ENDING_ABANDONED,
 	balance.Unreachable:  schema.Ending_ENDING_UNREACHABLE,
 	balance.TimedOut:     schema.Ending_ENDING_HUNG,
+	balance.Unverified:   schema.Ending_ENDING_UNVERIFIED,
 }
 
 var plainEndings = inverse(protoPlainEndings)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/junctionfold/junctionfold/internal/gateway"
 )
 
 // Timing and bounds of the node's loops and servers.
@@ -35,6 +37,7 @@
 	}
 	go n.mesh.Serve(n.peerListener)
 	frontEnd := newServer(n.gateway)
+	frontEnd.ConnContext = gateway.WithConn
 	servers := []*http.Server{frontEnd}
 	failed := make(chan error, 3)
 	serve(frontEnd, n.frontEndListener, failed)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -267,7 +267,9 @@
 		Retry: retry.Config{Ratio: 0.2, Slack: 50}, VMs: func() int { return 1 },
 		Log: events.Discard(), Metrics: NewMetrics(), Now: time.Now,
 	})
-	x.server = httptest.NewServer(x.gateway)
+	x.server = httptest.NewUnstartedServer(x.gateway)
+	x.server.Config.ConnContext = WithConn
+	x.server.Start()
 	t.Cleanup(x.server.Close)
 	return x
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -29,7 +29,7 @@
 		if x.callerLeft() {
 			x.g.cfg.Admission.Done(decision, scheduler.EndedAbandoned)
 			x.recordOutcome("abandoned", 0, "caller_left", nil)
-			abort()
+			x.abort()
 		}
 		if decision.Target == "" {
 			x.giveUp(decision, decision.Reason)
@@ -116,7 +116,7 @@
 	case x.callerLeft():
 		x.g.cfg.Admission.Done(decision, scheduler.EndedAbandoned)
 		x.recordOutcome("abandoned", 0, "caller_left", err)
-		abort()
+		x.abort()
 	case errors.Is(err, hop.ErrWithdrawn):
 		x.recordNotRun(decision, scheduler.EndedWithdrawn, 0, err)
 		return true
@@ -135,17 +135,28 @@
 	x.g.cfg.Admission.Done(decision, x.failureEnding(err))
 	if x.stream.header != nil {
 		x.recordOutcome("cut", http.StatusOK, "stream_cut", err)
-		abort()
+		x.abort()
 	}
 	x.fail("target_failed", err)
 	return false
 }
 
+// successEnding returns the ending of a response without a failure.
+func successEnding(resp *hop.Response) scheduler.Ending {
+	if resp.CloseDelimited {
+		return scheduler.EndedUnverified
+	}
+	return scheduler.EndedOK
+}
+
 // failureEnding distinguishes a disconnect by the target from its other failures.
 func (x *exchange) failureEnding(err error) scheduler.Ending {
 	if x.isDisconnect(err) {
 		return scheduler.EndedDisconnected
 	}
+	if errors.Is(err, errEndUnverified) {
+		return scheduler.EndedUnverified
+	}
 	return scheduler.EndedFailed
 }
 
@@ -183,16 +194,16 @@
 	}
 	switch {
 	case err == nil:
-		x.g.cfg.Admission.Done(decision, scheduler.EndedOK)
+		x.g.cfg.Admission.Done(decision, successEnding(resp))
 		x.recordOutcome("ok", resp.Status, "", nil)
 	case x.callerLeft() || errors.Is(err, errCallerLeft):
 		x.g.cfg.Admission.Done(decision, scheduler.EndedAbandoned)
 		x.recordOutcome("abandoned", resp.Status, "caller_left", err)
-		abort()
+		x.abort()
 	default:
 		x.g.cfg.Admission.Done(decision, x.failureEnding(err))
 		x.recordOutcome("cut", resp.Status, "stream_cut", err)
-		abort()
+		x.abort()
 	}
 	return false
 }
@@ -218,7 +229,7 @@
 	if err != nil {
 		return x.handleModelError(decision, err)
 	}
-	ending := scheduler.EndedOK
+	ending := successEnding(resp)
 	if resp.Status >= http.StatusInternalServerError {
 		ending = scheduler.EndedFailed
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -152,7 +152,7 @@
 	duration := x.g.cfg.Now().Sub(start)
 	ending := x.plainEnding(ctx, a)
 	x.recordPlainEnding(decision, ending, duration)
-	if ending != balance.OK {
+	if ending != balance.OK && ending != balance.Unverified {
 		x.logPlainFailure(decision, ending, a, duration)
 	}
 	return a
@@ -194,6 +194,8 @@
 		return balance.Unreachable
 	case a.resp.Status >= http.StatusInternalServerError:
 		return balance.Failed
+	case a.resp.CloseDelimited:
+		return balance.Unverified
 	}
 	return balance.OK
 }
@@ -220,7 +222,7 @@
 	switch {
 	case x.callerLeft():
 		x.recordOutcome("abandoned", 0, "caller_left", x.r.Context().Err())
-		abort()
+		x.abort()
 	case a == nil && refusal.Reason != "":
 		x.refuseByDecision(refusal, refusal.Reason)
 	case a == nil:
@@ -245,7 +247,7 @@
 func (x *exchange) relayUnbuffered(resp *hop.Response, prefix []byte) {
 	if err := x.relay(resp, prefix); err != nil {
 		x.recordOutcome("cut", resp.Status, "answer_cut", err)
-		abort()
+		x.abort()
 	}
 	x.recordOutcome("ok", resp.Status, "", nil)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -98,7 +98,11 @@
 	if err != nil {
 		return nil, false, errors.Wrap(err, "read answer")
 	}
-	return body, len(body) <= maxBufferedBytes, nil
+	complete = len(body) <= maxBufferedBytes
+	if complete && isBrokenOff(resp, body) {
+		return nil, false, errBrokenOff
+	}
+	return body, complete, nil
 }
 
 // copyHeader copies a response's header to the caller, except for the fields of its connection.
@@ -114,12 +118,16 @@
 
 // writeBuffered writes a buffered response to the caller.
 func (x *exchange) writeBuffered(resp *hop.Response, body []byte) {
-	x.copyHeader(resp)
-	if bodyAllowed(resp.Status) {
+	if bodyAllowed(resp.Status) && !resp.CloseDelimited {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	x.beginBody(resp)
 	x.w.WriteHeader(resp.Status)
 	_, err := x.w.Write(body)
+	if err == nil && resp.CloseDelimited {
+		err = x.flush() // the head must be sent before net/http can add a length
+	}
+	x.endBody()
 	if err != nil && bodyAllowed(resp.Status) {
 		x.recordOutcome("abandoned", resp.Status, "caller_left", err)
 		return
@@ -143,29 +151,35 @@
 // relay forwards the body as it arrives, after prefix, which was read before. It returns
 // errCallerLeft if the write to the caller failed, or the target's failure.
 func (x *exchange) relay(resp *hop.Response, prefix []byte) error {
-	x.copyHeader(resp)
 	if resp.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
+	x.beginBody(resp)
 	x.w.WriteHeader(resp.Status)
-	return x.copyBody(resp, prefix, func(b []byte) ([]byte, error) { return b, nil })
+	if err := x.copyBody(resp, prefix, x.stream.scan); err != nil {
+		return err
+	}
+	x.endBody()
+	return nil
 }
 
-// relayEvents relays a stream that may be resumed. It forwards complete events only. If the response
-// is complete, bytes after its last complete event are forwarded at the end.
+// relayEvents relays a stream that may be resumed. It forwards complete events only.
 func (x *exchange) relayEvents(resp *hop.Response, prefix []byte) error {
+	x.stream.startPart()
 	if x.stream.header == nil {
-		x.copyHeader(resp)
+		x.beginBody(resp)
 		x.w.WriteHeader(resp.Status)
 		x.stream.header = resp.Header
 	}
 	if err := x.copyBody(resp, prefix, x.stream.completeEvents); err != nil {
 		return err
 	}
-	return x.write(x.stream.partial)
+	x.endBody()
+	return nil
 }
 
-// copyBody writes what transform returns for each chunk of the body, prefix first.
+// copyBody writes what transform returns for each chunk of the body, prefix first. It returns an error
+// if the body was broken off.
 func (x *exchange) copyBody(resp *hop.Response, prefix []byte, transform func([]byte) ([]byte, error)) error {
 	buffer := copyBuffers.Get().(*[copyBufferSize]byte)
 	defer copyBuffers.Put(buffer)
@@ -178,7 +192,7 @@
 			return err
 		}
 		if readErr == io.EOF {
-			return nil
+			return x.checkEnd(resp)
 		}
 		if readErr != nil {
 			return errors.Wrap(readErr, "read answer")
@@ -197,15 +211,16 @@
 	if _, err := x.w.Write(b); err != nil {
 		return errors.Mark(err, errCallerLeft)
 	}
+	return x.flush()
+}
+
+func (x *exchange) flush() error {
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return errors.Mark(err, errCallerLeft)
 	}
 	return nil
 }
 
-// abort closes the caller's connection, so that the response does not look complete.
-func abort() { panic(http.ErrAbortHandler) }
-
 func isEventStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/junctionfold/junctionfold/internal/eventstream"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
@@ -16,10 +17,21 @@
 	header http.Header
 	// lastEventID is the id of the last event that the caller has received; empty: none.
 	lastEventID string
+	// scanner follows the part that the current target sends.
+	scanner eventstream.Scanner
 	// partial is the beginning of an event that has not arrived completely.
 	partial []byte
 }
 
+// startPart begins the part of the stream that another target sends.
+func (s *stream) startPart() { s.scanner, s.partial = eventstream.Scanner{}, nil }
+
+// scan follows received bytes and returns them.
+func (s *stream) scan(b []byte) ([]byte, error) {
+	s.scanner.Scan(b)
+	return b, nil
+}
+
 // maxEventBytes bounds a partial event that is held back until it is complete. Typical events have
 // a few dozen bytes.
 const maxEventBytes = 64 << 10
@@ -29,8 +41,11 @@
 
 // completeEvents appends received bytes and returns the events that are complete now.
 func (s *stream) completeEvents(b []byte) ([]byte, error) {
+	end := s.scanner.Scan(b)
+	if end > 0 {
+		end += len(s.partial)
+	}
 	s.partial = append(s.partial, b...)
-	end := completeEventsLen(s.partial)
 	if end == 0 {
 		if len(s.partial) > maxEventBytes {
 			return nil, errEventTooLong
@@ -39,34 +54,12 @@
 	}
 	complete := s.partial[:end]
 	s.partial = bytes.Clone(s.partial[end:])
-	if id, ok := lastEventID(complete); ok {
+	if id, ok := eventstream.LastID(complete); ok {
 		s.lastEventID = id
 	}
 	return complete, nil
 }
 
-// completeEventsLen returns the length of the complete events in b. Each event ends with an empty
-// line.
-func completeEventsLen(b []byte) int {
-	end := 0
-	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.LastIndex(b, []byte(separator)); i >= 0 {
-			end = max(end, i+len(separator))
-		}
-	}
-	return end
-}
-
-// lastEventID returns the last id that events set.
-func lastEventID(events []byte) (id string, ok bool) {
-	for line := range bytes.Lines(events) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id, ok = string(bytes.TrimSpace(value)), true
-		}
-	}
-	return id, ok
-}
-
 // canResume reports whether another target may run the request after a failure.
 func (x *exchange) canResume(err error) bool {
 	return x.route.Resumable && x.runs < x.route.MaxAttempts && x.ctx.Err() == nil &&
@@ -84,7 +77,6 @@
 
 // recordResume ends an attempt after which another target is to continue the stream.
 func (x *exchange) recordResume(decision Decision, err error) {
-	x.stream.partial = nil
 	x.g.cfg.Metrics.Resumed.Add(1)
 	x.recordFailedAttempt(decision, x.failureEnding(err), 0, err)
 }
@@ -95,7 +87,7 @@
 	switch {
 	case x.stream.header != nil:
 		x.recordOutcome("cut", http.StatusOK, reason, nil)
-		abort()
+		x.abort()
 	case x.runs > 0:
 		x.fail(reason, nil)
 	default:
