Relay a continuation with a length in complete events

What callers saw: of a stream that broke off and was continued by a response with a length, parts of events and events twice if the continuation broke off too, with a proper last chunk; after a first part without length or chunks, a reset connection at the end of a whole stream.

Cause: a response with a length counted as not resumable also where it continues a stream. It was forwarded as it came, without following ids, and was resumed after a failure all the same. The caller's connection was taken for one whose response has a length, so that its reset on close was not revoked.

Evidence: two of three rows of TestContinuationWithLength failed before; the third (whole, after chunks) passed.

Change: whatever continues a stream is forwarded in complete events.

Conclusion: the caller's framing is settled by the first part alone.

--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -225,3 +226,45 @@
 	_, err = io.ReadAll(resp.Body)
 	assert.Assert(t, err != nil, "the stream looks complete")
 }
+
+// respondWithLength sends an event stream whose length counts a number of bytes that are missing.
+func respondWithLength(body string, missing int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Weights", "1")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+missing))
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// TestContinuationWithLength continues streams with responses that have a length.
+func TestContinuationWithLength(t *testing.T) {
+	for _, row := range []struct {
+		name        string
+		first, next http.HandlerFunc
+		want        received
+	}{
+		{
+			"after chunks", respondEvents("id: 1\ndata: a\n\nid: 2\nda", abortConnection),
+			respondWithLength("id: 2\ndata: b\n\n", 0), received{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", framed: true, intact: true},
+		},
+		{
+			"after a part without framing", respondUnframed("text/event-stream", "id: 1\ndata: a\n\nid: 2\nda"),
+			respondWithLength("id: 2\ndata: b\n\n", 0), received{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", intact: true},
+		},
+		{
+			"cut inside an event", respondEvents("id: 1\ndata: a\n\nid: 2\nda", abortConnection),
+			respondWithLength("id: 2\ndata: b\n\nid", 9), received{body: allEvents, framed: true, intact: true},
+		},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			a, b, c := newBackend(t, "a"), newBackend(t, "b"), newBackend(t, "c")
+			a.handler, b.handler, c.handler = row.first, row.next, respondContinuation
+			x := newResumableFixture(t, a, b, c)
+			for i := range x.directory.dir.Config.Routes {
+				x.directory.dir.Config.Routes[i].MaxAttempts = 3
+			}
+			assert.Equal(t, x.sendOnce(t, "HTTP/1.1", "/stream/x"), row.want)
+		})
+	}
+}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -66,8 +66,11 @@
 		!errors.IsAny(err, errCallerLeft, errEventTooLong)
 }
 
-// isResumable reports whether another target could continue a response.
-func (x *exchange) isResumable(resp *hop.Response) bool { return x.route.Resumable && resp.Length < 0 }
+// isResumable reports whether another target could continue a response, which may itself continue the
+// one of which the caller has received a part.
+func (x *exchange) isResumable(resp *hop.Response) bool {
+	return x.stream.header != nil || x.route.Resumable && resp.Length < 0
+}
 
 // continuesStream reports whether a response continues the one of which the caller has received a
 // part.
