Do not promise the length of a stream

What callers saw: a stream with a length that ends inside an event arrived as complete, though the VM had found out that it was broken off.

Cause: the target's length was passed on with the head. When the end shows that the stream was broken off, the caller has all bytes that were promised, and closing its connection says nothing. Streams with a length were not resumed either.

Change: streams are forwarded without their length (in chunks, to HTTP/1.0 callers up to the end of the connection), so those of routes that may be resumed are resumed whatever their framing.

Conclusion: what the gateway promises about a stream it promises at the end.

--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -268,3 +268,17 @@
 		})
 	}
 }
+
+// TestLengthVouchesForBrokenOffStream ends a stream with a length inside an event.
+func TestLengthVouchesForBrokenOffStream(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for n := 1; n <= len(allEvents); n++ {
+			t.Run(fmt.Sprintf("%s after %d bytes", proto, n), func(t *testing.T) {
+				a := newBackend(t, "a")
+				a.handler = respondWithLength(allEvents[:n], 0)
+				x := newStreamFixture(t, a)
+				assert.Equal(t, x.sendOnce(t, proto, "/stream/x").intact, strings.HasSuffix(allEvents[:n], "\n\n"))
+			})
+		}
+	}
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return x.handleModelError(decision, err)
 	}
-	if x.isResumable(resp) {
+	if x.route.Resumable {
 		err = x.relayEvents(resp, prefix)
 	} else {
 		err = x.relay(resp, prefix)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -151,7 +151,8 @@
 // relay forwards the body as it arrives, after prefix, which was read before. It returns
 // errCallerLeft if the write to the caller failed, or the target's failure.
 func (x *exchange) relay(resp *hop.Response, prefix []byte) error {
-	if resp.Length >= 0 {
+	// A stream gets no length: that it ends inside an event shows only after all its bytes were sent.
+	if resp.Length >= 0 && !isEventStream(resp.Header) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	x.beginBody(resp)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -66,12 +66,6 @@
 		!errors.IsAny(err, errCallerLeft, errEventTooLong)
 }
 
-// isResumable reports whether another target could continue a response, which may itself continue the
-// one of which the caller has received a part.
-func (x *exchange) isResumable(resp *hop.Response) bool {
-	return x.stream.header != nil || x.route.Resumable && resp.Length < 0
-}
-
 // continuesStream reports whether a response continues the one of which the caller has received a
 // part.
 func (x *exchange) continuesStream(resp *hop.Response) bool {
