Do not take an empty response without framing for the rest of a stream

What callers saw: a stream without length or chunks that broke off inside an event ended as if it were whole, if the target that was to continue it closed its connection right after its head.

Cause: a continuation may be empty, since the stream may have broken off after its last event. Without length or chunks the same is seen of a target that crashes before its first event, and the part of an event that was held back had shown that more was to come.

Evidence: TestEmptyUnframedContinuation failed before: intact, with one event of two.

Change: an empty continuation counts only if its framing says so; otherwise the attempt failed.

Conclusion: a stream that broke off right after its last event and is continued so ends with a reset connection, which claims less than it could.

--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -282,3 +282,14 @@
 		}
 	}
 }
+
+// TestEmptyUnframedContinuation ends the continuation of a stream that broke off inside an event before
+// its first byte.
+func TestEmptyUnframedContinuation(t *testing.T) {
+	a, b := newBackend(t, "a"), newBackend(t, "b")
+	a.handler = respondUnframed("text/event-stream", "id: 1\ndata: a\n\nid: 2\nda")
+	b.handler = respondUnframed("text/event-stream", "")
+	x := newResumableFixture(t, a, b)
+	assert.Assert(t, !x.sendOnce(t, "HTTP/1.1", "/stream/x").intact, "the stream looks complete")
+	assert.DeepEqual(t, x.admission.ended(), []scheduler.Ending{scheduler.EndedDisconnected, scheduler.EndedDisconnected})
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -209,11 +209,11 @@
 }
 
 // readFirstEvent reads the first bytes of a stream. A stream that is resumed after its last event
-// may be empty.
+// may be empty, but the end of a connection does not show that.
 func (x *exchange) readFirstEvent(decision Decision, resp *hop.Response, sentAt time.Time) (prefix []byte, err error) {
 	buffer := make([]byte, 512)
 	n, err := resp.Read(buffer)
-	streamEnded := err == io.EOF && x.stream.header != nil
+	streamEnded := err == io.EOF && x.stream.header != nil && !resp.CloseDelimited
 	if n == 0 && err != nil && !streamEnded {
 		return nil, errors.Wrap(err, "read first event")
 	}
