Pass on the length that a target names for HEAD

What callers saw: answers to HEAD named a length of 0, whatever the target had named, and also where it had named none.

Cause: the length was counted from the body that was read, and an answer to HEAD has none.

Evidence: TestHeadAnswerLosesLength failed before: 0 in place of 1234.

Change: for HEAD the target's length is set, or none.

Conclusion: another statement of the gateway that the target did not make; no body was cut by it.

--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -293,3 +293,21 @@
 	assert.Assert(t, !x.sendOnce(t, "HTTP/1.1", "/stream/x").intact, "the stream looks complete")
 	assert.DeepEqual(t, x.admission.ended(), []scheduler.Ending{scheduler.EndedDisconnected, scheduler.EndedDisconnected})
 }
+
+// TestHeadAnswerLosesLength checks that the length that a target names for HEAD reaches the caller.
+func TestHeadAnswerLosesLength(t *testing.T) {
+	for _, length := range []string{"1234", "300000", "0", ""} {
+		a := newBackend(t, "a")
+		a.handler = func(w http.ResponseWriter, _ *http.Request) {
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			} else {
+				w.Header().Set("Transfer-Encoding", "chunked")
+			}
+		}
+		x := newFixture(t, a)
+		resp, _ := x.send(t, http.MethodHead, "/once/x", "")
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, resp.Header.Get("Content-Length"), length)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -118,9 +118,7 @@
 
 // writeBuffered writes a buffered response to the caller.
 func (x *exchange) writeBuffered(resp *hop.Response, body []byte) {
-	if bodyAllowed(resp.Status) && !resp.CloseDelimited {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
+	x.setLength(resp, len(body))
 	x.beginBody(resp)
 	x.w.WriteHeader(resp.Status)
 	_, err := x.w.Write(body)
@@ -135,6 +133,16 @@
 	x.recordOutcome("ok", resp.Status, "", nil)
 }
 
+// setLength sets the length of a buffered response: for HEAD the one that the target names.
+func (x *exchange) setLength(resp *hop.Response, length int) {
+	if x.r.Method == http.MethodHead {
+		length = int(resp.Length)
+	}
+	if length >= 0 && bodyAllowed(resp.Status) && !resp.CloseDelimited {
+		x.w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
+}
+
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
