Report the end of a long answer after it was relayed

What callers saw: nothing at once. Of an answer of more than 256 KB the end was reported when the first 256 KB had been read: as a success, which closes circuit breakers and proves content harmless, also if the target then broke it off, and with the target's slot released while the request still ran.

Cause: the end was reported before the body was relayed, for both kinds of services.

Evidence: TestCutLongAnswerIsReportedAsSuccess failed before for both: OK in place of disconnected.

Change: the end of an answer that is not buffered is reported once it was relayed, with what that showed. A caller that left meanwhile is logged as such, not as a cut.

Tests: TestUnframedAnswerGetsLength reads the reported endings under their lock, since the end now follows the last write; what it checks is the same.

--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -161,7 +161,7 @@
 			got := x.sendOnce(t, "HTTP/1.1", row.path)
 			assert.Equal(t, len(got.body), len(row.want.body))
 			assert.Assert(t, got == row.want)
-			assert.DeepEqual(t, x.admission.plainEndings, row.endings)
+			assert.DeepEqual(t, x.admission.endedPlain(), row.endings)
 		})
 	}
 }
@@ -311,3 +311,26 @@
 		assert.Equal(t, resp.Header.Get("Content-Length"), length)
 	}
 }
+
+// TestCutLongAnswerIsReportedAsSuccess cuts answers that are too long to be buffered.
+func TestCutLongAnswerIsReportedAsSuccess(t *testing.T) {
+	cut := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedBytes))
+		abortConnection(w, r)
+	}
+	t.Run("model", func(t *testing.T) {
+		a := newBackend(t, "a")
+		a.handler = cut
+		x := newStreamFixture(t, a)
+		assert.Assert(t, !x.sendOnce(t, "HTTP/1.1", "/stream/x").intact)
+		assert.DeepEqual(t, x.admission.ended(), []scheduler.Ending{scheduler.EndedDisconnected})
+	})
+	t.Run("plain", func(t *testing.T) {
+		a := newBackend(t, "a")
+		a.handler = cut
+		x := newFixture(t, a)
+		x.admission.decidePlain = inOrder(a)
+		assert.Assert(t, !x.sendOnce(t, "HTTP/1.1", "/once/x").intact)
+		assert.DeepEqual(t, x.admission.endedPlain(), []balance.Ending{balance.Disconnected})
+	})
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -202,6 +202,12 @@
 	return append([]scheduler.Ending(nil), a.endings...)
 }
 
+func (a *fixedAdmission) endedPlain() []balance.Ending {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.plainEndings)
+}
+
 // fixedDirectory is a Directory whose content tests set.
 type fixedDirectory struct {
 	dir *feed.Directory
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -229,15 +229,26 @@
 	if err != nil {
 		return x.handleModelError(decision, err)
 	}
-	ending := successEnding(resp)
-	if resp.Status >= http.StatusInternalServerError {
-		ending = scheduler.EndedFailed
-	}
-	x.g.cfg.Admission.Done(decision, ending)
 	if complete {
+		x.g.cfg.Admission.Done(decision, x.nonStreamEnding(resp, nil))
 		x.writeBuffered(resp, body)
 		return false
 	}
-	x.relayUnbuffered(resp, body)
+	err = x.relay(resp, body)
+	x.g.cfg.Admission.Done(decision, x.nonStreamEnding(resp, err))
+	x.recordUnbuffered(resp, err)
 	return false
 }
+
+// nonStreamEnding returns the ending of a response that was read or, with err, failed to be relayed.
+func (x *exchange) nonStreamEnding(resp *hop.Response, err error) scheduler.Ending {
+	switch {
+	case x.callerLeft() || errors.Is(err, errCallerLeft):
+		return scheduler.EndedAbandoned
+	case err != nil:
+		return x.failureEnding(err)
+	case resp.Status >= http.StatusInternalServerError:
+		return scheduler.EndedFailed
+	}
+	return successEnding(resp)
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,8 +30,18 @@
 	// sent is set if the request may have reached the target.
 	sent bool
 	err  error
-	// cancel ends the attempt.
+	// ctx bounds the attempt, and cancel ends it.
+	ctx    context.Context
 	cancel context.CancelFunc
+	// decision and startedAt are reported with the end of the attempt; ended is set once it was.
+	decision  Decision
+	startedAt time.Time
+	ended     bool
+}
+
+// mustRelay reports whether the end of the attempt is known only after its response was relayed.
+func (a *attempt) mustRelay() bool {
+	return a.err == nil && !a.complete && a.class == fleet.Answered && a.resp.Status < http.StatusInternalServerError
 }
 
 // close ends the attempt and discards the unread part of the response.
@@ -139,8 +149,7 @@
 		timeout = min(timeout, time.Duration(attemptTimeoutShare*float64(x.route.LatencyObjective)))
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, timeout)
-	start := x.g.cfg.Now()
-	a := &attempt{sent: true, cancel: cancel}
+	a := &attempt{sent: true, ctx: ctx, cancel: cancel, decision: decision, startedAt: x.g.cfg.Now()}
 	x.setDecision(decision)
 	a.resp, a.err = x.send(ctx, destination{target: decision.Target, address: decision.Address, priority: noPriority})
 	if a.err == nil {
@@ -149,15 +158,26 @@
 	} else {
 		a.sent = !hop.NotSent(a.err)
 	}
-	duration := x.g.cfg.Now().Sub(start)
-	ending := x.plainEnding(ctx, a)
-	x.recordPlainEnding(decision, ending, duration)
-	if ending != balance.OK && ending != balance.Unverified {
-		x.logPlainFailure(decision, ending, a, duration)
+	if !a.mustRelay() {
+		x.recordPlainAttempt(a)
 	}
 	return a
 }
 
+// recordPlainAttempt reports and logs the end of an attempt, unless that was done before.
+func (x *exchange) recordPlainAttempt(a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	duration := x.g.cfg.Now().Sub(a.startedAt)
+	ending := x.plainEnding(a)
+	x.recordPlainEnding(a.decision, ending, duration)
+	if ending != balance.OK && ending != balance.Unverified {
+		x.logPlainFailure(a.decision, ending, a, duration)
+	}
+}
+
 func (x *exchange) logPlainFailure(decision Decision, ending balance.Ending, a *attempt, duration time.Duration) {
 	entry := events.Attempt{ID: x.req.ID, Target: decision.Target, DecidedBy: decision.DecidedBy, Class: ending.String(), Took: duration, Sent: x.logEntry.Sent, Err: a.err}
 	if a.resp != nil {
@@ -172,9 +192,9 @@
 	return x.route.Kind == fleet.Idempotent && runs < x.route.MaxAttempts && x.route.LatencyObjective > 0
 }
 
-func (x *exchange) plainEnding(ctx context.Context, a *attempt) balance.Ending {
+func (x *exchange) plainEnding(a *attempt) balance.Ending {
 	switch {
-	case x.callerLeft():
+	case x.callerLeft() || errors.Is(a.err, errCallerLeft):
 		return balance.Abandoned
 	case errors.Is(a.err, hop.ErrWithdrawn):
 		return balance.Abandoned
@@ -182,7 +202,7 @@
 		return balance.Busy
 	case !a.sent:
 		return balance.Unreachable
-	case a.err != nil && ctx.Err() != nil:
+	case a.err != nil && a.ctx.Err() != nil:
 		return balance.TimedOut
 	case a.err != nil && x.isDisconnect(a.err):
 		return balance.Disconnected
@@ -221,6 +241,9 @@
 	}
 	switch {
 	case x.callerLeft():
+		if a != nil {
+			x.recordPlainAttempt(a)
+		}
 		x.recordOutcome("abandoned", 0, "caller_left", x.r.Context().Err())
 		x.abort()
 	case a == nil && refusal.Reason != "":
@@ -236,7 +259,7 @@
 	case a.complete:
 		x.writeBuffered(a.resp, a.body)
 	default:
-		x.relayUnbuffered(a.resp, a.body)
+		x.relayUnbuffered(a)
 	}
 }
 
@@ -244,10 +267,23 @@
 const noTargetRetryDelay = 300 * time.Millisecond
 
 // relayUnbuffered relays a response that is too long to be buffered.
-func (x *exchange) relayUnbuffered(resp *hop.Response, prefix []byte) {
-	if err := x.relay(resp, prefix); err != nil {
+func (x *exchange) relayUnbuffered(a *attempt) {
+	a.err = x.relay(a.resp, a.body)
+	x.recordPlainAttempt(a)
+	x.recordUnbuffered(a.resp, a.err)
+}
+
+// recordUnbuffered records the outcome of a response that was too long to be buffered, and ends the
+// caller's connection if it is not complete.
+func (x *exchange) recordUnbuffered(resp *hop.Response, err error) {
+	switch {
+	case err == nil:
+		x.recordOutcome("ok", resp.Status, "", nil)
+	case x.callerLeft() || errors.Is(err, errCallerLeft):
+		x.recordOutcome("abandoned", resp.Status, "caller_left", err)
+		x.abort()
+	default:
 		x.recordOutcome("cut", resp.Status, "answer_cut", err)
 		x.abort()
 	}
-	x.recordOutcome("ok", resp.Status, "", nil)
 }
