Detect a reset that the write of a long request body was told of

What callers saw: an answer without length or chunks that was reset while the body of its request (over 8 KB) was still being written ended as if the target had closed its connection, with a close of the caller's in place of a reset.

Cause: the kernel reports the failure of a connection once. The write that runs beside the read may receive it, and the read then reports an end, which for a body that is delimited by its connection is the end of the body.

Change: at such an end, where the connection is closed both ways, the result of the write decides.

--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -120,12 +121,30 @@
 // a CloseDelimited body was closed.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if err == io.EOF && r.CloseDelimited {
+		err = r.connEndError()
+	}
 	if err == io.EOF {
 		r.bodyEnded = true
 	}
 	return n, err
 }
 
+// connEndError returns why the connection of a CloseDelimited body ended: io.EOF if the target closed
+// it, or its failure. The kernel reports a failure only once, to the write of the request's body if
+// that is pending, and an end to the read.
+func (r *Response) connEndError() error {
+	if r.bodyWritten == nil || !r.conn.isClosedBothWays() {
+		return io.EOF
+	}
+	err := <-r.bodyWritten // comes at once: the connection is closed
+	r.bodyWritten <- err
+	if err == nil || errors.Is(err, syscall.EPIPE) {
+		return io.EOF // a reset that follows the target's close is reported as EPIPE
+	}
+	return errors.Wrap(err, "the connection failed")
+}
+
 // Close releases the connection. The connection returns to the pool if the response was
 // read to its end and no further data is buffered on it. Otherwise it is closed.
 func (r *Response) Close() {
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -429,3 +429,48 @@
 	resp.Close()
 	assert.Equal(t, tgt.conns.Load(), int32(1))
 }
+
+// TestResetWhileBodyIsWrittenLooksLikeEnd resets a connection whose error the write of the request's body
+// may receive instead of the read of the response.
+func TestResetWhileBodyIsWrittenLooksLikeEnd(t *testing.T) {
+	for range 50 {
+		received := make(chan struct{})
+		tgt := newFakeTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r) // reads the head only
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf")
+			<-received
+			_ = c.(*net.TCPConn).SetLinger(0)
+		})
+		resp, err := New(nil).Do(t.Context(), newRequest(tgt, "1", strings.Repeat("x", 16<<20)))
+		assert.NilError(t, err)
+		half := make([]byte, 4)
+		_, err = io.ReadFull(resp, half)
+		assert.NilError(t, err)
+		close(received)
+		_, err = io.ReadAll(resp)
+		resp.Close()
+		assert.Assert(t, err != nil, "a connection that was reset looks like the end of the body")
+	}
+}
+
+// TestCloseWhileBodyIsWrittenIsAnEnd closes a connection, or its sending side, whose request body is still
+// being written.
+func TestCloseWhileBodyIsWrittenIsAnEnd(t *testing.T) {
+	for _, closesBoth := range []bool{false, true} {
+		for range 20 {
+			ended := make(chan struct{})
+			tgt := newFakeTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r) // reads the head only
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it")
+				_ = c.(*net.TCPConn).CloseWrite()
+				if !closesBoth {
+					<-ended
+				}
+			})
+			body, err := do(t, New(nil), newRequest(tgt, "1", strings.Repeat("x", 16<<20)))
+			close(ended)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "all of it")
+		}
+	}
+}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -209,6 +209,21 @@
 	return err == nil && open
 }
 
+// isClosedBothWays reports whether nothing can be sent or received any more. After a close by the target
+// alone, bytes can still be sent.
+func (c *conn) isClosedBothWays() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := true
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = infoErr != nil || info.State == unix.BPF_TCP_CLOSE
+	})
+	return err != nil || closed
+}
+
 // CloseIdle closes the idle connections that have expired at now. It must be called
 // periodically.
 func (p *Pool) CloseIdle(now time.Time) {
