Trust the head of a refusal whose body is cut

What callers saw: 502 for a request that cannot be repeated, though its target had stated in the head of its answer that the request was not run, if the body of that answer was cut or did not parse.

Cause: the body of every answer was read and checked, and an error there counted as a request that may have run. Bodies of refusals are never passed on.

Evidence: both rows of TestCutRefusalCountsAsRun failed before: 502 in place of the second target's answer.

Change: the body of an answer that says not run is read for the connection's sake only.

Conclusion: the end of a body says nothing about what the head stated.

--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -334,3 +334,30 @@
 		assert.DeepEqual(t, x.admission.endedPlain(), []balance.Ending{balance.Disconnected})
 	})
 }
+
+// TestCutRefusalCountsAsRun cuts the body of a response that states that the request was not run.
+func TestCutRefusalCountsAsRun(t *testing.T) {
+	for name, refuse := range map[string]http.HandlerFunc{
+		"without framing": func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Type: application/json\r\n\r\n{", r.Header.Get("Id"))
+			_ = conn.Close()
+		},
+		"in chunks": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = http.NewResponseController(w).Flush()
+			abortConnection(w, r)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newBackend(t, "a"), newBackend(t, "b")
+			a.handler = refuse
+			x := newFixture(t, a, b)
+			x.admission.decidePlain = inOrder(a, b)
+			assert.Equal(t, x.sendOnce(t, "HTTP/1.1", "/once/x").body, "from b")
+			assert.DeepEqual(t, x.admission.endedPlain(), []balance.Ending{balance.Busy, balance.OK})
+		})
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -155,6 +155,9 @@
 	if a.err == nil {
 		a.class = x.g.cfg.Codec.Classify(x.req.ID, a.resp.Status, a.resp.Header)
 		a.body, a.complete, a.err = readBuffered(a.resp)
+		if a.class != fleet.Answered {
+			a.err = nil // the head alone states that the request was not run
+		}
 	} else {
 		a.sent = !hop.NotSent(a.err)
 	}
