--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -160,7 +161,7 @@
 			got := x.sendOnce(t, "HTTP/1.1", row.path)
 			assert.Equal(t, len(got.body), len(row.want.body))
 			assert.Assert(t, got == row.want)
-			assert.DeepEqual(t, x.admission.plainEndings, row.endings)
+			assert.DeepEqual(t, x.admission.endedPlain(), row.endings)
 		})
 	}
 }
@@ -225,3 +226,138 @@
 	_, err = io.ReadAll(resp.Body)
 	assert.Assert(t, err != nil, "the stream looks complete")
 }
+
+// respondWithLength sends an event stream whose length counts a number of bytes that are missing.
+func respondWithLength(body string, missing int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Weights", "1")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+missing))
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// TestContinuationWithLength continues streams with responses that have a length.
+func TestContinuationWithLength(t *testing.T) {
+	for _, row := range []struct {
+		name        string
+		first, next http.HandlerFunc
+		want        received
+	}{
+		{
+			"after chunks", respondEvents("id: 1\ndata: a\n\nid: 2\nda", abortConnection),
+			respondWithLength("id: 2\ndata: b\n\n", 0), received{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", framed: true, intact: true},
+		},
+		{
+			"after a part without framing", respondUnframed("text/event-stream", "id: 1\ndata: a\n\nid: 2\nda"),
+			respondWithLength("id: 2\ndata: b\n\n", 0), received{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", intact: true},
+		},
+		{
+			"cut inside an event", respondEvents("id: 1\ndata: a\n\nid: 2\nda", abortConnection),
+			respondWithLength("id: 2\ndata: b\n\nid", 9), received{body: allEvents, framed: true, intact: true},
+		},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			a, b, c := newBackend(t, "a"), newBackend(t, "b"), newBackend(t, "c")
+			a.handler, b.handler, c.handler = row.first, row.next, respondContinuation
+			x := newResumableFixture(t, a, b, c)
+			for i := range x.directory.dir.Config.Routes {
+				x.directory.dir.Config.Routes[i].MaxAttempts = 3
+			}
+			assert.Equal(t, x.sendOnce(t, "HTTP/1.1", "/stream/x"), row.want)
+		})
+	}
+}
+
+// TestLengthVouchesForBrokenOffStream ends a stream with a length inside an event.
+func TestLengthVouchesForBrokenOffStream(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for n := 1; n <= len(allEvents); n++ {
+			t.Run(fmt.Sprintf("%s after %d bytes", proto, n), func(t *testing.T) {
+				a := newBackend(t, "a")
+				a.handler = respondWithLength(allEvents[:n], 0)
+				x := newStreamFixture(t, a)
+				assert.Equal(t, x.sendOnce(t, proto, "/stream/x").intact, strings.HasSuffix(allEvents[:n], "\n\n"))
+			})
+		}
+	}
+}
+
+// TestEmptyUnframedContinuation ends the continuation of a stream that broke off inside an event before
+// its first byte.
+func TestEmptyUnframedContinuation(t *testing.T) {
+	a, b := newBackend(t, "a"), newBackend(t, "b")
+	a.handler = respondUnframed("text/event-stream", "id: 1\ndata: a\n\nid: 2\nda")
+	b.handler = respondUnframed("text/event-stream", "")
+	x := newResumableFixture(t, a, b)
+	assert.Assert(t, !x.sendOnce(t, "HTTP/1.1", "/stream/x").intact, "the stream looks complete")
+	assert.DeepEqual(t, x.admission.ended(), []scheduler.Ending{scheduler.EndedDisconnected, scheduler.EndedDisconnected})
+}
+
+// TestHeadAnswerLosesLength checks that the length that a target names for HEAD reaches the caller.
+func TestHeadAnswerLosesLength(t *testing.T) {
+	for _, length := range []string{"1234", "300000", "0", ""} {
+		a := newBackend(t, "a")
+		a.handler = func(w http.ResponseWriter, _ *http.Request) {
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			} else {
+				w.Header().Set("Transfer-Encoding", "chunked")
+			}
+		}
+		x := newFixture(t, a)
+		resp, _ := x.send(t, http.MethodHead, "/once/x", "")
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, resp.Header.Get("Content-Length"), length)
+	}
+}
+
+// TestCutLongAnswerIsReportedAsSuccess cuts answers that are too long to be buffered.
+func TestCutLongAnswerIsReportedAsSuccess(t *testing.T) {
+	cut := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedBytes))
+		abortConnection(w, r)
+	}
+	t.Run("model", func(t *testing.T) {
+		a := newBackend(t, "a")
+		a.handler = cut
+		x := newStreamFixture(t, a)
+		assert.Assert(t, !x.sendOnce(t, "HTTP/1.1", "/stream/x").intact)
+		assert.DeepEqual(t, x.admission.ended(), []scheduler.Ending{scheduler.EndedDisconnected})
+	})
+	t.Run("plain", func(t *testing.T) {
+		a := newBackend(t, "a")
+		a.handler = cut
+		x := newFixture(t, a)
+		x.admission.decidePlain = inOrder(a)
+		assert.Assert(t, !x.sendOnce(t, "HTTP/1.1", "/once/x").intact)
+		assert.DeepEqual(t, x.admission.endedPlain(), []balance.Ending{balance.Disconnected})
+	})
+}
+
+// TestCutRefusalCountsAsRun cuts the body of a response that states that the request was not run.
+func TestCutRefusalCountsAsRun(t *testing.T) {
+	for name, refuse := range map[string]http.HandlerFunc{
+		"without framing": func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Type: application/json\r\n\r\n{", r.Header.Get("Id"))
+			_ = conn.Close()
+		},
+		"in chunks": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = http.NewResponseController(w).Flush()
+			abortConnection(w, r)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newBackend(t, "a"), newBackend(t, "b")
+			a.handler = refuse
+			x := newFixture(t, a, b)
+			x.admission.decidePlain = inOrder(a, b)
+			assert.Equal(t, x.sendOnce(t, "HTTP/1.1", "/once/x").body, "from b")
+			assert.DeepEqual(t, x.admission.endedPlain(), []balance.Ending{balance.Busy, balance.OK})
+		})
+	}
+}
