Do not wait for a write where the state of a connection is unknown

Cause: where the kernel does not tell a connection's state, an end of a body without framing waited for the write of the request's body, which may last until the request's deadline.

Change: an unknown state counts as open, and the end as an end.

Evidence: by reading; the tests of internal/hop and internal/gateway pass with -race.

--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -210,7 +210,7 @@
 }
 
 // isClosedBothWays reports whether nothing can be sent or received any more. After a close by the target
-// alone, bytes can still be sent.
+// alone, bytes can still be sent. False also means that the state is unknown.
 func (c *conn) isClosedBothWays() bool {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
@@ -219,7 +219,7 @@
 	closed := true
 	err = raw.Control(func(fd uintptr) {
 		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = infoErr != nil || info.State == unix.BPF_TCP_CLOSE
+		closed = infoErr == nil && info.State == unix.BPF_TCP_CLOSE
 	})
 	return err != nil || closed
 }
