serve: Relay answers that end with their connection as such

A plain service may answer without a length or chunks and end the answer with its connection. If it broke off, callers of the serve role got a chunked response with a proper last chunk: a complete one. With an idempotency key, the cut body was stored and replayed as the answer.

Cause: net/http returns io.EOF for any FIN at the end of such a body. internal/target took that as proof that the answer is complete, and the sink framed it anew.

Change: the head of an answer says whether it ends with its connection, also between VMs (AnswerHead.close_delimited). The caller's response then has neither a length nor chunks either. It is reset if the target fails, if a stream ends inside an event (for chunked streams too), or if this process ends.

TestFramingIsLostBetweenVMs needs the new field.

Open: the router counts an unverified end as a success of the target.

--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -27,7 +27,7 @@
 		return
 	}
 	if key == "" || j.idempotent {
-		sink := newSink(c.w, false)
+		sink := newSink(c.w, c.r, false)
 		c.finish(c.run(ctx, j, sink), sink)
 		return
 	}
@@ -69,7 +69,7 @@
 }
 
 func (c *call) runKeyed(ctx context.Context, j *job, run records.Run) {
-	sink := newSink(c.w, true)
+	sink := newSink(c.w, c.r, true)
 	failure := c.run(ctx, j, sink)
 	result, answer := schema.Outcome_OUTCOME_RAN, sink.storedAnswer()
 	if failure != nil {
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -10,8 +12,13 @@
 // implements forward.Sink.
 type responseSink struct {
 	w          http.ResponseWriter
+	r          *http.Request
 	controller *http.ResponseController
 	committed  bool
+	// endVerified is set if the end of the target's response shows that it is complete.
+	endVerified bool
+	// closeDelimited is set if the caller's response ends with its connection.
+	closeDelimited bool
 	// stored is the copy of the response; nil if none is made.
 	stored *schema.StoredAnswer
 	// exceedsStoreLimit is set when the response is too large to be stored.
@@ -21,28 +28,53 @@
 // maxStoredAnswerBytes bounds the body of a stored response.
 const maxStoredAnswerBytes = 1 << 20
 
-func newSink(w http.ResponseWriter, store bool) *responseSink {
-	s := &responseSink{w: w, controller: http.NewResponseController(w)}
+func newSink(w http.ResponseWriter, r *http.Request, store bool) *responseSink {
+	s := &responseSink{w: w, r: r, controller: http.NewResponseController(w)}
 	if store {
 		s.stored = &schema.StoredAnswer{}
 	}
 	return s
 }
 
-// Head writes the status and the headers of the response.
-func (s *responseSink) Head(status int, headers []*schema.Header) error {
+// Head writes the head of the response. A response without a length or chunks at the target has none
+// for the caller either, so that it does not claim to be complete.
+func (s *responseSink) Head(h forward.Head) error {
 	s.committed = true
+	s.endVerified = !h.CloseDelimited
 	if s.stored != nil {
-		s.stored.Status, s.stored.Headers = int32(status), headers
+		s.stored.Status, s.stored.Headers = int32(h.Status), h.Headers
 	}
 	dst := s.w.Header()
-	for _, header := range headers {
+	for _, header := range h.Headers {
 		dst.Add(header.Name, header.Value)
 	}
-	s.w.WriteHeader(status)
+	if h.CloseDelimited {
+		framing.OmitFraming(dst)
+	}
+	s.closeDelimited = h.CloseDelimited || !s.r.ProtoAtLeast(1, 1)
+	if s.closeDelimited {
+		framing.ResetOnClose(s.r.Context(), true)
+	}
+	s.w.WriteHeader(h.Status)
 	return nil
 }
 
+// end allows the caller's connection to be closed, which completes a response without a length or
+// chunks.
+func (s *responseSink) end() {
+	if s.closeDelimited {
+		framing.ResetOnClose(s.r.Context(), false)
+	}
+}
+
+// abort ends the caller's connection so that the response does not look complete.
+func (s *responseSink) abort() {
+	if s.closeDelimited {
+		framing.Reset(s.w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Data writes a part of the body and flushes it.
 func (s *responseSink) Data(part []byte) error {
 	s.storePart(part)
@@ -64,9 +96,9 @@
 	s.stored.Body = append(s.stored.Body, part...)
 }
 
-// storedAnswer returns the complete copy of the response, or nil if there is none.
+// storedAnswer returns the copy of the response, or nil if there is none that is known to be complete.
 func (s *responseSink) storedAnswer() *schema.StoredAnswer {
-	if s.exceedsStoreLimit {
+	if s.exceedsStoreLimit || !s.endVerified {
 		return nil
 	}
 	return s.stored
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,10 +10,19 @@
 	"github.com/junctionfold/junctionfold/schema"
 )
 
+// Head is the head of a response.
+type Head struct {
+	Status  int
+	Headers []*schema.Header
+	// CloseDelimited is set if the target's body ends with its connection. Such a body may have been
+	// broken off although no failure is reported.
+	CloseDelimited bool
+}
+
 // Sink receives a response. Head is called once, followed by any number of calls to
 // Data. An error from the sink means that the caller has closed its connection.
 type Sink interface {
-	Head(status int, headers []*schema.Header) error
+	Head(h Head) error
 	Data(part []byte) error
 }
 
--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/junctionfold/junctionfold/internal/framing"
 )
 
 // Response is a response whose body is being read. The caller must call Close.
@@ -95,16 +97,11 @@
 	r.Status = resp.StatusCode
 	r.Header = resp.Header
 	r.Length = resp.ContentLength
-	r.CloseDelimited = isCloseDelimited(resp)
+	r.CloseDelimited = framing.IsCloseDelimited(resp)
 	r.body = resp.Body
 	r.closeConn = resp.Close
 }
 
-// isCloseDelimited reports whether the body of a response ends with its connection.
-func isCloseDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-}
-
 // Framing returns the name for logs of how the body is delimited.
 func (r *Response) Framing() string {
 	switch {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/membership"
+	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/internal/ops"
 	"github.com/junctionfold/junctionfold/schema"
 )
@@ -49,7 +50,7 @@
 		wg.Go(func() { loop(work) })
 	}
 	go n.mesh.Serve(n.peerListener)
-	frontServer := &http.Server{Handler: n.frontEnd, ReadHeaderTimeout: headerTimeout}
+	frontServer := &http.Server{Handler: n.frontEnd, ReadHeaderTimeout: headerTimeout, ConnContext: framing.WithConn}
 	opsServer := &http.Server{Handler: ops.New(n.settings.Operator.Token, n.opsSource()), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 2)
 	go serve(frontServer, n.frontEndListener, failed)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,12 +23,12 @@
 
 // recordingSink records a response.
 type recordingSink struct {
-	status int
-	body   []byte
+	head forward.Head
+	body []byte
 }
 
-func (s *recordingSink) Head(status int, _ []*schema.Header) error { s.status = status; return nil }
-func (s *recordingSink) Data(part []byte) error                    { s.body = append(s.body, part...); return nil }
+func (s *recordingSink) Head(h forward.Head) error { s.head = h; return nil }
+func (s *recordingSink) Data(part []byte) error    { s.body = append(s.body, part...); return nil }
 
 func headFrame(id string, attempt uint32) *schema.Frame {
 	return &schema.Frame{Kind: &schema.Frame_Head{Head: &schema.AnswerHead{RequestId: id, Attempt: attempt, Status: 200}}}
@@ -334,3 +334,20 @@
 		(&answerReceiver{id: "r", attempt: 1, sink: sink}).receive(context.Background(), newFrameReader(bytes.NewReader(wire)))
 	})
 }
+
+// TestFramingIsLostBetweenVMs: a body that may be cut was marked as complete by the VM that relays it.
+func TestFramingIsLostBetweenVMs(t *testing.T) {
+	for _, closeDelimited := range []bool{true, false} {
+		near, far := net.Pipe()
+		head := forward.Head{Status: 200, CloseDelimited: closeDelimited}
+		go func() {
+			w := &AnswerWriter{stream: far, id: "r", attempt: 1}
+			_ = w.Head(head)
+			_ = w.End(forward.Result{})
+		}()
+		sink := &recordingSink{}
+		got := (&answerReceiver{id: "r", attempt: 1, sink: sink}).receive(t.Context(), newFrameReader(near))
+		assert.Assert(t, got.Failure == nil, "%v", got.Failure)
+		assert.DeepEqual(t, sink.head, head)
+	}
+}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -69,10 +69,10 @@
 	seq     uint64
 }
 
-// Head sends the status and the headers of the response.
-func (w *AnswerWriter) Head(status int, headers []*schema.Header) error {
+// Head sends the head of the response.
+func (w *AnswerWriter) Head(h forward.Head) error {
 	return writeFrame(w.stream, &schema.Frame{Kind: &schema.Frame_Head{Head: &schema.AnswerHead{
-		RequestId: w.id, Attempt: w.attempt, Status: int32(status), Headers: headers,
+		RequestId: w.id, Attempt: w.attempt, Status: int32(h.Status), Headers: h.Headers, CloseDelimited: h.CloseDelimited,
 	}}})
 }
 
@@ -228,7 +228,9 @@
 			return nil, errFrameMismatch
 		}
 		r.headReceived = true
-		return nil, r.sink.Head(int(kind.Head.Status), kind.Head.Headers)
+		return nil, r.sink.Head(forward.Head{
+			Status: int(kind.Head.Status), Headers: kind.Head.Headers, CloseDelimited: kind.Head.CloseDelimited,
+		})
 	case *schema.Frame_Data:
 		r.seq++
 		if !r.matches(kind.Data) || !r.headReceived || kind.Data.Seq != r.seq {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -17,6 +17,8 @@
 	lastRunNumber int
 	// dropAfterRun is the number of next calls whose connection is aborted after the run.
 	dropAfterRun int
+	// answer, if set, writes the responses.
+	answer http.HandlerFunc
 }
 
 // NewService returns an instance that has not run any call.
@@ -29,6 +31,13 @@
 	s.dropAfterRun = n
 }
 
+// SetAnswer sets the function that writes the responses of calls after their runs.
+func (s *Service) SetAnswer(answer http.HandlerFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = answer
+}
+
 // Runs returns the number of runs of calls with the given body.
 func (s *Service) Runs(body string) int {
 	s.mu.Lock()
@@ -46,7 +55,7 @@
 	s.lastRunNumber++
 	number := s.lastRunNumber
 	s.runs[string(body)]++
-	drop := s.dropAfterRun > 0
+	answer, drop := s.answer, s.dropAfterRun > 0
 	if drop {
 		s.dropAfterRun--
 	}
@@ -54,6 +63,10 @@
 	if drop {
 		panic(http.ErrAbortHandler)
 	}
+	if answer != nil {
+		answer(w, r)
+		return
+	}
 	w.Header().Set("Content-Type", "text/plain")
 	_, _ = fmt.Fprintf(w, "%s %s ran as number %d: %s (%s)\n", r.Method, r.URL.RequestURI(), number, body, r.Header.Get(target.RequestIDHeader))
 }
--- a/internal/target/contract_test.go
+++ b/internal/target/contract_test.go
@@ -45,12 +45,12 @@
 
 // recordingSink records an answer.
 type recordingSink struct {
-	status int
-	body   strings.Builder
+	head forward.Head
+	body strings.Builder
 }
 
-func (s *recordingSink) Head(status int, _ []*schema.Header) error { s.status = status; return nil }
-func (s *recordingSink) Data(part []byte) error                    { s.body.Write(part); return nil }
+func (s *recordingSink) Head(h forward.Head) error { s.head = h; return nil }
+func (s *recordingSink) Data(part []byte) error    { s.body.Write(part); return nil }
 
 func run(t *testing.T, e *target.Engine, name, model string, stream bool) (*recordingSink, forward.Result, *attempt.Attempt) {
 	t.Helper()
@@ -97,7 +97,7 @@
 		t.Run("an answer names the adapter", func(t *testing.T) {
 			out, r, a := run(t, e, "a@1", "a@1", stream)
 			assert.Assert(t, r.Failure == nil, "%v", r.Failure)
-			assert.Equal(t, out.status, http.StatusOK)
+			assert.Equal(t, out.head.Status, http.StatusOK)
 			assert.Assert(t, strings.Contains(out.body.String(), `"model":"a@1"`))
 			assert.Equal(t, a.Outcome(), attempt.Ran)
 		})
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -162,7 +162,7 @@
 func (r *runner) relay(resp *http.Response, body []byte) forward.Result {
 	r.Attempt.Started()
 	r.Attempt.Finished()
-	if err := r.sink.Head(resp.StatusCode, contentType(resp)); err != nil {
+	if err := r.sink.Head(forward.Head{Status: resp.StatusCode, Headers: contentType(resp)}); err != nil {
 		return CallerDisconnected(err)
 	}
 	if err := r.sink.Data(body); err != nil {
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/coord/attempt"
+	"github.com/junctionfold/junctionfold/internal/eventstream"
 	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -77,21 +80,35 @@
 	return copyAnswer(ctx, resp, a, sink)
 }
 
+// errBrokenOff marks an answer that ends inside an event.
+var errBrokenOff = errors.Wrap(io.ErrUnexpectedEOF, "the answer ends inside an event")
+
 func copyAnswer(ctx context.Context, resp *http.Response, a *attempt.Attempt, sink forward.Sink) forward.Result {
-	if err := sink.Head(resp.StatusCode, ForwardableHeaders(resp.Header)); err != nil {
+	head := forward.Head{
+		Status: resp.StatusCode, Headers: ForwardableHeaders(resp.Header), CloseDelimited: framing.IsCloseDelimited(resp),
+	}
+	if err := sink.Head(head); err != nil {
 		a.ConnectionLost()
 		return CallerDisconnected(err)
 	}
+	isStream := isEventStream(resp.Header)
+	var events eventstream.Scanner
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
+		if isStream {
+			events.Scan(buf[:n])
+		}
 		if n > 0 {
 			if sinkErr := sink.Data(buf[:n]); sinkErr != nil {
 				a.ConnectionLost()
 				return CallerDisconnected(sinkErr)
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && events.InEvent() {
+			err = errBrokenOff
+		}
+		if err == io.EOF {
 			a.Finished()
 			return forward.Result{}
 		}
@@ -101,3 +118,8 @@
 		}
 	}
 }
+
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -163,5 +163,5 @@
 		return nil
 	}
 	r.headSent = true
-	return r.sink.Head(http.StatusOK, contentType(resp))
+	return r.sink.Head(forward.Head{Status: http.StatusOK, Headers: contentType(resp)})
 }
