target: Detect cut answers of engines

An engine's answer that ends with its connection and was cut reached the caller as complete if the adapter's name had arrived: gjson finds the model in JSON that is not valid. Error answers (4xx) were relayed as complete although reading them failed, and were cut at 64 KiB.

Change: an answer that is not streamed must be a JSON object, which no cut body is. An error answer must be read to its end, up to the limit of all answers; one that ends with its connection and is no object is relayed as unverified. Streams end with a marker and needed no change.

Evidence: on TestCutEngineAnswerIsRelayed fails (the cut body {"model":"a@1" is relayed as complete) and TestErrorAnswerIsCutAtALimit fails (65536 of 102400 bytes). TestCutEngineErrorIsRelayed needs the new field of the head; its case was relayed as complete. TestUnframedStreamEndsWithoutMarker passed before.

--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -16,6 +16,7 @@
 
 	"github.com/junctionfold/junctionfold/coord/attempt"
 	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -59,7 +60,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode >= http.StatusBadRequest {
-		return run.errorResult(resp)
+		return run.errorResult(ctx, resp)
 	}
 	run.Attempt.Started()
 	if r.Forward.Stream {
@@ -127,14 +128,11 @@
 	return schema.Outcome_OUTCOME_UNKNOWN
 }
 
-// maxErrorBytes bounds how much of an error body is read.
-const maxErrorBytes = 64 << 10
-
 // errorResult handles an engine's error answer. Only an explicit statement of the engine that it
 // did not run the request counts as a refusal; any other server error leaves the outcome unknown,
 // and any other client error is relayed to the caller.
-func (r *runner) errorResult(resp *http.Response) forward.Result {
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+func (r *runner) errorResult(ctx context.Context, resp *http.Response) forward.Result {
+	body, err := readBody(resp)
 	refusal := &ErrorBody{}
 	_ = json.Unmarshal(body, refusal)
 	code := refusal.Error.Code
@@ -148,9 +146,21 @@
 		return forward.FailedResult(forward.CodeAnswerTruncated, http.StatusBadGateway,
 			schema.Outcome_OUTCOME_UNKNOWN, 0, "the engine answered with status "+strconv.Itoa(resp.StatusCode))
 	}
+	if err != nil {
+		return r.failureResult(ctx, err)
+	}
 	return r.relay(resp, body)
 }
 
+// readBody reads a body of at most MaxAnswerBytes to its end.
+func readBody(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	if err == nil && len(body) > MaxAnswerBytes {
+		err = errors.Newf("answer of more than %d bytes", MaxAnswerBytes)
+	}
+	return body, err
+}
+
 func refusalCode(engineCode string) string {
 	if engineCode == "" {
 		return forward.CodeTargetRefused
@@ -158,11 +168,17 @@
 	return engineCode
 }
 
-// relay writes a complete answer to the sink.
+// isWholeObject reports whether a body is a JSON object, which no cut body is.
+func isWholeObject(body []byte) bool {
+	return gjson.ValidBytes(body) && gjson.ParseBytes(body).IsObject()
+}
+
+// relay writes an answer that was read to its end to the sink.
 func (r *runner) relay(resp *http.Response, body []byte) forward.Result {
 	r.Attempt.Started()
 	r.Attempt.Finished()
-	if err := r.sink.Head(forward.Head{Status: resp.StatusCode, Headers: contentType(resp)}); err != nil {
+	unverified := framing.IsCloseDelimited(resp) && !isWholeObject(body)
+	if err := r.sink.Head(forward.Head{Status: resp.StatusCode, Headers: contentType(resp), CloseDelimited: unverified}); err != nil {
 		return CallerDisconnected(err)
 	}
 	if err := r.sink.Data(body); err != nil {
@@ -185,9 +201,9 @@
 
 // relayBuffered reads an answer to its end before it relays any of it.
 func (r *runner) relayBuffered(ctx context.Context, resp *http.Response) forward.Result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
-	if err == nil && len(body) > MaxAnswerBytes {
-		err = errors.Newf("answer of more than %d bytes", MaxAnswerBytes)
+	body, err := readBody(resp)
+	if err == nil && !isWholeObject(body) {
+		err = errors.New("the answer is not a JSON object")
 	}
 	if err != nil {
 		return r.failureResult(ctx, err)
