target: Decode an engine's state whatever its content type

A report of an engine's state without the content type of JSON, for example an empty one, was read as that of an engine without a boot id, a fencing token and adapters: resty decodes the body only by its content type.

Change: the body is decoded always, so that an empty or cut one is an error. Tests read every cut of an answer that ends with its connection for each reader of JSON.

Evidence: TestCutStateIsTakenForComplete failed before (text/plain, empty body: no error). Manifests and chunks of bundles are protected by their signature and hash. Answers to orders are decided by their status.

--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/internal/platform"
 	"github.com/junctionfold/junctionfold/internal/standin"
 	"github.com/junctionfold/junctionfold/schema"
@@ -113,3 +114,19 @@
 		})
 	}
 }
+
+// TestCutVMListIsTakenForComplete: a response ended with its connection before it was complete.
+func TestCutVMListIsTakenForComplete(t *testing.T) {
+	const body = `{"version":3,"vms":[{"id":"a","hall":"h","address":"x:1","state":"live"}]}`
+	for cut := range len(body) + 1 {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			framing.OmitFraming(w.Header())
+			_, _ = w.Write([]byte(body[:cut]))
+			_ = http.NewResponseController(w).Flush()
+		}))
+		_, err := platform.NewClient(s.URL, s.URL, http.DefaultTransport, func() {}).List(t.Context())
+		s.Close()
+		assert.Equal(t, err == nil, cut == len(body), "%q: %v", body[:cut], err)
+	}
+}
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -119,14 +120,17 @@
 func (e *Engine) State(ctx context.Context) (*State, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	out := &State{}
-	resp, err := e.orderClient.R().SetContext(ctx).SetResult(out).Get(StatePath)
+	resp, err := e.orderClient.R().SetContext(ctx).Get(StatePath)
 	if err != nil {
 		return nil, errors.Wrap(err, "read engine state")
 	}
 	if resp.IsError() {
 		return nil, errors.Newf("read engine state: status %d", resp.StatusCode())
 	}
+	out := &State{}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return nil, errors.Wrap(err, "read engine state")
+	}
 	return out, nil
 }
 
--- a/internal/target/unframed_test.go
+++ b/internal/target/unframed_test.go
@@ -81,3 +81,14 @@
 		assert.Equal(t, r.Failure == nil, cut == len(events), events[:cut])
 	}
 }
+
+// TestCutStateIsTakenForComplete: a cut report of an engine's state was taken for that of an empty engine.
+func TestCutStateIsTakenForComplete(t *testing.T) {
+	const body = `{"boot_id":"b","fence":7,"slots":2,"resident":["a@1"],"running":1}`
+	for _, contentType := range []string{"application/json", "text/plain"} {
+		for cut := range len(body) + 1 {
+			_, err := newUnframedEngine(t, http.StatusOK, contentType, body[:cut]).State(t.Context())
+			assert.Equal(t, err == nil, cut == len(body), "%s: %q: %v", contentType, body[:cut], err)
+		}
+	}
+}
