gateway: Use internal/framing for bodies that end with their connection

No change of behaviour.

TestProcessEndCompletesUnframedStream took the caller's connection from the gateway's context key; it takes it from the server's ConnContext now. It still fails without framing.ResetOnClose.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/junctionfold/junctionfold/internal/gateway"
+	"github.com/junctionfold/junctionfold/internal/framing"
 )
 
 // Timing and bounds of the node's loops and servers.
@@ -37,7 +37,7 @@
 	}
 	go n.mesh.Serve(n.peerListener)
 	frontEnd := newServer(n.gateway)
-	frontEnd.ConnContext = gateway.WithConn
+	frontEnd.ConnContext = framing.WithConn
 	servers := []*http.Server{frontEnd}
 	failed := make(chan error, 3)
 	serve(frontEnd, n.frontEndListener, failed)
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -1,17 +1,16 @@
 package gateway
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"mime"
-	"net"
 	"net/http"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/internal/eventstream"
+	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
@@ -23,40 +22,17 @@
 // claim that it is complete.
 var errEndUnverified = errors.New("the end of the answer does not show that it is complete")
 
-// connKey is the context key of the caller's connection.
-type connKey struct{}
-
-// WithConn is the ConnContext of the http.Server that serves a Gateway. Without it, responses that end
-// with their connection look complete if this process ends while it relays them.
-func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// setReset sets whether closing the caller's connection resets it. That includes the kernel's closing
-// of it at the end of this process.
-func (x *exchange) setReset(reset bool) {
-	tcp, ok := x.r.Context().Value(connKey{}).(*net.TCPConn)
-	if !ok {
-		return
-	}
-	seconds := -1 // the kernel's default
-	if reset {
-		seconds = 0
-	}
-	_ = tcp.SetLinger(seconds) // fails only if the connection is already closed
-}
-
 // beginBody sets the headers that delimit the caller's response. One without a length or chunks at the
 // target has none for the caller either: it must not claim more than the target did.
 func (x *exchange) beginBody(resp *hop.Response) {
 	x.copyHeader(resp)
 	if resp.CloseDelimited {
-		x.w.Header().Set("Transfer-Encoding", "identity") // net/http sends neither chunks nor a length
+		framing.OmitFraming(x.w.Header())
 	}
 	hasLength := x.w.Header().Get("Content-Length") != ""
 	x.closeDelimited = resp.CloseDelimited || !hasLength && !x.r.ProtoAtLeast(1, 1)
 	if x.closeDelimited {
-		x.setReset(true)
+		framing.ResetOnClose(x.r.Context(), true)
 	}
 }
 
@@ -64,7 +40,7 @@
 // chunks.
 func (x *exchange) endBody() {
 	if x.closeDelimited {
-		x.setReset(false)
+		framing.ResetOnClose(x.r.Context(), false)
 	}
 }
 
@@ -72,22 +48,11 @@
 // with its connection is reset.
 func (x *exchange) abort() {
 	if x.closeDelimited {
-		x.resetConn()
+		framing.Reset(x.w)
 	}
 	panic(http.ErrAbortHandler)
 }
 
-func (x *exchange) resetConn() {
-	conn, _, err := http.NewResponseController(x.w).Hijack()
-	if err != nil {
-		return // the connection is already closed
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only if the connection is already closed
-	}
-	_ = conn.Close()
-}
-
 // checkEnd returns an error if the end of a target's response shows that it was broken off, or shows
 // nothing and the caller's response would claim that it is complete.
 func (x *exchange) checkEnd(resp *hop.Response) error {
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 
 	"github.com/junctionfold/junctionfold/coord/balance"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/internal/framing"
 )
 
 // respondUnframed sends a body without length or chunks and closes the connection.
@@ -202,11 +204,11 @@
 	}
 	x := newStreamFixture(t, a)
 	callers := make(chan net.Conn, 1)
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		callers <- r.Context().Value(connKey{}).(net.Conn)
-		x.gateway.ServeHTTP(w, r)
-	}))
-	server.Config.ConnContext = WithConn
+	server := httptest.NewUnstartedServer(x.gateway)
+	server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		callers <- c
+		return framing.WithConn(ctx, c)
+	}
 	server.Start()
 	t.Cleanup(server.Close)
 	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
@@ -268,7 +269,7 @@
 		Log: events.Discard(), Metrics: NewMetrics(), Now: time.Now,
 	})
 	x.server = httptest.NewUnstartedServer(x.gateway)
-	x.server.Config.ConnContext = WithConn
+	x.server.Config.ConnContext = framing.WithConn
 	x.server.Start()
 	t.Cleanup(x.server.Close)
 	return x
