Tell an incomplete answer from a crashed target

What callers saw: 502 for whole answers without framing that declare JSON and hold several values, a byte order mark, or text. Targets that end a framed stream inside an event counted as crashed, which ejects them and, with three of them, blocks the content.

Cause: any JSON that did not parse counted as cut, and any stream that ended inside an event as a broken connection.

Evidence: TestUnframedAnswerGetsLength (two JSON values, JSON after a byte order mark, not JSON) and TestFramedStreamEndsInsideEvent failed before.

Change: JSON is cut only where bytes are missing at its end. A stream that its target marks as complete inside an event is a failure of the target, not a disconnect.

Tests: TestFramedStreamEndsInsideEvent asked for a disconnect; a target that marks the end has not crashed, so that it asks for a failure now. The caller's side of it is unchanged.

--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"mime"
@@ -14,9 +15,21 @@
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
-// errBrokenOff marks a response that the target ended before it was complete. It wraps the error of a
-// connection that breaks.
-var errBrokenOff = errors.Wrap(io.ErrUnexpectedEOF, "the answer ends before it is complete")
+// Errors of responses that the target ended before they were complete.
+var (
+	// errBrokenOff means that the connection ended, like that of a target that has crashed.
+	errBrokenOff = errors.Wrap(io.ErrUnexpectedEOF, "the answer ends before it is complete")
+	// errIncomplete means that the target itself marked the end, so that it has not crashed.
+	errIncomplete = errors.New("the answer is marked as complete inside an event")
+)
+
+// brokenOffError returns the error of a response that ended before it was complete.
+func brokenOffError(resp *hop.Response) error {
+	if resp.CloseDelimited {
+		return errBrokenOff
+	}
+	return errIncomplete
+}
 
 // errEndUnverified marks a response whose end proves nothing although the caller's response would
 // claim that it is complete.
@@ -57,7 +70,7 @@
 // nothing and the caller's response would claim that it is complete.
 func (x *exchange) checkEnd(resp *hop.Response) error {
 	if isEventStream(resp.Header) && x.stream.scanner.InEvent() {
-		return errBrokenOff
+		return brokenOffError(resp)
 	}
 	if resp.CloseDelimited && !x.closeDelimited {
 		return errEndUnverified
@@ -72,9 +85,29 @@
 		scanner.Scan(body)
 		return scanner.InEvent()
 	}
-	return resp.CloseDelimited && isJSON(resp.Header) && !json.Valid(body)
+	return resp.CloseDelimited && isJSON(resp.Header) && isCutJSON(body)
 }
 
+// isCutJSON reports whether bytes are missing at the end of a sequence of JSON values. Bytes that are no
+// JSON show nothing.
+func isCutJSON(body []byte) bool {
+	decoder := json.NewDecoder(bytes.NewReader(bytes.TrimPrefix(body, byteOrderMark)))
+	for values := 0; ; values++ {
+		var value json.RawMessage
+		err := decoder.Decode(&value)
+		switch {
+		case errors.Is(err, io.ErrUnexpectedEOF):
+			return true
+		case err == io.EOF:
+			return values == 0
+		case err != nil:
+			return false
+		}
+	}
+}
+
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 func isJSON(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json"))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -100,7 +100,7 @@
 	}
 	complete = len(body) <= maxBufferedBytes
 	if complete && isBrokenOff(resp, body) {
-		return nil, false, errBrokenOff
+		return nil, false, brokenOffError(resp)
 	}
 	return body, complete, nil
 }
