scheduler: withdraw failures that show a fault of a VM's path

Cause: one EndedUnreachable of one VM ejects an engine for the whole fleet, for 1 to 4 s and again; a VM that is cut off from all engines ejects all of them, and callers of the other VMs get 503 no_target. Its probes prolong the ejection, or hold the one probe for as long as they hang. Orders and reports of a leader that is cut off act the same way.

Change: failures are kept by VM until the next success at the target. What a VM reports while coord/witness finds it unreliable does not count; what it reported before is withdrawn and the ejection ends if nothing else supports it. An unreliable VM gets no probe, and loses those that it holds. First events show as well that a target is reached. Orders without an answer and unread reports are one witness of their own; it refutes nobody, since a fleet may consist of one VM.

Conclusion: a cut VM ejects engines only until another VM succeeds at one of those it failed at.

--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	s.release(now, key, g)
-	g.target.health.recordEnding(now, ending)
+	s.judgeEnding(now, key, g.target, ending)
 	if ending == EndedOK {
 		s.recordLoadTiming(now, g, false)
 	}
@@ -119,6 +119,7 @@
 	if g == nil || g.pendingPrompt == nil {
 		return
 	}
+	s.recordReached(now, key.VM, g.target)
 	s.recordLoadTiming(now, g, false)
 	g.target.engine.ObserveFirstEvent(now, s.speed, g.pendingPrompt)
 	g.pendingPrompt, g.firstEventAt = nil, now
--- a/coord/scheduler/health.go
+++ b/coord/scheduler/health.go
@@ -48,10 +48,22 @@
 	h.ejectedUntil = now.Add(min(ejectionTimeMin<<doublings, ejectionTimeMax))
 }
 
+// withdraw removes count consecutive failures, and ends the ejection if the others are too few.
+func (h *health) withdraw(count int) {
+	h.consecutiveFailures = max(h.consecutiveFailures-count, 0)
+	if !h.isEjected() {
+		h.ejectedUntil = time.Time{}
+		h.probing = false
+	}
+}
+
+// isEjected reports whether the target gets no requests but probes.
+func (h *health) isEjected() bool { return h.consecutiveFailures >= ejectAfterFailures }
+
 // allowsRequest reports whether a request may be sent to the target. An ejected target gets none
 // until its ejection ends, and then one at a time until a request succeeds.
 func (h *health) allowsRequest(now time.Time) bool {
-	if h.consecutiveFailures < ejectAfterFailures {
+	if !h.isEjected() {
 		return true
 	}
 	return now.After(h.ejectedUntil) && !h.probing
--- a/coord/scheduler/limited.go
+++ b/coord/scheduler/limited.go
@@ -63,7 +63,7 @@
 
 // eligible reports whether r may be sent to t, regardless of t's rate limit.
 func (s *Scheduler) eligible(now time.Time, t *target, r *Request) bool {
-	return t.ready && t.health.allowsRequest(now) && !slices.Contains(r.BackedOff, t.id) && (!slices.Contains(r.Exclude, t.id) || t.hasLateLoad(now, r.Ref))
+	return t.ready && t.health.allowsRequest(now) && s.mayProbe(now, t, r.VM) && !slices.Contains(r.BackedOff, t.id) && (!slices.Contains(r.Exclude, t.id) || t.hasLateLoad(now, r.Ref))
 }
 
 // usable reports whether r may be sent to t now.
--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -193,7 +193,7 @@
 		// counted.
 		s.countLoad(sl, false)
 		sl.fromStore = false
-		t.health.recordFailures(now, 1)
+		s.recordUnansweredOrder(now, t)
 		t.requireReport(now)
 	}
 }
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -208,8 +208,9 @@
 	}
 	t.tokens += g.tokens
 	t.rememberPrompt(now, r)
-	if t.health.consecutiveFailures >= ejectAfterFailures {
+	if t.health.isEjected() {
 		t.health.probing = true
+		t.prober = r.Key
 	}
 	s.grants[r.Key] = g
 	a := Action{Kind: ActGrant, Key: r.Key, Target: t.id, Ref: r.Ref, Priority: priority}
--- a/coord/scheduler/reports.go
+++ b/coord/scheduler/reports.go
@@ -54,6 +54,7 @@
 	}
 	requestedAt := t.readingSince
 	t.readingSince = time.Time{}
+	s.recordReportRead(now, t, ok)
 	if !ok {
 		t.readReportAt = now.Add(reportRetryDelay)
 		return s.takeActions()
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -20,8 +20,8 @@
 // choice of a target, replicas.go the choice of targets for loading an adapter, loads.go the
 // duration of loads (learnt, coord/loadtime), heat.go the request rate of adapters, orders.go and
 // reports.go the orders that change adapter slots and the reports that verify them, freed.go the
-// evidence that frees slots, health.go failing targets, limited.go targets that limit their request
-// rate.
+// evidence that frees slots, health.go failing targets, witness.go failures that show a fault of a VM's path,
+// limited.go targets that limit their request rate.
 package scheduler
 
 import (
@@ -34,6 +34,7 @@
 	"github.com/junctionfold/junctionfold/coord/loadlimit"
 	"github.com/junctionfold/junctionfold/coord/loadtime"
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
+	"github.com/junctionfold/junctionfold/coord/witness"
 )
 
 // Scheduler is the state for one service.
@@ -82,6 +83,8 @@
 	searchesLeft int
 	actions      []Action
 	freed        [freedByCount]int64
+	// judge tells failures of targets from failures of a VM's paths to them.
+	judge *witness.Judge
 }
 
 // maxSearchesPerRound bounds the work of one round. A search looks at every target, and fewer loads
@@ -104,6 +107,7 @@
 		versions:          map[coord.AdapterRef]int64{},
 		runningReportedAt: map[coord.VMID]time.Time{},
 		pacer:             ratelimit.NewPacer(),
+		judge:             witness.New(),
 	}
 }
 
@@ -237,6 +241,7 @@
 			s.release(now, key, g)
 		}
 	}
+	s.judge.Expire(now)
 	return s.runRound(now)
 }
 
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -132,6 +132,11 @@
 	pendingFirstOrder *coord.AdapterRef
 
 	health health
+	// failuresByVM divides the consecutive failures of health by the VMs that reported them, since
+	// some may have to be withdrawn.
+	failuresByVM map[coord.VMID]int
+	// prober is the request that probes the target while it is ejected; zero if there is none.
+	prober Key
 }
 
 // addPendingPrompt counts the prompt of a request that waits for a load at the target.
