scheduler: release the probe of a VM that is lost

Cause: an ejected engine gets one request at a time as a probe. If the VM that sends it restarts, becomes unresponsive, or never reports the end, the probe counts as in flight for ever: the engine gets no request until the leader changes, unless an earlier request there succeeds. Callers get 503 no_target, or wait for loads elsewhere.

Change: the target knows the request that probes it; wherever a grant is released, its probe is as well.

Evidence: TestProbeOfLostVMIsReleased fails on the code before in all three cases (vm gets no target t0).

Conclusion: a probe ends with its grant.

--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -61,6 +61,7 @@
 func (s *Scheduler) release(now time.Time, key Key, g *grant) {
 	delete(s.grants, key)
 	s.dropPrompt(now, g)
+	g.target.releaseProbe(key)
 	if !g.vmUnresponsive {
 		g.target.running--
 		g.target.tokens -= g.tokens
@@ -166,6 +167,7 @@
 		if key.VM == vm && !g.vmUnresponsive {
 			g.vmUnresponsive = true
 			s.dropPrompt(now, g)
+			g.target.releaseProbe(key)
 			g.target.running--
 			g.target.tokens -= g.tokens
 		}
--- a/coord/scheduler/witness.go
+++ b/coord/scheduler/witness.go
@@ -13,9 +13,6 @@
 // judgeEnding updates the health of a target with the end of a request, unless the end is a failure
 // that shows a fault of the VM's path.
 func (s *Scheduler) judgeEnding(now time.Time, key Key, t *target, ending Ending) {
-	if t.prober == key {
-		t.prober = Key{}
-	}
 	switch ending {
 	case EndedOK:
 		s.recordReached(now, key.VM, t)
@@ -66,9 +63,8 @@
 			t.health.withdraw(n)
 			delete(t.failuresByVM, vm)
 		}
-		if t.prober != (Key{}) && t.prober.VM == vm {
-			t.health.probing = false
-			t.prober = Key{}
+		if t.prober.VM == vm {
+			t.releaseProbe(t.prober)
 		}
 	}
 }
@@ -78,6 +74,14 @@
 	return !t.health.isEjected() || !s.judge.Unreliable(now, vm)
 }
 
+// releaseProbe allows another probe if the request with the given key is the target's probe.
+func (t *target) releaseProbe(key Key) {
+	if t.prober == key {
+		t.health.probing = false
+		t.prober = Key{}
+	}
+}
+
 // attributeFailures adds n consecutive failures of a VM's requests. A negative n means that there
 // are none any more.
 func (t *target) attributeFailures(vm coord.VMID, n int) {
--- a/coord/scheduler/witness_test.go
+++ b/coord/scheduler/witness_test.go
@@ -171,3 +171,24 @@
 	h.end(inFlight, EndedOK)
 	assert.DeepEqual(t, h.usableBy("vm"), []string{"t0", "t1"})
 }
+
+// TestProbeOfLostVMIsReleased guards against a target that is never probed again because the VM of
+// its probe failed, was suspended or never reported the end.
+func TestProbeOfLostVMIsReleased(t *testing.T) {
+	for name, lose := range map[string]func(h *harness, probe Key){
+		"unresponsive": func(h *harness, _ Key) { h.collect(h.s.VMUnresponsive(h.now, "lost")) },
+		"restarted":    func(h *harness, probe Key) { h.collect(h.s.VMRestarted(h.now, "lost", probe.Ticket+1)) },
+		"end lost":     func(h *harness, _ Key) { h.advance(15*time.Second + 2*grantExpiryGrace) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newWitnessHarness(t, 1)
+			h.end(h.mustGrantAt("vm", "t0"), EndedUnreachable)
+			h.now = h.now.Add(ejectionTimeMin + 1)
+			probe := h.mustGrantAt("lost", "t0")
+			_, granted := h.grantAt("vm", "t0")
+			assert.Assert(t, !granted, "one probe at a time")
+			lose(h, probe)
+			h.mustGrantAt("vm", "t0")
+		})
+	}
+}
