servicequeue: withdraw failures that show a fault of a VM's path

Cause: as in the scheduler, one failed connection or two time-outs of one VM eject a target of a plain service for the whole fleet, for 0.8 to 4 s and again, and raise the failure rate and the latency by which targets are picked. A VM cut off from all targets ejects all of them, and wastes their probes.

Change: the queue keeps what each VM's failures changed in the statistics, until the VM succeeds or witness.Memory has passed. While coord/witness finds a VM unreliable, its failures do not count; what it reported before is withdrawn (balance.Withdraw), which ends the ejections that rest on it. It gets no probe while another target is in use.

Evidence: on the code before, TestVMCutOffFromAllTargetsEjectsNone (two targets stay ejected after another VM succeeded at one) and TestCutVMGetsNoProbe (the cut VM gets the probe) fail. TestDeadTargetsAreEjectedByTheirFirstFailure passes before and after.

Conclusion: a cut VM ejects plain targets only until another VM succeeds at one of those it failed at.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -74,6 +74,7 @@
 	timeouts     int
 	ejectedUntil time.Time
 	lastPicked   time.Time
+	counts       counts
 }
 
 // String returns the ending's name for logs.
@@ -138,13 +139,16 @@
 	return s != nil && (now.Before(s.ejectedUntil) || s.timeouts >= ejectAfterTimeouts && s.running > 0)
 }
 
-// Done records the end and the duration of a request that Pick counted.
-func (b *Balancer) Done(now time.Time, id string, ending Ending, duration time.Duration) {
+// Done records the end and the duration of a request that Pick counted. The effect that it returns
+// can be withdrawn.
+func (b *Balancer) Done(now time.Time, id string, ending Ending, duration time.Duration) Effect {
 	s := b.state(id)
+	before := *s
 	s.running = max(s.running-1, 0)
 	switch ending {
 	case OK:
 		s.timeouts = 0
+		s.counts.successes++
 		s.observe(0, duration)
 	case Failed, Disconnected:
 		s.observe(1, s.latency)
@@ -158,6 +162,7 @@
 		s.addTimeouts(now, ejectAfterTimeouts)
 	case Abandoned:
 	}
+	return s.effectSince(before)
 }
 
 // ObserveRemote records the end of a request that another VM's balancer counted.
@@ -167,6 +172,10 @@
 }
 
 func (s *targetState) observe(failed float64, duration time.Duration) {
+	s.counts.failureRate++
+	if duration != s.latency {
+		s.counts.latency++
+	}
 	s.failureRate += ewmaWeight * (failed - s.failureRate)
 	s.latency += time.Duration(ewmaWeight * float64(duration-s.latency))
 }
--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -87,12 +87,14 @@
 	// callers refused under these limits.
 	pacer       *ratelimit.Pacer
 	retryDelays ratelimit.RetryDelays
-	actions     []Action
+	// testimony tells failures of targets from failures of a VM's paths to them.
+	testimony testimony
+	actions   []Action
 }
 
 // New returns a Queue without targets.
 func New() *Queue {
-	return &Queue{limit: newConcurrencyLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer()}
+	return &Queue{limit: newConcurrencyLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer(), testimony: newTestimony()}
 }
 
 // Delays and timeouts of the queue.
@@ -146,7 +148,7 @@
 		return q.schedule(now)
 	}
 	q.release(key, g)
-	q.balancer.Done(now, g.target, ending, duration)
+	q.recordEnding(now, key.VM, g.target, ending, duration)
 	switch {
 	case ending == balance.OK || ending == balance.Failed && duration > 0:
 		q.limit.observe(duration)
@@ -204,6 +206,7 @@
 		}
 	}
 	q.balancer.ExpireIdle(now)
+	q.testimony.expire(now)
 	return q.schedule(now)
 }
 
@@ -302,7 +305,7 @@
 			continue
 		}
 		candidate := balance.Target{ID: t.ID, SameZone: t.Zone == r.Zone}
-		if q.balancer.Ejected(now, t.ID) {
+		if q.balancer.Ejected(now, t.ID) || !q.mayProbe(now, t.ID, r.VM) {
 			continue
 		}
 		available = append(available, candidate)
--- /dev/null
+++ b/coord/servicequeue/witness.go
@@ -0,0 +1,80 @@
+package servicequeue
+
+import (
+	"slices"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/witness"
+)
+
+// testimony holds what the failures of each VM changed in the statistics of targets, in case they
+// turn out to be faults of the VM's paths.
+type testimony struct {
+	judge   *witness.Judge
+	effects map[coord.VMID][]failure
+}
+
+// failure is the effect of one failed request.
+type failure struct {
+	at     time.Time
+	effect balance.Effect
+}
+
+func newTestimony() testimony {
+	return testimony{judge: witness.New(), effects: map[coord.VMID][]failure{}}
+}
+
+// recordEnding records the end of a request in the statistics of its target, unless it is a failure
+// that shows a fault of the VM's path.
+func (q *Queue) recordEnding(now time.Time, vm coord.VMID, target string, ending balance.Ending, duration time.Duration) {
+	switch ending {
+	case balance.OK:
+		q.balancer.Done(now, target, ending, duration)
+		delete(q.testimony.effects, vm)
+		for _, unreliable := range q.testimony.judge.Succeeded(now, vm, target) {
+			q.withdrawFailures(unreliable)
+		}
+	case balance.Failed, balance.TimedOut, balance.Unreachable, balance.Disconnected:
+		q.recordFailure(now, vm, target, ending, duration)
+	default:
+		q.balancer.Done(now, target, ending, duration)
+	}
+}
+
+func (q *Queue) recordFailure(now time.Time, vm coord.VMID, target string, ending balance.Ending, duration time.Duration) {
+	if !q.testimony.judge.Failed(now, vm, target) {
+		q.withdrawFailures(vm)
+		q.balancer.Done(now, target, balance.Abandoned, 0)
+		return
+	}
+	effect := q.balancer.Done(now, target, ending, duration)
+	q.testimony.effects[vm] = append(q.testimony.effects[vm], failure{at: now, effect: effect})
+}
+
+// withdrawFailures undoes the effect of a VM's recent failures on all targets.
+func (q *Queue) withdrawFailures(vm coord.VMID) {
+	for _, f := range slices.Backward(q.testimony.effects[vm]) {
+		q.balancer.Withdraw(f.effect)
+	}
+	delete(q.testimony.effects, vm)
+}
+
+// mayProbe reports whether a VM may send a request to a target, if the target is to be probed.
+func (q *Queue) mayProbe(now time.Time, id string, vm coord.VMID) bool {
+	return !q.balancer.AwaitsProbe(id) || !q.testimony.judge.Unreliable(now, vm)
+}
+
+// expire removes failures that can no longer be withdrawn.
+func (t *testimony) expire(now time.Time) {
+	t.judge.Expire(now)
+	for vm, failures := range t.effects {
+		recent := slices.DeleteFunc(failures, func(f failure) bool { return now.Sub(f.at) > witness.Memory })
+		if len(recent) == 0 {
+			delete(t.effects, vm)
+			continue
+		}
+		t.effects[vm] = recent
+	}
+}
--- /dev/null
+++ b/coord/servicequeue/witness_test.go
@@ -0,0 +1,139 @@
+package servicequeue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/balance"
+)
+
+// newWideHarness returns a harness with targets t0 to t3 of two slots each.
+func newWideHarness() *harness {
+	h := &harness{queue: New(), now: start}
+	h.queue.SetTargets(start, []Target{{ID: "t0", Slots: 2}, {ID: "t1", Slots: 2}, {ID: "t2", Slots: 2}, {ID: "t3", Slots: 2}})
+	return h
+}
+
+// grantAt submits a request of a VM that only one target may serve. It reports whether it was
+// granted.
+func (h *harness) grantAt(vm coord.VMID, target string) (Key, bool) {
+	h.next++
+	k := Key{VM: vm, Ticket: h.next}
+	var others []string
+	for _, t := range h.queue.targets {
+		if t.ID != target {
+			others = append(others, t.ID)
+		}
+	}
+	for _, a := range h.queue.Submit(h.now, Request{Key: k, Exclude: others, SoftDeadline: h.now.Add(time.Second), Deadline: h.now.Add(5 * time.Second)}) {
+		if a.Key == k && a.Target != "" {
+			return k, true
+		}
+	}
+	h.queue.Done(h.now, k, balance.Abandoned, 0)
+	return k, false
+}
+
+func (h *harness) mustGrantAt(t *testing.T, vm coord.VMID, target string) Key {
+	t.Helper()
+	k, granted := h.grantAt(vm, target)
+	assert.Assert(t, granted, "%s gets no target %s", vm, target)
+	return k
+}
+
+// end ends a request 10 ms later.
+func (h *harness) end(k Key, ending balance.Ending) {
+	h.now = h.now.Add(10 * time.Millisecond)
+	h.queue.Done(h.now, k, ending, 20*time.Millisecond)
+}
+
+// ejected returns the targets that are not used while there are others.
+func (h *harness) ejected() (ejected []string) {
+	for _, t := range h.queue.targets {
+		if h.queue.balancer.Ejected(h.now, t.ID) {
+			ejected = append(ejected, t.ID)
+		}
+	}
+	return ejected
+}
+
+// TestVMCutOffFromAllTargetsEjectsNone guards against a service without targets because one VM lost
+// its paths to them.
+func TestVMCutOffFromAllTargetsEjectsNone(t *testing.T) {
+	for _, ending := range []balance.Ending{balance.Unreachable, balance.TimedOut} {
+		t.Run(ending.String(), func(t *testing.T) {
+			h := newWideHarness()
+			var sent []Key
+			for _, target := range []string{"t0", "t1", "t2", "t3"} {
+				sent = append(sent, h.mustGrantAt(t, "cut", target), h.mustGrantAt(t, "cut", target))
+			}
+			inFlight := h.mustGrantAt(t, "vm", "t0")
+			for _, k := range sent[:4] {
+				h.end(k, ending)
+			}
+			assert.DeepEqual(t, h.ejected(), []string{"t0", "t1"})
+			h.end(inFlight, balance.OK)
+			assert.Equal(t, len(h.ejected()), 0)
+			for _, k := range sent[4:] {
+				h.end(k, ending)
+			}
+			assert.Equal(t, len(h.ejected()), 0)
+		})
+	}
+}
+
+// TestDeadTargetsAreEjectedByTheirFirstFailure guards against requests to dead targets because the
+// failures there are put down to their VMs.
+func TestDeadTargetsAreEjectedByTheirFirstFailure(t *testing.T) {
+	for _, vms := range []int{1, 2, 6} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			h := newWideHarness()
+			var sent []Key
+			for i := range min(vms, 3) {
+				vm := coord.VMID(fmt.Sprint(i))
+				h.end(h.mustGrantAt(t, vm, "t2"), balance.OK)
+				sent = append(sent, h.mustGrantAt(t, vm, "t0"), h.mustGrantAt(t, vm, "t1"))
+			}
+			for i, k := range sent {
+				h.end(k, balance.Unreachable)
+				if i > 0 {
+					assert.DeepEqual(t, h.ejected(), []string{"t0", "t1"})
+					h.end(h.mustGrantAt(t, "0", "t2"), balance.OK)
+				}
+			}
+			assert.DeepEqual(t, h.ejected(), []string{"t0", "t1"})
+		})
+	}
+}
+
+// TestCutVMGetsNoProbe guards against a target that stays ejected because its probes are sent by a
+// VM without a path to it.
+func TestCutVMGetsNoProbe(t *testing.T) {
+	h := newWideHarness()
+	h.end(h.mustGrantAt(t, "vm", "t3"), balance.Unreachable)
+	inFlight := h.mustGrantAt(t, "vm", "t0")
+	h.end(h.mustGrantAt(t, "cut", "t0"), balance.Unreachable)
+	h.end(h.mustGrantAt(t, "cut", "t1"), balance.Unreachable)
+	h.end(inFlight, balance.OK)
+	h.now = h.now.Add(time.Second) // longer than the first ejection
+	for range 3 {
+		h.mustGrantAt(t, "vm", "t2")
+	}
+	_, acts := h.submitFrom("cut", "t0", "t1")
+	assert.Equal(t, len(acts), 0, "it waits for t2")
+	probe, acts := h.submitFrom("vm", "t0", "t1")
+	assert.Equal(t, acts[0].Target, "t3")
+	h.end(probe, balance.OK)
+	assert.Equal(t, len(h.ejected()), 0)
+}
+
+// submitFrom submits a request of a VM that excludes some targets.
+func (h *harness) submitFrom(vm coord.VMID, exclude ...string) (Key, []Action) {
+	h.next++
+	k := Key{VM: vm, Ticket: h.next}
+	return k, h.queue.Submit(h.now, Request{Key: k, Exclude: exclude, SoftDeadline: h.now.Add(time.Second), Deadline: h.now.Add(5 * time.Second)})
+}
--- a/coord/witness/witness.go
+++ b/coord/witness/witness.go
@@ -4,7 +4,7 @@
 // the targets, and must not keep the requests of other VMs away from them. A VM is unreliable as a
 // witness while all of this holds:
 //
-//   - it failed at two or more targets within memory, and has succeeded nowhere since;
+//   - it failed at two or more targets within Memory, and has succeeded nowhere since;
 //   - another VM has succeeded at one of these targets after the failure there.
 //
 // Failures count until then. A dead target is thus known by its first failure, also if several die
@@ -22,9 +22,9 @@
 )
 
 const (
-	// memory is how long failures, and successes of others at the same target, are considered:
+	// Memory is how long failures, and successes of others at the same target, are considered:
 	// longer than the longest ejection, so that the probe after it still finds them.
-	memory = 5 * time.Second
+	Memory = 5 * time.Second
 	// minFailedTargets is the number of targets at which a VM must have failed: at one target, the
 	// target itself is the likelier cause.
 	minFailedTargets = 2
@@ -99,7 +99,7 @@
 	t.comparedAt = now
 	for _, other := range t.vms {
 		r := j.vms[other]
-		if now.Sub(r.failures[target]) > memory {
+		if now.Sub(r.failures[target]) > Memory {
 			continue
 		}
 		r.refutedAt = now
@@ -122,12 +122,12 @@
 }
 
 func (r *record) isUnreliable(now time.Time) bool {
-	if r.refutedAt.IsZero() || now.Sub(r.refutedAt) > memory {
+	if r.refutedAt.IsZero() || now.Sub(r.refutedAt) > Memory {
 		return false
 	}
 	recent := 0
 	for _, at := range r.failures {
-		if now.Sub(at) <= memory {
+		if now.Sub(at) <= Memory {
 			recent++
 		}
 		if recent >= minFailedTargets {
@@ -137,7 +137,7 @@
 	return false
 }
 
-// Expire removes failures that are older than memory. It may be called often.
+// Expire removes failures that are older than Memory. It may be called often.
 func (j *Judge) Expire(now time.Time) {
 	if now.Sub(j.lastExpiry) < expiryInterval {
 		return
@@ -145,7 +145,7 @@
 	j.lastExpiry = now
 	for vm, r := range j.vms {
 		for target, at := range r.failures {
-			if now.Sub(at) > memory {
+			if now.Sub(at) > Memory {
 				j.removeFailure(vm, r, target)
 			}
 		}
--- a/coord/witness/witness_test.go
+++ b/coord/witness/witness_test.go
@@ -69,7 +69,7 @@
 	assert.DeepEqual(t, j.Succeeded(at(20), "vm", "b"), []coord.VMID{"cut"})
 	assert.Assert(t, j.Unreliable(at(20), "cut"))
 	assert.Assert(t, !j.Unreliable(at(20), "other"))
-	assert.Assert(t, !j.Unreliable(at(20).Add(2*memory), "cut"), "no longer refuted")
+	assert.Assert(t, !j.Unreliable(at(20).Add(2*Memory), "cut"), "no longer refuted")
 }
 
 // TestExpireFreesRecords guards against records of VMs and targets that are gone.
@@ -78,9 +78,9 @@
 	for n := range 100 {
 		j.Failed(at(n), coord.VMID(fmt.Sprint(n%7)), fmt.Sprint(n))
 	}
-	j.Expire(at(100).Add(memory - 50*time.Millisecond))
+	j.Expire(at(100).Add(Memory - 50*time.Millisecond))
 	assert.Equal(t, len(j.targets), 50)
-	j.Expire(at(100).Add(memory + expiryInterval))
+	j.Expire(at(100).Add(Memory + expiryInterval))
 	assert.Equal(t, len(j.vms)+len(j.targets), 0)
 }
 
