servicequeue: free the slots of requests whose VM lost its paths

Change: a request of a VM that coord/witness finds unreliable frees its slot three long service times (90 of 100 requests) after its grant: it never arrived, or was served and its response is lost. Requests of other VMs keep theirs.

Ruled out: to release at once (the target may still run it, and would get more than fits), and to find hung requests by their age alone (slow requests look the same).

Evidence: TestHungRequestsOfCutVMFreeTheirSlots fails without the change (9 requests run instead of 1); TestSlowRequestsOfSoundVMKeepTheirSlots passes with and without it.

What the VM has sent and TCP repeats when the paths are back still arrives beyond the slots; the sender's time-outs bound it.

--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -71,8 +71,8 @@
 type grant struct {
 	target string
 	// inFlight is the number of requests at the target when this one was granted, itself included.
-	inFlight int
-	deadline time.Time
+	inFlight            int
+	grantedAt, deadline time.Time
 }
 
 // Queue holds the state of one service.
@@ -205,6 +205,7 @@
 			q.balancer.Done(now, g.target, balance.Abandoned, 0)
 		}
 	}
+	q.releaseHung(now)
 	q.balancer.ExpireIdle(now)
 	q.testimony.expire(now)
 	return q.schedule(now)
@@ -267,7 +268,7 @@
 	}
 	q.pacer.Consume(now, id)
 	q.running[id]++
-	q.grants[r.Key] = grant{target: id, inFlight: q.running[id], deadline: r.Deadline}
+	q.grants[r.Key] = grant{target: id, inFlight: q.running[id], grantedAt: now, deadline: r.Deadline}
 	q.emit(Action{Key: r.Key, Target: id})
 	return true
 }
--- a/coord/servicequeue/witness.go
+++ b/coord/servicequeue/witness.go
@@ -61,6 +61,24 @@
 	delete(q.testimony.effects, vm)
 }
 
+// hungServiceTimes is the number of long service times after which a request of an unreliable VM no
+// longer occupies its target: either it never arrived, or its response is lost.
+const hungServiceTimes = 3
+
+// hungAfter returns the time after its grant at which a request of an unreliable VM is taken as hung.
+func (q *Queue) hungAfter() time.Duration { return hungServiceTimes * q.limit.p90ServiceTime() }
+
+// releaseHung releases the targets of hung requests. Each of them is a failure of its VM's path.
+func (q *Queue) releaseHung(now time.Time) {
+	for key, g := range q.grants {
+		if now.Sub(g.grantedAt) <= q.hungAfter() || !q.testimony.judge.Unreliable(now, key.VM) {
+			continue
+		}
+		q.release(key, g)
+		q.recordFailure(now, key.VM, g.target, balance.TimedOut, now.Sub(g.grantedAt))
+	}
+}
+
 // mayProbe reports whether a VM may send a request to a target, if the target is to be probed.
 func (q *Queue) mayProbe(now time.Time, id string, vm coord.VMID) bool {
 	return !q.balancer.AwaitsProbe(id) || !q.testimony.judge.Unreliable(now, vm)
--- a/coord/servicequeue/witness_test.go
+++ b/coord/servicequeue/witness_test.go
@@ -137,3 +137,49 @@
 	k := Key{VM: vm, Ticket: h.next}
 	return k, h.queue.Submit(h.now, Request{Key: k, Exclude: exclude, SoftDeadline: h.now.Add(time.Second), Deadline: h.now.Add(5 * time.Second)})
 }
+
+// TestHungRequestsOfCutVMFreeTheirSlots guards against slots that are held until the deadlines of
+// requests whose VM lost its paths, and against requests beyond the slots while they may still run.
+func TestHungRequestsOfCutVMFreeTheirSlots(t *testing.T) {
+	h := newWideHarness()
+	for _, target := range []string{"t0", "t1", "t2", "t3"} {
+		h.mustGrantAt(t, "cut", target)
+		h.mustGrantAt(t, "cut", target)
+	}
+	failing := []Key{h.mustGrantAt(t, "cut", "t1"), h.mustGrantAt(t, "cut", "t2")}
+	inFlight := []Key{h.mustGrantAt(t, "vm", "t0"), h.mustGrantAt(t, "vm", "t3")}
+	waiting, acts := h.submitFrom("vm", "t1", "t2")
+	assert.Equal(t, len(acts), 0, "both targets are full")
+	h.end(h.mustGrantAfter(t, failing[0], "t1"), balance.OK)
+	h.end(failing[1], balance.TimedOut)
+	h.end(inFlight[0], balance.OK)
+	h.end(waiting, balance.OK) // it got the slot
+	assert.Equal(t, h.queue.Stats().Running, 9)
+	h.queue.Tick(h.now)
+	assert.Equal(t, h.queue.Stats().Running, 9, "the requests may still run")
+	h.now = start.Add(h.queue.hungAfter() + time.Millisecond)
+	h.queue.Tick(h.now)
+	assert.Equal(t, h.queue.Stats().Running, 1, "the request of the other VM")
+	assert.Assert(t, h.queue.hungAfter() < time.Second)
+}
+
+// mustGrantAfter ends a request with a time-out and grants its slot to another VM.
+func (h *harness) mustGrantAfter(t *testing.T, k Key, target string) Key {
+	t.Helper()
+	h.end(k, balance.TimedOut)
+	return h.mustGrantAt(t, "vm", target)
+}
+
+// TestSlowRequestsOfSoundVMKeepTheirSlots guards against requests beyond the slots of a target that
+// is slow.
+func TestSlowRequestsOfSoundVMKeepTheirSlots(t *testing.T) {
+	h := newWideHarness()
+	for _, target := range []string{"t0", "t0", "t1", "t1"} {
+		h.mustGrantAt(t, "vm1", target)
+	}
+	h.end(h.mustGrantAt(t, "vm1", "t0"), balance.TimedOut)
+	h.end(h.mustGrantAt(t, "vm2", "t0"), balance.OK)
+	h.now = h.now.Add(time.Second)
+	h.queue.Tick(h.now)
+	assert.Equal(t, h.queue.Stats().Running, 4)
+}
