scheduler: withdraw no failure from before a success of its VM

Cause: the withdrawal of a VM's failures also reached those that it had reported before its last success, when its paths were sound. A dead target was in use again once one of its witnesses was cut off later.

Change: witness.FailingSince, the first failure of the present series; failures at targets keep the time of the last one.

Evidence: TestFailureBeforeASuccessIsNotWithdrawn fails on the code before (t0, dead, is granted again).

Conclusion: only the series of failures that shows the fault of the paths is withdrawn.

--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -134,7 +134,7 @@
 	health health
 	// failuresByVM divides the consecutive failures of health by the VMs that reported them, since
 	// some may have to be withdrawn.
-	failuresByVM map[coord.VMID]int
+	failuresByVM map[coord.VMID]vmFailures
 	// prober is the request that probes the target while it is ejected; zero if there is none.
 	prober Key
 }
--- a/coord/scheduler/witness.go
+++ b/coord/scheduler/witness.go
@@ -24,7 +24,7 @@
 	}
 	before := t.health.consecutiveFailures
 	t.health.recordEnding(now, ending)
-	t.attributeFailures(key.VM, t.health.consecutiveFailures-before)
+	s.attributeFailures(now, t, key.VM, t.health.consecutiveFailures-before)
 }
 
 // recordReached records that a target answered a request of a VM.
@@ -41,7 +41,7 @@
 		return
 	}
 	t.health.recordFailures(now, 1)
-	t.attributeFailures(leaderWitness, 1)
+	s.attributeFailures(now, t, leaderWitness, 1)
 }
 
 // recordReportRead records whether a target's report could be read.
@@ -55,12 +55,13 @@
 	}
 }
 
-// withdrawFailures undoes the effect of a VM's failures on all targets, and releases the probes that
-// it holds.
+// withdrawFailures undoes the effect of a VM's failures since its last success on all targets, and
+// releases the probes that it holds.
 func (s *Scheduler) withdrawFailures(vm coord.VMID) {
+	since := s.judge.FailingSince(vm)
 	for _, t := range s.targets {
-		if n := t.failuresByVM[vm]; n > 0 {
-			t.health.withdraw(n)
+		if f, failed := t.failuresByVM[vm]; failed && !f.lastAt.Before(since) {
+			t.health.withdraw(f.count)
 			delete(t.failuresByVM, vm)
 		}
 		if t.prober.VM == vm {
@@ -82,16 +83,26 @@
 	}
 }
 
-// attributeFailures adds n consecutive failures of a VM's requests. A negative n means that there
-// are none any more.
-func (t *target) attributeFailures(vm coord.VMID, n int) {
+// vmFailures counts the failures of one VM's requests at a target since its last success anywhere.
+type vmFailures struct {
+	count  int
+	lastAt time.Time
+}
+
+// attributeFailures adds n consecutive failures of a VM's requests at a target. A negative n means
+// that there are none any more.
+func (s *Scheduler) attributeFailures(now time.Time, t *target, vm coord.VMID, n int) {
 	switch {
 	case n < 0:
 		clear(t.failuresByVM)
 	case n > 0:
 		if t.failuresByVM == nil {
-			t.failuresByVM = map[coord.VMID]int{}
+			t.failuresByVM = map[coord.VMID]vmFailures{}
+		}
+		f := t.failuresByVM[vm]
+		if f.lastAt.Before(s.judge.FailingSince(vm)) {
+			f.count = 0
 		}
-		t.failuresByVM[vm] += n
+		t.failuresByVM[vm] = vmFailures{count: f.count + n, lastAt: now}
 	}
 }
--- a/coord/scheduler/witness_test.go
+++ b/coord/scheduler/witness_test.go
@@ -192,3 +192,18 @@
 		})
 	}
 }
+
+// TestFailureBeforeASuccessIsNotWithdrawn guards against requests to a dead target because one of its
+// witnesses lost its paths later.
+func TestFailureBeforeASuccessIsNotWithdrawn(t *testing.T) {
+	h := newWitnessHarness(t, 4)
+	sent := []Key{h.mustGrantAt("cut", "t1"), h.mustGrantAt("cut", "t2")}
+	inFlight := h.mustGrantAt("vm", "t1")
+	h.end(h.mustGrantAt("cut", "t0"), EndedUnreachable)
+	h.end(h.mustGrantAt("cut", "t3"), EndedOK)
+	for _, k := range sent {
+		h.end(k, EndedUnreachable)
+	}
+	h.end(inFlight, EndedOK)
+	assert.DeepEqual(t, h.usableBy("vm"), []string{"t1", "t2", "t3"})
+}
--- a/coord/witness/witness.go
+++ b/coord/witness/witness.go
@@ -47,6 +47,8 @@
 type record struct {
 	// failures has the time of the last failure at each target.
 	failures map[string]time.Time
+	// since is the time of the first failure.
+	since time.Time
 	// refutedAt is when another VM last succeeded at one of these targets; zero: never.
 	refutedAt time.Time
 	// withdrawn reports that the caller has been told to withdraw the failures.
@@ -67,11 +69,11 @@
 }
 
 // Failed records that a request of a VM failed at a target. It reports whether this is evidence
-// against the target; if not, all recent failures of the VM are to be withdrawn.
+// against the target; if not, the failures of the VM from FailingSince on are to be withdrawn.
 func (j *Judge) Failed(now time.Time, vm coord.VMID, target string) (counts bool) {
 	r := j.vms[vm]
 	if r == nil {
-		r = &record{failures: map[string]time.Time{}}
+		r = &record{failures: map[string]time.Time{}, since: now}
 		j.vms[vm] = r
 	}
 	t := j.targets[target]
@@ -89,17 +91,25 @@
 }
 
 // Succeeded records that a target answered a request of a VM. It returns the VMs that are found
-// unreliable by this, and whose recent failures are to be withdrawn.
+// unreliable by this, and whose failures from FailingSince on are to be withdrawn.
 func (j *Judge) Succeeded(now time.Time, vm coord.VMID, target string) (unreliable []coord.VMID) {
 	j.forget(vm)
+	return j.GoesOn(now, vm, target)
+}
+
+// GoesOn is Succeeded for a request that has not ended, while others failed at the target. It speaks
+// for the target, and does not show that the VM still reaches it.
+func (j *Judge) GoesOn(now time.Time, vm coord.VMID, target string) (unreliable []coord.VMID) {
 	t := j.targets[target]
 	if t == nil || now.Sub(t.comparedAt) < refreshInterval {
 		return nil
 	}
-	t.comparedAt = now
+	if !slices.Contains(t.vms, vm) { // otherwise vm's own failure is not compared
+		t.comparedAt = now
+	}
 	for _, other := range t.vms {
 		r := j.vms[other]
-		if now.Sub(r.failures[target]) > Memory {
+		if other == vm || now.Sub(r.failures[target]) > Memory {
 			continue
 		}
 		r.refutedAt = now
@@ -115,6 +125,15 @@
 // of another VM's requests.
 func (j *Judge) Reached(vm coord.VMID) { j.forget(vm) }
 
+// FailingSince returns the time of the first of a VM's recent failures without a success since; zero if
+// there is none.
+func (j *Judge) FailingSince(vm coord.VMID) time.Time {
+	if r := j.vms[vm]; r != nil {
+		return r.since
+	}
+	return time.Time{}
+}
+
 // Unreliable reports whether a VM's failures are no evidence against targets.
 func (j *Judge) Unreliable(now time.Time, vm coord.VMID) bool {
 	r := j.vms[vm]
--- a/coord/witness/witness_test.go
+++ b/coord/witness/witness_test.go
@@ -72,6 +72,15 @@
 	assert.Assert(t, !j.Unreliable(at(20).Add(2*Memory), "cut"), "no longer refuted")
 }
 
+// TestRequestThatGoesOnRefutesOtherVMsOnly guards against a VM that is its own proof.
+func TestRequestThatGoesOnRefutesOtherVMsOnly(t *testing.T) {
+	j := New()
+	play(j, []event{{0, "cut", "a", false}, {0, "cut", "b", false}})
+	assert.Equal(t, len(j.GoesOn(at(1), "cut", "a")), 0)
+	assert.DeepEqual(t, j.GoesOn(at(1), "vm", "a"), []coord.VMID{"cut"})
+	assert.Assert(t, j.Unreliable(at(1), "cut"))
+}
+
 // TestExpireFreesRecords guards against records of VMs and targets that are gone.
 func TestExpireFreesRecords(t *testing.T) {
 	j := New()
