quarantine: disconnects of a VM that lost its paths are no crashes

Cause: a VM whose connections to all targets are reset reports all its requests as disconnected. Where it sent at least half of what runs at a target, the target counts as crashed; with several VMs cut off at once all of them do. Harmless contents become suspect, and after three targets (one content that is sent again, or is popular) are blocked for 10 s to 10 min: callers of all VMs get 503 content_held.

Change: coord/witness judges here as well. A request of another VM that goes on at the target speaks for it as a success does. Disconnects of unreliable VMs do not count, unless the others show by themselves that the target crashed. Crashes of the last 5 s that only such VMs saw are withdrawn: suspicion, blocks and the loss of the mark for known good contents.

Evidence: on the code before, TestDisconnectsOfCutVMAreNoCrashes (6 findings), TestFindingsOfCutVMAreWithdrawn (4), TestWithdrawalKeepsEarlierEvidence and TestRandomCutsBlockNoHarmlessContent fail (harmless contents are blocked). TestCrashesThatAllVMsSeeAreEvidence passes before and after.

Conclusion: a cut VM blocks no content at the leader. Findings that were sent to other VMs before a withdrawal stay there.

--- a/coord/quarantine/judge.go
+++ b/coord/quarantine/judge.go
@@ -8,32 +8,58 @@
 // Tick evaluates disconnects whose settle time has passed, and removes expired entries. It returns
 // new findings.
 func (t *Table) Tick(now time.Time) (found []Finding) {
+	due := map[string]*incident{}
 	for target, inc := range t.incidents {
-		if now.Sub(inc.startedAt) < crashSettleTime {
-			continue
-		}
-		delete(t.incidents, target)
-		crashed := float64(len(inc.disconnected)) >= minDisconnectedShare*float64(inc.inFlight)
-		soleCandidate := t.countCandidates(inc) == 1
-		explainedBySuspect := t.hasKnownSuspect(inc)
-		for _, r := range inc.disconnected {
-			if c := t.contents[r.digest]; !crashed && c != nil && len(c.crashedTargets) == 0 {
-				delete(t.contents, r.digest)
-			}
-			if crashed && t.evaluateDisconnect(now, r, soleCandidate, explainedBySuspect) {
-				found = append(found, t.finding(now, r.digest))
-			}
+		if now.Sub(inc.startedAt) >= crashSettleTime {
+			due[target] = inc
+			delete(t.incidents, target)
 		}
 	}
+	t.compareWitnesses(now, due)
+	for target, inc := range due {
+		t.dropUnreliable(now, inc)
+		found = append(found, t.evaluateIncident(now, target, inc)...)
+	}
 	if now.Sub(t.lastExpiry) >= expiryInterval {
 		t.expire(now)
 	}
 	return found
 }
 
+// isCrash reports whether a target crashed where so many of the requests in flight were disconnected.
+func isCrash(disconnected, inFlight int) bool {
+	return disconnected > 0 && float64(disconnected) >= minDisconnectedShare*float64(inFlight)
+}
+
+// evaluateIncident evaluates the disconnects at one target. It returns new findings.
+func (t *Table) evaluateIncident(now time.Time, target string, inc *incident) (found []Finding) {
+	if !isCrash(len(inc.disconnected), inc.inFlight) {
+		for _, r := range inc.disconnected {
+			t.removeProvisionalSuspect(r.digest)
+		}
+		return nil
+	}
+	soleCandidate := t.countCandidates(inc) == 1
+	explainedBySuspect := t.hasKnownSuspect(inc)
+	crashed := crash{at: now, target: target}
+	for _, r := range inc.disconnected {
+		before := t.evidence(r.digest)
+		if t.evaluateDisconnect(now, r, soleCandidate, explainedBySuspect) {
+			found = append(found, t.finding(now, r.digest))
+		}
+		crashed.witnesses = append(crashed.witnesses, r)
+		if after := t.evidence(r.digest); after.targets > before.targets {
+			crashed.changes = append(crashed.changes, change{digest: r.digest, before: before, after: after})
+		}
+	}
+	t.crashes = append(t.crashes, crashed)
+	return found
+}
+
 // expire removes requests whose end was never reported, and contents without recent evidence.
 func (t *Table) expire(now time.Time) {
 	t.lastExpiry = now
+	t.expireCrashes(now)
 	for key, r := range t.inFlight {
 		if now.After(r.deadline.Add(lostEndGrace)) {
 			t.removeRequest(key, r)
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -8,7 +8,8 @@
 // in flight when a target crashed:
 //
 //   - A target counts as crashed if at least half of the requests in flight there were disconnected
-//     within crashSettleTime. Fewer broken responses count as lost connections.
+//     within crashSettleTime. Fewer broken responses count as lost connections. So do those of a VM
+//     that lost its paths to several targets, which go on for others (witness.go).
 //   - Content that recently succeeded is known good, whatever it ran beside, until targets have
 //     crashed under two of its requests, one after the other, without a success in between.
 //   - Content under which one target crashed is suspect. Only one such request runs at a time in
@@ -31,6 +32,7 @@
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/witness"
 )
 
 // Digest identifies the content of a request; the zero value means no content.
@@ -106,10 +108,13 @@
 
 // request is a request in flight.
 type request struct {
+	vm     coord.VMID
 	digest Digest
 	target string
 	// sentAt is when this VM learned that the request was sent.
 	sentAt, deadline time.Time
+	// disconnectedAt is zero unless the request was disconnected.
+	disconnectedAt time.Time
 }
 
 // incident is a group of disconnects at one target.
@@ -130,6 +135,10 @@
 	incidents        map[string]*incident
 	// lastExpiry is the time of the last pass of expire.
 	lastExpiry time.Time
+	// judge tells crashes of targets from failures of a VM's paths to them, and crashes has the
+	// recent ones, which may have to be withdrawn.
+	judge   *witness.Judge
+	crashes []crash
 }
 
 // New returns an empty Table.
@@ -137,6 +146,7 @@
 	return &Table{
 		contents: map[Digest]*content{}, knownGood: recentDigests{current: map[Digest]bool{}},
 		inFlight: map[Key]request{}, inFlightByTarget: map[string]int{}, inFlightByDigest: map[Digest]int{}, incidents: map[string]*incident{},
+		judge: witness.New(),
 	}
 }
 
@@ -212,7 +222,7 @@
 	if _, known := t.inFlight[key]; known || d == (Digest{}) {
 		return
 	}
-	t.inFlight[key] = request{digest: d, target: target, sentAt: now, deadline: deadline}
+	t.inFlight[key] = request{vm: key.VM, digest: d, target: target, sentAt: now, deadline: deadline}
 	t.inFlightByTarget[target]++
 	t.inFlightByDigest[d]++
 }
@@ -229,14 +239,19 @@
 	t.removeRequest(key, r)
 	switch {
 	case succeeded:
+		t.withdrawCrashes(now, t.judge.Succeeded(now, r.vm, r.target))
 		t.knownGood.add(r.digest)
 		delete(t.contents, r.digest)
 	case disconnected:
+		if !t.judge.Failed(now, r.vm, r.target) {
+			t.withdrawCrashes(now, []coord.VMID{r.vm})
+		}
 		inc := t.incidents[r.target]
 		if inc == nil {
 			inc = &incident{startedAt: now, inFlight: inFlight}
 			t.incidents[r.target] = inc
 		}
+		r.disconnectedAt = now
 		inc.disconnected = append(inc.disconnected, r)
 		t.addProvisionalSuspect(now, r.digest)
 	}
