servicequeue: find hung requests without their ends, and bound those of cut VMs

Cause: the slots of plain targets are held by requests of VMs that are cut off while these hang, and each further grant to such a VM takes one more. Before a request ends in a failure nothing speaks against its VM, and what ends as abandoned never does. Callers of the other VMs are refused or wait too long.

Change: a request that has taken three long service times is a failure of its VM for coord/witness, not one of the target. Unreliable VMs have at most a quarter of all requests in flight, so that one can succeed and show that its VM has a way again; their other requests wait and do not count in the expected wait of those behind.

--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -73,6 +73,8 @@
 	// inFlight is the number of requests at the target when this one was granted, itself included.
 	inFlight            int
 	grantedAt, deadline time.Time
+	// late reports that the request has taken so long that it may have hung.
+	late bool
 }
 
 // Queue holds the state of one service.
@@ -219,17 +221,26 @@
 	q.rank(now)
 	remaining := q.waiting[:0]
 	perSecond, untilFirst := q.throughput(now)
-	noCapacity := false
+	trials := q.newTrials()
+	noCapacity, ahead := false, 0
 	for _, r := range q.waiting {
+		if trials.exhausted(r.VM) {
+			if !q.refuseIfTooLate(now, r, untilFirst, perSecond) {
+				remaining = append(remaining, r)
+			}
+			continue
+		}
 		// If a request without excluded targets finds no capacity, the following ones find none
 		// either. Each attempt scans all targets, and hundreds of requests may wait
 		// (BenchmarkLongLine).
 		if !(noCapacity && len(r.Exclude) == 0) && q.grant(now, r) {
+			trials.count(r.VM)
 			continue
 		}
 		noCapacity = noCapacity || len(r.Exclude) == 0
-		if !q.refuseIfTooLate(now, r, untilFirst+ratelimit.DurationFor(float64(len(remaining)), perSecond), perSecond) {
+		if !q.refuseIfTooLate(now, r, untilFirst+ratelimit.DurationFor(float64(ahead), perSecond), perSecond) {
 			remaining = append(remaining, r)
+			ahead++
 		}
 	}
 	clear(q.waiting[len(remaining):])
--- a/coord/servicequeue/witness.go
+++ b/coord/servicequeue/witness.go
@@ -14,6 +14,8 @@
 type testimony struct {
 	judge   *witness.Judge
 	effects map[coord.VMID][]failure
+	// unreliable has the unreliable VMs as of the last tick, without those that succeeded since.
+	unreliable map[coord.VMID]bool
 }
 
 // failure is the effect of one failed request.
@@ -33,6 +35,7 @@
 	case balance.OK:
 		q.balancer.Done(now, target, ending, duration)
 		delete(q.testimony.effects, vm)
+		delete(q.testimony.unreliable, vm)
 		for _, unreliable := range q.testimony.judge.Succeeded(now, vm, target) {
 			q.withdrawFailures(unreliable)
 		}
@@ -61,21 +64,74 @@
 	delete(q.testimony.effects, vm)
 }
 
-// hungServiceTimes is the number of long service times after which a request of an unreliable VM no
-// longer occupies its target: either it never arrived, or its response is lost.
-const hungServiceTimes = 3
+const (
+	// hungServiceTimes is the number of long service times after which a request is late enough to
+	// be taken as hung, if its VM is unreliable: it never arrived, or its response is lost.
+	hungServiceTimes = 3
+	// trialShare is the part of all requests in flight that unreliable VMs may have: one of their
+	// requests that succeeds shows that the VM has a way to the targets again.
+	trialShare = 0.25
+)
 
 // hungAfter returns the time after its grant at which a request of an unreliable VM is taken as hung.
 func (q *Queue) hungAfter() time.Duration { return hungServiceTimes * q.limit.p90ServiceTime() }
 
-// releaseHung releases the targets of hung requests. Each of them is a failure of its VM's path.
+// releaseHung releases the targets of hung requests. A late request is a failure of its VM for the
+// judgement of the VM, and none of the target.
 func (q *Queue) releaseHung(now time.Time) {
+	hungAfter := q.hungAfter()
+	var late []Key
 	for key, g := range q.grants {
-		if now.Sub(g.grantedAt) <= q.hungAfter() || !q.testimony.judge.Unreliable(now, key.VM) {
+		if now.Sub(g.grantedAt) <= hungAfter {
+			continue
+		}
+		late = append(late, key)
+		if g.late {
 			continue
 		}
-		q.release(key, g)
-		q.recordFailure(now, key.VM, g.target, balance.TimedOut, now.Sub(g.grantedAt))
+		g.late = true
+		q.grants[key] = g
+		if !q.testimony.judge.Failed(now, key.VM, g.target) {
+			q.withdrawFailures(key.VM)
+		}
+	}
+	for _, key := range late {
+		if q.testimony.judge.Unreliable(now, key.VM) {
+			g := q.grants[key]
+			q.release(key, g)
+			q.balancer.Done(now, g.target, balance.Abandoned, 0)
+		}
+	}
+}
+
+// trials holds, for one pass over the waiting requests, how many more requests of unreliable VMs may
+// be granted.
+type trials struct {
+	unreliable map[coord.VMID]bool
+	left       int
+}
+
+func (q *Queue) newTrials() trials {
+	t := trials{unreliable: q.testimony.unreliable}
+	if len(t.unreliable) == 0 {
+		return t
+	}
+	t.left = max(int(trialShare*float64(q.Stats().Limit)), 1)
+	for key := range q.grants {
+		if t.unreliable[key.VM] {
+			t.left--
+		}
+	}
+	return t
+}
+
+// exhausted reports whether a request of a VM has to wait for the end of another trial.
+func (t *trials) exhausted(vm coord.VMID) bool { return t.left <= 0 && t.unreliable[vm] }
+
+// count counts a granted request.
+func (t *trials) count(vm coord.VMID) {
+	if t.unreliable[vm] {
+		t.left--
 	}
 }
 
@@ -87,6 +143,7 @@
 // expire removes failures that can no longer be withdrawn.
 func (t *testimony) expire(now time.Time) {
 	t.judge.Expire(now)
+	t.unreliable = t.judge.AllUnreliable(now)
 	for vm, failures := range t.effects {
 		recent := slices.DeleteFunc(failures, func(f failure) bool { return now.Sub(f.at) > witness.Memory })
 		if len(recent) == 0 {
--- a/coord/servicequeue/witness_test.go
+++ b/coord/servicequeue/witness_test.go
@@ -173,13 +173,36 @@
 // TestSlowRequestsOfSoundVMKeepTheirSlots guards against requests beyond the slots of a target that
 // is slow.
 func TestSlowRequestsOfSoundVMKeepTheirSlots(t *testing.T) {
-	h := newWideHarness()
-	for _, target := range []string{"t0", "t0", "t1", "t1"} {
-		h.mustGrantAt(t, "vm1", target)
+	for name, others := range map[string][]answer{
+		"one slow target":              {{"vm2", "t0"}, {"vm2", "t1"}},
+		"two, which all VMs find slow": {{"vm2", "t2"}, {"vm1", "t3"}},
+		"two, and an answer elsewhere": {{"vm1", "t2"}, {"vm2", "t0"}, {"vm2", "t1"}},
+		"one VM sends all requests":    {{"vm1", "t2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newWideHarness()
+			slow := []string{"t0", "t0", "t1", "t1"}
+			if name == "one slow target" {
+				slow = slow[:2]
+			}
+			for _, target := range slow {
+				h.mustGrantAt(t, "vm1", target)
+			}
+			h.end(h.mustGrantAt(t, "vm1", "t0"), balance.TimedOut)
+			for range 10 {
+				h.now = h.now.Add(100 * time.Millisecond)
+				h.queue.Tick(h.now)
+				for _, e := range others {
+					h.end(h.mustGrantAt(t, e.vm, e.target), balance.OK)
+				}
+			}
+			assert.Equal(t, h.queue.Stats().Running, len(slow))
+		})
 	}
-	h.end(h.mustGrantAt(t, "vm1", "t0"), balance.TimedOut)
-	h.end(h.mustGrantAt(t, "vm2", "t0"), balance.OK)
-	h.now = h.now.Add(time.Second)
-	h.queue.Tick(h.now)
-	assert.Equal(t, h.queue.Stats().Running, 4)
+}
+
+// answer is a served request of a VM to a target.
+type answer struct {
+	vm     coord.VMID
+	target string
 }
--- a/coord/witness/witness.go
+++ b/coord/witness/witness.go
@@ -140,6 +140,20 @@
 	return r != nil && r.isUnreliable(now)
 }
 
+// AllUnreliable returns the VMs whose failures are no evidence against targets; nil if there are none.
+func (j *Judge) AllUnreliable(now time.Time) (unreliable map[coord.VMID]bool) {
+	for vm, r := range j.vms {
+		if !r.isUnreliable(now) {
+			continue
+		}
+		if unreliable == nil {
+			unreliable = map[coord.VMID]bool{}
+		}
+		unreliable[vm] = true
+	}
+	return unreliable
+}
+
 func (r *record) isUnreliable(now time.Time) bool {
 	if r.refutedAt.IsZero() || now.Sub(r.refutedAt) > Memory {
 		return false
