--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	s.release(now, key, g)
-	g.target.health.recordEnding(now, ending)
+	s.judgeEnding(now, key, g.target, ending)
 	if ending == EndedOK || ending == EndedUnverified {
 		s.recordLoadTiming(now, g, false)
 	}
@@ -61,6 +61,7 @@
 func (s *Scheduler) release(now time.Time, key Key, g *grant) {
 	delete(s.grants, key)
 	s.dropPrompt(now, g)
+	g.target.releaseProbe(key)
 	if !g.vmUnresponsive {
 		g.target.running--
 		g.target.tokens -= g.tokens
@@ -119,6 +120,7 @@
 	if g == nil || g.pendingPrompt == nil {
 		return
 	}
+	s.recordReached(now, key.VM, g.target)
 	s.recordLoadTiming(now, g, false)
 	g.target.engine.ObserveFirstEvent(now, s.speed, g.pendingPrompt)
 	g.pendingPrompt, g.firstEventAt = nil, now
@@ -165,6 +167,7 @@
 		if key.VM == vm && !g.vmUnresponsive {
 			g.vmUnresponsive = true
 			s.dropPrompt(now, g)
+			g.target.releaseProbe(key)
 			g.target.running--
 			g.target.tokens -= g.tokens
 		}
--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -71,8 +71,10 @@
 type grant struct {
 	target string
 	// inFlight is the number of requests at the target when this one was granted, itself included.
-	inFlight int
-	deadline time.Time
+	inFlight            int
+	grantedAt, deadline time.Time
+	// late reports that the request has taken so long that it may have hung.
+	late bool
 }
 
 // Queue holds the state of one service.
@@ -87,12 +89,14 @@
 	// callers refused under these limits.
 	pacer       *ratelimit.Pacer
 	retryDelays ratelimit.RetryDelays
-	actions     []Action
+	// testimony tells failures of targets from failures of a VM's paths to them.
+	testimony testimony
+	actions   []Action
 }
 
 // New returns a Queue without targets.
 func New() *Queue {
-	return &Queue{limit: newConcurrencyLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer()}
+	return &Queue{limit: newConcurrencyLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer(), testimony: newTestimony()}
 }
 
 // Delays and timeouts of the queue.
@@ -146,7 +150,7 @@
 		return q.schedule(now)
 	}
 	q.release(key, g)
-	q.balancer.Done(now, g.target, ending, duration)
+	q.recordEnding(now, key.VM, g.target, ending, duration)
 	switch {
 	case ending == balance.OK || ending == balance.Unverified || ending == balance.Failed && duration > 0:
 		q.limit.observe(duration)
@@ -203,7 +207,9 @@
 			q.balancer.Done(now, g.target, balance.Abandoned, 0)
 		}
 	}
+	q.releaseHung(now)
 	q.balancer.ExpireIdle(now)
+	q.testimony.expire(now)
 	return q.schedule(now)
 }
 
@@ -215,17 +221,26 @@
 	q.rank(now)
 	remaining := q.waiting[:0]
 	perSecond, untilFirst := q.throughput(now)
-	noCapacity := false
+	trials := q.newTrials()
+	noCapacity, ahead := false, 0
 	for _, r := range q.waiting {
+		if trials.exhausted(r.VM) {
+			if !q.refuseIfTooLate(now, r, untilFirst, perSecond) {
+				remaining = append(remaining, r)
+			}
+			continue
+		}
 		// If a request without excluded targets finds no capacity, the following ones find none
 		// either. Each attempt scans all targets, and hundreds of requests may wait
 		// (BenchmarkLongLine).
 		if !(noCapacity && len(r.Exclude) == 0) && q.grant(now, r) {
+			trials.count(r.VM)
 			continue
 		}
 		noCapacity = noCapacity || len(r.Exclude) == 0
-		if !q.refuseIfTooLate(now, r, untilFirst+ratelimit.DurationFor(float64(len(remaining)), perSecond), perSecond) {
+		if !q.refuseIfTooLate(now, r, untilFirst+ratelimit.DurationFor(float64(ahead), perSecond), perSecond) {
 			remaining = append(remaining, r)
+			ahead++
 		}
 	}
 	clear(q.waiting[len(remaining):])
@@ -264,7 +279,7 @@
 	}
 	q.pacer.Consume(now, id)
 	q.running[id]++
-	q.grants[r.Key] = grant{target: id, inFlight: q.running[id], deadline: r.Deadline}
+	q.grants[r.Key] = grant{target: id, inFlight: q.running[id], grantedAt: now, deadline: r.Deadline}
 	q.emit(Action{Key: r.Key, Target: id})
 	return true
 }
@@ -302,7 +317,7 @@
 			continue
 		}
 		candidate := balance.Target{ID: t.ID, SameZone: t.Zone == r.Zone}
-		if q.balancer.Ejected(now, t.ID) {
+		if q.balancer.Ejected(now, t.ID) || !q.mayProbe(now, t.ID, r.VM) {
 			continue
 		}
 		available = append(available, candidate)
