Keep requests at brittle targets within their slots

What callers saw: targets that announced how many rejections a second they bear fell over, and the requests there and the load that moved on with them were lost. Cause: the announcement was read nowhere. The scheduler has no bound on the requests at an engine, plain targets get one more than they have slots, and a VM without a leader sends what it gets.

Change: platform decodes the announcement, and it reaches all VMs as rate limits do (one table type, one message, two kinds). coord/overload decides at the leader, for plain services and engines: no more requests than slots, fewer after a rejection and raised slowly, none while one more rejection could crash the target, fewer at first at a target that is back and at a new leader, a partition's part only. Excess is refused at once with spread retry delays. VMs without a leader send such a service nothing (docs/DECISIONS.md 38). New: events target_brittle and target_brittle_ended, metrics targets_brittle and rejection_limits.

--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -22,6 +22,8 @@
 	deadline     time.Time
 	// grantedAt is the time of the grant; zero for adopted requests.
 	grantedAt time.Time
+	// inFlight is the number of requests at the target when this one was granted, itself included.
+	inFlight int
 	// slot is the slot of the adapter at the time of the grant, and version the adapter's version.
 	// slot is nil for base models and adopted requests.
 	slot    *slot
@@ -54,6 +56,7 @@
 		s.handleNotRun(now, g, ending)
 	case EndedAbandoned, EndedFailed, EndedDisconnected:
 		g.target.pinAborted(now, g.ref)
+		s.guard.Withdrawn(now, g.target.id)
 	}
 	return s.runRoundSoon(now)
 }
@@ -80,6 +83,9 @@
 		g.startedLoad = loadlimit.StartedLoad{}
 		return
 	}
+	if ending == EndedBusy {
+		s.guard.Rejected(now, g.target.id, g.inFlight)
+	}
 	if ending == EndedMisrouted {
 		s.dropMissing(g.target, g.ref)
 		g.target.requireReport(now)
@@ -167,6 +173,7 @@
 			s.dropPrompt(now, g)
 			g.target.running--
 			g.target.tokens -= g.tokens
+			s.guard.Withdrawn(now, g.target.id)
 		}
 	}
 	return s.takeActions()
@@ -180,6 +187,7 @@
 		if key.VM == vm && key.Ticket < minTicket {
 			s.release(now, key, g)
 			g.target.pinAborted(now, g.ref)
+			s.guard.Withdrawn(now, g.target.id)
 		}
 	}
 	return s.takeActions()
--- a/coord/scheduler/limited.go
+++ b/coord/scheduler/limited.go
@@ -22,30 +22,33 @@
 	return s.runRound(now)
 }
 
-// waitForRate lets a request wait for one of the rate-limited targets that it may use, or refuses
-// it if the expected wait is too long. limited is false if no rate-limited target is eligible.
+// waitForRate lets a request wait for one of the rate-limited or brittle targets that it may use, or
+// refuses it if the expected wait is too long. limited is false if no such target is eligible.
 func (s *Scheduler) waitForRate(now time.Time, r *Request) (refused, limited bool) {
 	var totalRate float64
 	var minWait time.Duration
+	reason := ReasonRateLimit
 	for _, id := range s.targetIDs {
-		rate, rateLimited := s.pacer.Rate(id)
 		t := s.targets[id]
-		if !rateLimited || !s.eligible(now, t, r) || r.Ref.IsBase() && !t.models[r.Ref.Model] {
+		rate, wait, bounded := s.boundedRate(now, t)
+		if !bounded || !s.eligible(now, t, r) || r.Ref.IsBase() && !t.models[r.Ref.Model] {
 			continue
 		}
-		wait := s.pacer.Wait(now, id)
 		if !limited || wait < minWait {
 			minWait = wait
 		}
 		limited = true
 		totalRate += rate
+		if !s.hasRoom(now, t) {
+			reason = ReasonBrittle
+		}
 	}
 	if !limited {
 		return false, false
 	}
 	expectedWait := minWait + ratelimit.DurationFor(float64(s.rateWaiters), totalRate)
 	if now.Add(expectedWait).After(r.rateWaitDeadline()) {
-		s.refuse(r, ReasonRateLimit, s.retryDelays.Next(now, s.rateWaiters, totalRate))
+		s.refuse(r, reason, s.retryDelays.Next(now, s.rateWaiters, totalRate))
 		return true, true
 	}
 	s.rateWaiters++
@@ -61,6 +64,21 @@
 	return deadline
 }
 
+// boundedRate returns how many requests per second a rate-limited or brittle target gets, and the
+// expected time until the next one. bounded is false if it is neither.
+func (s *Scheduler) boundedRate(now time.Time, t *target) (perSecond float64, wait time.Duration, bounded bool) {
+	perSecond, bounded = s.pacer.Rate(t.id)
+	wait = s.pacer.Wait(now, t.id)
+	roomRate, roomWait, brittle := s.roomRate(now, t)
+	if !brittle {
+		return perSecond, wait, bounded
+	}
+	if !bounded {
+		return roomRate, roomWait, true
+	}
+	return min(perSecond, roomRate), max(wait, roomWait), true
+}
+
 // eligible reports whether r may be sent to t, regardless of t's rate limit.
 func (s *Scheduler) eligible(now time.Time, t *target, r *Request) bool {
 	return t.ready && t.health.allowsRequest(now) && !slices.Contains(r.BackedOff, t.id) && (!slices.Contains(r.Exclude, t.id) || t.hasLateLoad(now, r.Ref))
@@ -68,7 +86,7 @@
 
 // usable reports whether r may be sent to t now.
 func (s *Scheduler) usable(now time.Time, t *target, r *Request) bool {
-	return s.eligible(now, t, r) && s.pacer.Ready(now, t.id)
+	return s.eligible(now, t, r) && s.pacer.Ready(now, t.id) && s.hasRoom(now, t)
 }
 
 // rateCost returns what a target's rate limit adds to the cost of loading an adapter there: the
--- a/coord/scheduler/listing.go
+++ b/coord/scheduler/listing.go
@@ -35,6 +35,7 @@
 		s.targetIDs = append(s.targetIDs, id)
 	}
 	slices.Sort(s.targetIDs)
+	s.guard.SetTargets(now, s.readyTargets())
 	return s.runRound(now)
 }
 
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -204,7 +204,7 @@
 	t.recentGrants.add(now)
 	g := &grant{
 		target: t, ref: r.Ref, tokens: r.PromptTokens + r.OutputTokens,
-		pendingPrompt: prompt, deadline: r.Deadline, grantedAt: now,
+		pendingPrompt: prompt, deadline: r.Deadline, grantedAt: now, inFlight: t.running,
 	}
 	t.tokens += g.tokens
 	t.rememberPrompt(now, r)
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -21,7 +21,7 @@
 // duration of loads (learnt, coord/loadtime), heat.go the request rate of adapters, orders.go and
 // reports.go the orders that change adapter slots and the reports that verify them, freed.go the
 // evidence that frees slots, health.go failing targets, limited.go targets that limit their request
-// rate.
+// rate, brittle.go targets that crash when they reject too many requests.
 package scheduler
 
 import (
@@ -33,6 +33,7 @@
 	"github.com/junctionfold/junctionfold/coord/enginecost"
 	"github.com/junctionfold/junctionfold/coord/loadlimit"
 	"github.com/junctionfold/junctionfold/coord/loadtime"
+	"github.com/junctionfold/junctionfold/coord/overload"
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
 )
 
@@ -71,11 +72,13 @@
 	loadCount                  uint64
 	nextModelLoad              time.Time
 	// pacer keeps the requests to targets within their announced rates. rateWaiters is the number
-	// of requests that wait for a rate limit, counted anew in each round. retryDelays spreads out
+	// of requests that wait for a rate limit or a brittle target, counted anew in each round. retryDelays spreads out
 	// the retries of refused callers.
 	pacer       *ratelimit.Pacer
 	rateWaiters int
 	retryDelays ratelimit.RetryDelays
+	// guard bounds the requests at brittle targets.
+	guard *overload.Guard
 	// lastRoundAt is when waiting requests were last processed.
 	lastRoundAt time.Time
 	// searchesLeft is the number of searches for a load target that remain in this round.
@@ -104,6 +107,7 @@
 		versions:          map[coord.AdapterRef]int64{},
 		runningReportedAt: map[coord.VMID]time.Time{},
 		pacer:             ratelimit.NewPacer(),
+		guard:             overload.NewGuard(),
 	}
 }
 
@@ -130,6 +134,7 @@
 	s.leading = leading
 	if gained {
 		s.pacer.Reset(now)
+		s.guard.Reset(now)
 		s.evictionBlockedUntil = now.Add(runningReportTimeout)
 		s.unreportedVMs = make(map[coord.VMID]bool, len(others))
 		for _, vm := range others {
--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -7,7 +7,7 @@
 //
 //   - A target gets one request more than it has slots, or as many as it has slots once a target
 //     has rejected the extra one (limit.go). It gets no more requests per second than its own
-//     rate limit (rates.go).
+//     rate limit (rates.go), and a brittle one no more than it has room for (brittle.go).
 //   - Requests that can still meet their soft deadline go first, by priority and age; the others
 //     follow.
 //   - A request whose expected wait is too long for its soft deadline waits among the others, or
@@ -26,6 +26,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/overload"
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
 )
 
@@ -87,12 +88,14 @@
 	// callers refused under these limits.
 	pacer       *ratelimit.Pacer
 	retryDelays ratelimit.RetryDelays
-	actions     []Action
+	// guard bounds the requests at brittle targets.
+	guard   *overload.Guard
+	actions []Action
 }
 
 // New returns a Queue without targets.
 func New() *Queue {
-	return &Queue{limit: newConcurrencyLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer()}
+	return &Queue{limit: newConcurrencyLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer(), guard: overload.NewGuard()}
 }
 
 // Delays and timeouts of the queue.
@@ -124,6 +127,7 @@
 // SetTargets replaces the targets that accept requests.
 func (q *Queue) SetTargets(now time.Time, targets []Target) []Action {
 	q.targets = targets
+	q.guard.SetTargets(now, targetIDs(targets))
 	return q.schedule(now)
 }
 
@@ -147,11 +151,13 @@
 	}
 	q.release(key, g)
 	q.balancer.Done(now, g.target, ending, duration)
+	q.recordGivenUp(now, g.target, ending)
 	switch {
 	case ending == balance.OK || ending == balance.Failed && duration > 0:
 		q.limit.observe(duration)
 	case ending == balance.Busy:
 		q.limit.recordRejection(g.inFlight, q.slots(g.target))
+		q.guard.Rejected(now, g.target, g.inFlight)
 	}
 	return q.schedule(now)
 }
@@ -181,6 +187,7 @@
 		if key.VM == vm && key.Ticket < beforeTicket {
 			q.release(key, g)
 			q.balancer.Done(now, g.target, balance.Abandoned, 0)
+			q.guard.Withdrawn(now, g.target)
 		}
 	}
 	return q.schedule(now)
--- a/coord/servicequeue/rates.go
+++ b/coord/servicequeue/rates.go
@@ -25,7 +25,7 @@
 
 // hasCapacity reports whether a target accepts one more request now.
 func (q *Queue) hasCapacity(now time.Time, t Target) bool {
-	return q.running[t.ID] < q.limit.forTarget(t.Slots) && q.pacer.Ready(now, t.ID)
+	return q.running[t.ID] < q.maxInFlight(now, t) && q.pacer.Ready(now, t.ID)
 }
 
 // throughput returns the number of requests per second that all targets that are not ejected
@@ -39,7 +39,7 @@
 		if q.balancer.Ejected(now, t.ID) {
 			continue
 		}
-		targetRate := float64(max(q.limit.forTarget(t.Slots)-extraInFlight, 1)) / serviceTime.Seconds()
+		targetRate := float64(q.concurrency(now, t)) / serviceTime.Seconds()
 		if rate, limited := q.pacer.Rate(t.ID); limited {
 			targetRate = min(targetRate, rate)
 			untilFirst = min(untilFirst, q.pacer.Wait(now, t.ID))
@@ -58,10 +58,10 @@
 }
 
 // retryDelay returns the delay after which a refused caller should retry, given its expected wait.
-// While a target of the service limits its rate, the delays are spread over the time in which
+// While a target of the service limits its rate or is brittle, the delays are spread over the time in which
 // perSecond requests per second serve the waiting and the refused callers.
 func (q *Queue) retryDelay(now time.Time, wait time.Duration, perSecond float64) time.Duration {
-	if q.anyLimited() {
+	if q.anyLimited() || q.guard.Active(now) {
 		return max(q.retryDelays.Next(now, len(q.waiting), perSecond), minRetryDelay)
 	}
 	return min(max(wait, minRetryDelay), maxRetryDelay)
--- a/internal/cli/edgestatus.go
+++ b/internal/cli/edgestatus.go
@@ -37,6 +37,7 @@
 	Teams             map[string]edge.TeamAccount    `json:"teams"`
 	BlockedContents   map[string]edge.BlockedContent `json:"held_contents"`
 	RateLimits        map[string]float64             `json:"rate_limits"`
+	RejectionLimits   map[string]float64             `json:"rejection_limits"`
 }
 
 func edgeStatusCommand() *cobra.Command {
@@ -76,7 +77,10 @@
 	if err != nil {
 		return err
 	}
-	if err := m.printRateLimits(w); err != nil {
+	if err := printLimits(w, "\nLIMITED TARGET\tREQUESTS A SECOND", m.RateLimits); err != nil {
+		return err
+	}
+	if err := printLimits(w, "\nBRITTLE TARGET\tREJECTIONS A SECOND", m.RejectionLimits); err != nil {
 		return err
 	}
 	if _, err := fmt.Fprintf(w, "\ncontents: %d suspect, %d held\n", m.SuspectContents, len(m.BlockedContents)); err != nil || len(m.BlockedContents) == 0 {
@@ -90,14 +94,14 @@
 	})
 }
 
-// printRateLimits prints the targets that limit their request rate.
-func (m *edgeMetrics) printRateLimits(w io.Writer) error {
-	if len(m.RateLimits) == 0 {
+// printLimits prints the limits of targets, if there are any.
+func printLimits(w io.Writer, header string, limits map[string]float64) error {
+	if len(limits) == 0 {
 		return nil
 	}
-	return table(w, "\nLIMITED TARGET\tREQUESTS A SECOND", func(t *tabwriter.Writer) {
-		for _, id := range slices.Sorted(maps.Keys(m.RateLimits)) {
-			fmt.Fprintf(t, "%s\t%g\n", id, m.RateLimits[id])
+	return table(w, header, func(t *tabwriter.Writer) {
+		for _, id := range slices.Sorted(maps.Keys(limits)) {
+			fmt.Fprintf(t, "%s\t%g\n", id, limits[id])
 		}
 	})
 }
--- a/internal/cli/edgestatus_test.go
+++ b/internal/cli/edgestatus_test.go
@@ -13,7 +13,7 @@
 // TestEdgeStatus checks the table and the JSON output of edge-status, and its error
 // for a response that is not JSON.
 func TestEdgeStatus(t *testing.T) {
-	text := `{"config_version":7,"fleet_vms":72,"feed_era":2,"feed_revision":97,"feed_age_ms":120,"rate_limits":{"i-7":1.3},"feed_proven_ms":900,"keys_within_ms":4900,"plain_limit":21,
+	text := `{"config_version":7,"fleet_vms":72,"feed_era":2,"feed_revision":97,"feed_age_ms":120,"rate_limits":{"i-7":1.3},"rejection_limits":{"i-8":6},"feed_proven_ms":900,"keys_within_ms":4900,"plain_limit":21,
 		"teams":{"crew":{"Charged":1600,"Refused":0,"Level":0.5},"guest":{"Charged":10,"Refused":3200,"Level":-0.1}},
 		"contents_suspect":2,"held_contents":{"ab01":{"Targets":["i-1","i-2"],"SinceMs":5000,"LeftMs":595000}},"unknown":{"a":1}}`
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(text)) }))
@@ -26,7 +26,7 @@
 	out, _, code := edgeStatus()
 	assert.Equal(t, code, 0)
 	for _, want := range []string{
-		"configuration 7, 72 VMs", "era 2, revision 97,", "i-7             1.3", "proven 900 ms ago, of 4900 allowed for keys", "guest  10       3200     -0.10", "2 suspect, 1 held", "9m55s", "i-1,i-2",
+		"configuration 7, 72 VMs", "era 2, revision 97,", "i-7             1.3", "i-8             6", "proven 900 ms ago, of 4900 allowed for keys", "guest  10       3200     -0.10", "2 suspect, 1 held", "9m55s", "i-1,i-2",
 	} {
 		assert.Assert(t, strings.Contains(out, want), "%s lacks %s", out, want)
 	}
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -205,8 +205,9 @@
 		Service: r.Service, Ticket: ticket, DecidedBy: string(from),
 		Target: v.Target, Address: v.Address, AdapterVersion: v.AdapterVersion, Priority: int(v.Priority),
 		RetryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, Reason: v.Reason, OverQuota: v.OverQuota,
-		StoreCopy: events.StoreCopy{Revision: fleet.Revision(v.FeedRevision), Age: time.Duration(v.FeedAgeMs) * time.Millisecond},
-		RateLimit: ratelimit.Limit{PerSecond: v.LimitPerSecond, Stamp: v.LimitStamp},
+		StoreCopy:      events.StoreCopy{Revision: fleet.Revision(v.FeedRevision), Age: time.Duration(v.FeedAgeMs) * time.Millisecond},
+		RateLimit:      ratelimit.Limit{PerSecond: v.LimitPerSecond, Stamp: v.LimitStamp},
+		RejectionLimit: ratelimit.Limit{PerSecond: v.RejectionsPerSecond, Stamp: v.RejectionLimitStamp},
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -125,7 +125,9 @@
 	quotas     *quotas
 	quarantine *contentQuarantine
 	// rateLimits holds the rate limits that targets announced.
-	rateLimits *rateLimits
+	rateLimits *targetLimits
+	// rejectionLimits holds the numbers of rejections with which targets announced that they crash.
+	rejectionLimits *targetLimits
 
 	// loggedDirectory is the last directory that was logged. The feed's callbacks are not
 	// concurrent.
@@ -199,7 +201,7 @@
 	n.queues = newQueues(n)
 	n.quotas = newQuotas(n, s.Quota)
 	n.quarantine = newContentQuarantine(n)
-	n.rateLimits = newRateLimits(n)
+	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
 	n.mesh = peer.New(peer.Config{
 		Self: self, Zone: s.Vm.Zone, Incarnation: incarnation, DialTimeout: peerDialTimeout, AckTimeout: peerAckTimeout,
 	}, (*peerHandler)(n), n.peerAddress)
@@ -216,7 +218,7 @@
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: n.pool,
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		VMs:   func() int { return int(n.vmCount.Load()) }, DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
-		OnNotice: n.handleNotice, RateLimits: n.rateLimits, CheckSuspension: n.checkSuspension, Log: l, Metrics: metrics, Now: n.now,
+		OnNotice: n.handleNotice, RateLimits: (*limitedTargets)(n), CheckSuspension: n.checkSuspension, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
 	return n, n.listen()
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -50,7 +50,9 @@
 	n.onRosterChanges(changes)
 	n.updateLeadership()
 	n.quotas.tick()
-	n.rateLimits.tick(n.responsiveShare())
+	share := n.responsiveShare()
+	n.rateLimits.tick(share)
+	n.rejectionLimits.tick(share)
 	n.feed.Expire()
 	for _, vm := range n.gossipPeers() {
 		go n.sendHeartbeat(vm)
@@ -145,6 +147,7 @@
 			n.quarantine.sendFindingsTo(c.VM)
 			go n.sendLeavingTargets(c.VM, n.feed.Leaving())
 			n.rateLimits.sendLimitsTo(c.VM)
+			n.rejectionLimits.sendLimitsTo(c.VM)
 		}
 		n.log.PeerChanged(string(c.VM), c.Old, c.New, c.UnresponsiveFor)
 		if c.New == roster.Suspect.String() || c.New == "" {
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -14,6 +14,7 @@
 		n.log.TargetNotice(target, notice.Leaving, notice.Backoff)
 	}
 	n.rateLimits.observeAnswer(target, notice.RateLimit, d)
+	n.rejectionLimits.observeAnswer(target, notice.RejectionLimit, d)
 	if notice.Leaving && n.feed.MarkLeaving(target) {
 		n.log.TargetNotice(target, notice.Leaving, notice.Backoff)
 		for _, vm := range n.livePeers() {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -76,7 +76,7 @@
 		return emptyReply()
 	case *schema.Call_RateLimits:
 		for _, m := range body.RateLimits.Limits {
-			n.rateLimits.handleReport(from, m)
+			n.limitsOf(m.Kind).handleReport(from, m)
 		}
 		return emptyReply()
 	case *schema.Call_Heartbeat:
--- a/internal/edge/queues.go
+++ b/internal/edge/queues.go
@@ -67,11 +67,13 @@
 	}
 }
 
-// newQueue returns an empty queue with the current rate limits of targets.
+// newQueue returns an empty queue with the current limits of targets.
 func (qs *queues) newQueue() *servicequeue.Queue {
 	queue := servicequeue.New()
 	rates, share := qs.node.rateLimits.current()
 	queue.SetRates(qs.node.now(), rates, share)
+	rejections, share := qs.node.rejectionLimits.current()
+	queue.SetRejectionLimits(qs.node.now(), rejections, share)
 	return queue
 }
 
@@ -85,6 +87,7 @@
 		if leading {
 			sq.queue = qs.newQueue()
 			qs.deliver(sq, sq.queue.SetTargets(qs.node.now(), sq.queueTargets))
+			sq.queue.BecomeLeader(qs.node.now())
 		}
 	}
 }
@@ -159,7 +162,7 @@
 // deliver sends decisions to the waiting requests. qs.mu is held.
 func (qs *queues) deliver(sq *serviceQueue, actions []servicequeue.Action) {
 	for _, a := range actions {
-		delivered := sq.waiters.deliver(a.Key, sq.targets, qs.node.rateLimits.Limit(a.Target), &schema.Verdict{
+		delivered := sq.waiters.deliver(a.Key, sq.targets, qs.node.limitPair(a.Target), &schema.Verdict{
 			Target: a.Target, RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
 			FeedRevision: uint64(sq.revision), FeedAgeMs: qs.node.feed.Age().Milliseconds(),
 		})
--- a/internal/edge/ratelimits_test.go
+++ b/internal/edge/ratelimits_test.go
@@ -16,7 +16,7 @@
 // rateLimitNode returns a VM that is the leader if leading is set; otherwise VM b is the leader.
 func rateLimitNode(t *testing.T, leading bool) (n *Node, now *time.Time) {
 	n, now = disconnectedNode(t)
-	n.rateLimits = newRateLimits(n)
+	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
 	vm := coord.VMID("b")
 	if leading {
 		vm = "a"
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
-	"github.com/junctionfold/junctionfold/coord/ratelimit"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -66,6 +65,8 @@
 		ss.services[name] = sc
 		rates, share := ss.node.rateLimits.current()
 		sc.scheduler.SetRates(now, rates, share)
+		rejections, share := ss.node.rejectionLimits.current()
+		sc.scheduler.SetRejectionLimits(now, rejections, share)
 		sc.scheduler.SetLeading(now, ss.leading, nil)
 		sc.scheduler.SetLease(now, ss.fencingToken)
 	}
@@ -269,9 +270,9 @@
 	for _, a := range actions {
 		switch a.Kind {
 		case scheduler.ActGrant:
-			sc.deliver(a, ss.node.rateLimits.Limit(a.Target), ss.node.feed.Age())
+			sc.deliver(a, ss.node.limitPair(a.Target), ss.node.feed.Age())
 		case scheduler.ActRefuse:
-			sc.deliver(a, ss.node.rateLimits.Limit(a.Target), ss.node.feed.Age())
+			sc.deliver(a, ss.node.limitPair(a.Target), ss.node.feed.Age())
 			if a.Reason != scheduler.ReasonNotLeader {
 				st := sc.scheduler.Stats()
 				ss.node.log.SchedulerRefused(string(a.Key.VM), a.Key.Ticket, sc.service, a.Reason, st.Waiting, st.Loads, st.MaxLoads)
@@ -291,8 +292,8 @@
 
 // deliver sends a decision to the request that waits for it. age is the age of this VM's copy of
 // the store.
-func (sc *serviceScheduler) deliver(a scheduler.Action, limit ratelimit.Limit, age time.Duration) {
-	sc.waiters.deliver(a.Key, sc.targets, limit, &schema.Verdict{
+func (sc *serviceScheduler) deliver(a scheduler.Action, limits limitPair, age time.Duration) {
+	sc.waiters.deliver(a.Key, sc.targets, limits, &schema.Verdict{
 		Target: a.Target, AdapterVersion: a.Version, Priority: int32(a.Priority), RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
 		FeedRevision: uint64(sc.revision), FeedAgeMs: age.Milliseconds(),
 	})
--- a/internal/edge/ratelimits.go
+++ b/internal/edge/targetlimits.go
@@ -2,23 +2,21 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
-	"github.com/junctionfold/junctionfold/coord/scheduler"
-	"github.com/junctionfold/junctionfold/coord/servicequeue"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/gateway"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
-// rateLimits holds the targets that limit the rate of their requests. The leader paces the
-// requests; the VMs that receive answers report the limits in them to it. The other VMs keep a copy
-// for when they become the leader or there is none. Lock order: applyMu, then schedulers.mu or
-// queues.mu, then mu.
-type rateLimits struct {
+// targetLimits holds the limits of one kind that targets announce. The leader places requests within
+// them; the VMs that receive answers report the limits in them to it. The other VMs keep a copy for
+// when they become the leader or there is none. Lock order: applyMu, then schedulers.mu or queues.mu,
+// then mu.
+type targetLimits struct {
 	node *Node
+	kind limitKind
 
 	// applyMu makes changes reach the schedulers and queues in order.
 	applyMu sync.Mutex
@@ -33,28 +31,32 @@
 // one above 1/broadcastBelow of the previous limit.
 const broadcastBelow = 0.75
 
-func newRateLimits(n *Node) *rateLimits {
-	return &rateLimits{node: n, table: ratelimit.NewTable(n.tickets.Load()), share: 1}
+func newTargetLimits(n *Node, kind limitKind) *targetLimits {
+	return &targetLimits{node: n, kind: kind, table: ratelimit.NewTable(n.tickets.Load()), share: 1}
 }
 
-// observeAnswer applies the rate limit of an answer to this VM. d is the decision under which the
+// observeAnswer applies the limit of an answer to this VM. d is the decision under which the
 // answered request was sent; nil if it is unknown or there was none. A new or lower limit is in
 // force here at once. A higher or ended limit is reported to the VM that made the decision, which
 // can tell whether the answer is more recent than the known limit.
-func (rl *rateLimits) observeAnswer(target string, limit fleet.RateLimit, d *gateway.Decision) {
+func (rl *targetLimits) observeAnswer(target string, limit fleet.RateLimit, d *gateway.Decision) {
+	var placedUnder ratelimit.Limit
+	if d != nil {
+		placedUnder = rl.kind.placedUnder(d)
+	}
 	unreadable := limit.Present && limit.PerSecond == fleet.InvalidRate
-	if unreadable || !limit.Present && (d == nil || d.RateLimit.Stamp == 0) {
+	if unreadable || !limit.Present && placedUnder.Stamp == 0 {
 		return
 	}
-	m := &schema.RateLimit{Target: target, PerSecond: limit.PerSecond, Ended: !limit.Present}
+	m := &schema.RateLimit{Target: target, PerSecond: limit.PerSecond, Ended: !limit.Present, Kind: rl.kind.id}
 	if limit.Present && rl.observeLimit(target, limit.PerSecond) {
 		rl.broadcast(m)
 		return
 	}
-	if d == nil || limit.Present && d.RateLimit.Stamp != 0 && d.RateLimit.PerSecond == limit.PerSecond {
+	if d == nil || limit.Present && placedUnder.Stamp != 0 && placedUnder.PerSecond == limit.PerSecond {
 		return
 	}
-	m.Stamp = d.RateLimit.Stamp
+	m.Stamp = placedUnder.Stamp
 	if coord.VMID(d.DecidedBy) == coord.VMID(rl.node.settings.Vm.Id) {
 		rl.handleReport(coord.VMID(d.DecidedBy), m)
 		return
@@ -64,7 +66,7 @@
 
 // observeLimit applies a limit if it is new or lower than the known one. It reports whether all VMs
 // are to be notified.
-func (rl *rateLimits) observeLimit(target string, perSecond float64) (notifyAll bool) {
+func (rl *targetLimits) observeLimit(target string, perSecond float64) (notifyAll bool) {
 	rl.mu.Lock()
 	before := rl.table.Limit(target)
 	changed := rl.table.ObserveLimit(rl.node.now(), target, perSecond, 0)
@@ -72,14 +74,14 @@
 	if !changed {
 		return false
 	}
-	rl.node.log.RateLimitAnnounced(target, perSecond)
+	rl.kind.logAnnounced(rl.node.log, target, perSecond)
 	rl.apply()
 	return before.Stamp == 0 || perSecond < broadcastBelow*before.PerSecond
 }
 
 // handleReport applies a limit that another VM reported, or that this VM saw in the answer to a
 // request under its own decision. A limit in force (InForce) is accepted only from the leader.
-func (rl *rateLimits) handleReport(from coord.VMID, m *schema.RateLimit) {
+func (rl *targetLimits) handleReport(from coord.VMID, m *schema.RateLimit) {
 	leading := rl.node.isLeader()
 	now := rl.node.now()
 	rl.mu.Lock()
@@ -104,37 +106,36 @@
 	}
 	rl.apply()
 	if leading && (m.Ended || m.PerSecond > before.PerSecond/broadcastBelow) && before.Stamp != 0 {
-		rl.broadcast(&schema.RateLimit{Target: m.Target, PerSecond: m.PerSecond, Ended: m.Ended, InForce: true})
+		rl.broadcast(&schema.RateLimit{Target: m.Target, PerSecond: m.PerSecond, Ended: m.Ended, InForce: true, Kind: rl.kind.id})
 	}
 }
 
-func (rl *rateLimits) logChange(m *schema.RateLimit) {
+func (rl *targetLimits) logChange(m *schema.RateLimit) {
 	if m.Ended {
-		rl.node.log.RateLimitEnded(m.Target)
+		rl.kind.logEnded(rl.node.log, m.Target)
 		return
 	}
-	rl.node.log.RateLimitAnnounced(m.Target, m.PerSecond)
+	rl.kind.logAnnounced(rl.node.log, m.Target, m.PerSecond)
 }
 
 // apply passes the limits to the schedulers and queues.
-func (rl *rateLimits) apply() {
+func (rl *targetLimits) apply() {
 	rl.applyMu.Lock()
 	defer rl.applyMu.Unlock()
 	rates, share := rl.current()
-	rl.node.schedulers.setRates(rates, share)
-	rl.node.queues.setRates(rates, share)
+	rl.kind.apply(rl.node, rates, share)
 }
 
-// current returns the limits in force, in requests per second by target, and the share of the fleet
+// current returns the limits in force, per second by target, and the share of the fleet
 // that is responsive to this VM.
-func (rl *rateLimits) current() (rates map[string]float64, share float64) {
+func (rl *targetLimits) current() (rates map[string]float64, share float64) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	return rl.table.Rates(), rl.share
 }
 
 // tick updates the responsive share of the fleet and drops the limits of removed targets.
-func (rl *rateLimits) tick(share float64) {
+func (rl *targetLimits) tick(share float64) {
 	d := rl.node.feed.Directory()
 	rl.mu.Lock()
 	changed := rl.share != share && !rl.table.Empty()
@@ -147,19 +148,19 @@
 }
 
 // sendLimitsTo sends all limits to a VM that has started or is responsive again.
-func (rl *rateLimits) sendLimitsTo(vm coord.VMID) {
+func (rl *targetLimits) sendLimitsTo(vm coord.VMID) {
 	rates, _ := rl.current()
 	if len(rates) == 0 {
 		return
 	}
 	var all []*schema.RateLimit
 	for id, rate := range rates {
-		all = append(all, &schema.RateLimit{Target: id, PerSecond: rate})
+		all = append(all, &schema.RateLimit{Target: id, PerSecond: rate, Kind: rl.kind.id})
 	}
 	go rl.node.notify(vm, rateLimitsCall(all...))
 }
 
-func (rl *rateLimits) broadcast(m *schema.RateLimit) {
+func (rl *targetLimits) broadcast(m *schema.RateLimit) {
 	call := rateLimitsCall(m)
 	for _, vm := range rl.node.livePeers() {
 		go rl.node.notify(vm, call)
@@ -170,30 +171,16 @@
 	return &schema.Call{Body: &schema.Call_RateLimits{RateLimits: &schema.RateLimits{Limits: limits}}}
 }
 
-// Limit implements gateway.RateLimits.
-func (rl *rateLimits) Limit(target string) ratelimit.Limit {
+// Limit returns a target's limit as far as this VM knows.
+func (rl *targetLimits) Limit(target string) ratelimit.Limit {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	return rl.table.Limit(target)
 }
 
-// Limited implements gateway.RateLimits.
-func (rl *rateLimits) Limited() []string {
+// Limited lists the targets that have a limit.
+func (rl *targetLimits) Limited() []string {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	return rl.table.Targets()
 }
-
-// setRates replaces the rate limits of targets.
-func (ss *schedulers) setRates(rates map[string]float64, share float64) {
-	ss.each(func(sc *serviceScheduler, now time.Time) []scheduler.Action {
-		return sc.scheduler.SetRates(now, rates, share)
-	})
-}
-
-// setRates replaces the rate limits of targets.
-func (qs *queues) setRates(rates map[string]float64, share float64) {
-	qs.each(func(sq *serviceQueue, now time.Time) []servicequeue.Action {
-		return sq.queue.SetRates(now, rates, share)
-	})
-}
--- a/internal/edge/waiters.go
+++ b/internal/edge/waiters.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
-	"github.com/junctionfold/junctionfold/coord/ratelimit"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/schema"
 )
@@ -20,9 +19,9 @@
 	return decision
 }
 
-// deliver sends a request its decision, with the target's address and rate limit added. It reports
+// deliver sends a request its decision, with the target's address and limits added. It reports
 // whether the request was waiting.
-func (w waiters) deliver(key coord.RequestKey, targets map[string]*fleet.Target, limit ratelimit.Limit, v *schema.Verdict) bool {
+func (w waiters) deliver(key coord.RequestKey, targets map[string]*fleet.Target, limits limitPair, v *schema.Verdict) bool {
 	decision := w[key]
 	if decision == nil {
 		return false
@@ -31,7 +30,8 @@
 	if t := targets[v.Target]; t != nil {
 		v.Address = t.Address
 	}
-	v.LimitPerSecond, v.LimitStamp = limit.PerSecond, limit.Stamp
+	v.LimitPerSecond, v.LimitStamp = limits.rate.PerSecond, limits.rate.Stamp
+	v.RejectionsPerSecond, v.RejectionLimitStamp = limits.rejections.PerSecond, limits.rejections.Stamp
 	decision <- v
 	return true
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -274,6 +274,17 @@
 	l.info("rate_limit_ended", log.Fields{"target": target})
 }
 
+// RejectionLimitAnnounced records that a target announced a new or changed number of rejections per
+// second above which it crashes.
+func (l *Log) RejectionLimitAnnounced(target string, perSecond float64) {
+	l.info("target_brittle", log.Fields{"target": target, "rejections_per_second": perSecond})
+}
+
+// RejectionLimitEnded records that a target is no longer brittle.
+func (l *Log) RejectionLimitEnded(target string) {
+	l.info("target_brittle_ended", log.Fields{"target": target})
+}
+
 // ConfigAdopted records that a configuration version took effect on this VM.
 func (l *Log) ConfigAdopted(was, is uint64, routes, services int, revision fleet.Revision) {
 	l.info("config_adopted", log.Fields{
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -10,10 +10,13 @@
 	Backoff time.Duration
 	// RateLimit bounds the requests that the target accepts.
 	RateLimit RateLimit
+	// RejectionLimit bounds the requests that the target can reject for lack of capacity, from all
+	// VMs together: it crashes if it rejects more.
+	RejectionLimit RateLimit
 }
 
-// RateLimit bounds the requests that a target accepts from all VMs together. It applies for as long
-// as the target's answers carry it.
+// RateLimit is a limit per second that a target announces, over all VMs. It applies for as long as
+// the target's answers carry it.
 type RateLimit struct {
 	Present bool
 	// PerSecond is InvalidRate if the limit could not be parsed.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -50,8 +50,8 @@
 	Exclude []string
 	// BackedOff lists the targets that currently accept no requests from this VM.
 	BackedOff []string
-	// RateLimited lists the targets that limit the rate of their requests. Only the leader may
-	// choose them.
+	// RateLimited lists the targets that limit the rate of their requests or are brittle. Only the
+	// leader may choose them.
 	RateLimited []string
 }
 
@@ -83,4 +83,6 @@
 	// RateLimit is the limit under which the target was granted; its Stamp is 0 if the target has
 	// none.
 	RateLimit ratelimit.Limit
+	// RejectionLimit is that of rejections, with which the target crashes.
+	RejectionLimit ratelimit.Limit
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,7 +59,7 @@
 	// OnNotice handles what a target reports about itself beside a response. decision is the one on
 	// which the answered request was sent; nil: unknown. It must not block.
 	OnNotice func(target string, notice fleet.Notice, decision *Decision)
-	// RateLimits reports which targets limit the rate of their requests.
+	// RateLimits reports which targets only the leader may choose.
 	RateLimits RateLimits
 	// CheckSuspension checks whether this VM was suspended. From then on Now and all ages include
 	// the suspension.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -248,7 +248,7 @@
 type fixedRateLimits map[string]ratelimit.Limit
 
 func (l fixedRateLimits) Limit(target string) ratelimit.Limit { return l[target] }
-func (l fixedRateLimits) Limited() []string                   { return slices.Sorted(maps.Keys(l)) }
+func (l fixedRateLimits) Limited(string) []string             { return slices.Sorted(maps.Keys(l)) }
 
 func newFixture(t *testing.T, backends ...*backend) *fixture {
 	dir := &feed.Directory{Config: testConfig(), Targets: map[string]*fleet.Target{}}
--- a/internal/gateway/limited.go
+++ b/internal/gateway/limited.go
@@ -8,12 +8,13 @@
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
 )
 
-// RateLimits reports which targets limit the rate of their requests.
+// RateLimits reports which targets only the leader may choose.
 type RateLimits interface {
-	// Limit returns a target's limit as far as this VM knows.
+	// Limit returns a target's rate limit as far as this VM knows.
 	Limit(target string) ratelimit.Limit
-	// Limited lists the targets that have a limit.
-	Limited() []string
+	// Limited lists the targets of a service that have a rate limit, and all of a service that has
+	// brittle ones.
+	Limited(service string) []string
 }
 
 // errRateLimited means that the target was chosen by a VM that did not know of its rate limit yet.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -83,7 +83,7 @@
 	r := &AdmitRequest{
 		Service: x.service.Name, Plain: true, Team: x.teamName(), Cost: x.cost(runs), Request: &x.req, Route: x.route,
 		Deadline: x.deadline, Content: x.digest, Exclude: exclude, BackedOff: x.g.backedOffTargets(),
-		RateLimited: x.g.cfg.RateLimits.Limited(),
+		RateLimited: x.g.cfg.RateLimits.Limited(x.service.Name),
 	}
 	if x.route.LatencyObjective > 0 {
 		r.FirstEventDeadline = x.startedAt.Add(x.route.LatencyObjective - x.requestAge)
