Count no rejection where a VM lacks a connection

A VM that may open no further connection to a target reports the same ending as for a rejection by the target. Cause: ENDING_BUSY stood for both. The bound of a brittle target would fall with each VM that lacks a connection, and plain targets of the whole service would lose their extra request, though no target rejected anything. Fleets of many VMs have two connections a target each, so a third request of one VM is enough.

Change: an ending of its own, no_connection, that is treated as busy except that it is no rejection by the target.

Evidence: TestMissingConnectionIsNoRejection (scheduler, queue) fails while the new ending counts as a rejection, and passes now.

Conclusion: fixed. That this ending also counts as a late load of the adapter, as busy does, was left as it is.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -39,6 +39,8 @@
 	Abandoned
 	// Disconnected: failed, because the connection was lost.
 	Disconnected
+	// NoConnection: not run, because the VM may open no further connection to the target.
+	NoConnection
 )
 
 const (
@@ -78,7 +80,7 @@
 
 // String returns the ending's name for logs.
 func (e Ending) String() string {
-	return [...]string{"ok", "busy", "failed", "hung", "unreachable", "abandoned", "broke"}[e]
+	return [...]string{"ok", "busy", "failed", "hung", "unreachable", "abandoned", "broke", "no_connection"}[e]
 }
 
 // Balancer holds one VM's statistics of targets.
@@ -148,7 +150,7 @@
 		s.observe(0, duration)
 	case Failed, Disconnected:
 		s.observe(1, s.latency)
-	case Busy:
+	case Busy, NoConnection:
 		s.ejectedUntil = now.Add(busyEjection)
 	case TimedOut:
 		s.observe(1, max(duration, s.latency))
--- a/coord/scheduler/brittle_test.go
+++ b/coord/scheduler/brittle_test.go
@@ -57,6 +57,22 @@
 	h.expectActions(ActGrant)
 }
 
+// TestMissingConnectionIsNoRejection checks that a VM that may open no further connection to a target
+// does not lower the load of the target.
+func TestMissingConnectionIsNoRejection(t *testing.T) {
+	h := newHarness(t, config(3), nil)
+	h.advance(10 * time.Second)
+	h.setRejectionLimits(map[string]float64{"t0": 0})
+	for range 7 {
+		h.submit("")
+	}
+	h.collect(h.s.Done(h.now, h.submit(""), EndedNoConnection))
+	h.submit("")
+	acts := h.drain()
+	assert.Equal(t, acts[len(acts)-1].Kind, ActGrant)
+	assert.Equal(t, len(acts), 9)
+}
+
 // TestTargetsAreUnboundedAfterBrittleness checks that the bound ends with the announcement.
 func TestTargetsAreUnboundedAfterBrittleness(t *testing.T) {
 	h := newHarness(t, config(3), nil)
--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -52,7 +52,7 @@
 		s.speed.ObserveStream(now.Sub(g.firstEventAt))
 	}
 	switch ending {
-	case EndedMisrouted, EndedBusy:
+	case EndedMisrouted, EndedBusy, EndedNoConnection:
 		s.handleNotRun(now, g, ending)
 	case EndedAbandoned, EndedFailed, EndedDisconnected:
 		g.target.pinAborted(now, g.ref)
--- a/coord/scheduler/health.go
+++ b/coord/scheduler/health.go
@@ -32,7 +32,7 @@
 		h.recordFailures(now, 1)
 	case EndedUnreachable:
 		h.recordFailures(now, ejectAfterFailures)
-	case EndedBusy, EndedMisrouted, EndedAbandoned, EndedWithdrawn:
+	case EndedBusy, EndedNoConnection, EndedMisrouted, EndedAbandoned, EndedWithdrawn:
 		h.probing = false
 	}
 }
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -75,11 +75,13 @@
 	EndedWithdrawn
 	// EndedDisconnected: the target failed and its connection broke.
 	EndedDisconnected
+	// EndedNoConnection: not run; the VM may open no further connection to the target.
+	EndedNoConnection
 )
 
 // String returns the name that logs use.
 func (e Ending) String() string {
-	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned", "withdrawn", "broke"}[e]
+	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned", "withdrawn", "broke", "no_connection"}[e]
 }
 
 // ActionKind is the kind of an action.
--- a/coord/servicequeue/brittle_test.go
+++ b/coord/servicequeue/brittle_test.go
@@ -47,6 +47,17 @@
 	assert.Equal(t, len(h.fill()["a"]), 1)
 }
 
+// TestMissingConnectionIsNoRejection checks that a VM that may open no further connection to a target
+// does not lower the load of the target.
+func TestMissingConnectionIsNoRejection(t *testing.T) {
+	h := newHarness()
+	h.queue.SetRejectionLimits(h.now, map[string]float64{"a": 0}, 1)
+	keys := h.fill()["a"]
+	h.queue.Done(h.now, keys[1], balance.NoConnection, 0)
+	h.now = h.now.Add(time.Second)
+	assert.Equal(t, len(h.fill()["a"]), 1)
+}
+
 // TestExcessOverBrittleTargetsIsRefusedWithSpreadRetryDelays checks that requests for which there is
 // no room in time are refused at once.
 func TestExcessOverBrittleTargetsIsRefusedWithSpreadRetryDelays(t *testing.T) {
--- a/internal/edge/endings.go
+++ b/internal/edge/endings.go
@@ -16,6 +16,7 @@
 	scheduler.EndedUnreachable:  schema.Ending_ENDING_UNREACHABLE,
 	scheduler.EndedAbandoned:    schema.Ending_ENDING_ABANDONED,
 	scheduler.EndedWithdrawn:    schema.Ending_ENDING_WITHDRAWN,
+	scheduler.EndedNoConnection: schema.Ending_ENDING_NO_CONNECTION,
 }
 
 var endings = inverse(protoEndings)
@@ -30,6 +31,7 @@
 	balance.Abandoned:    schema.Ending_ENDING_ABANDONED,
 	balance.Unreachable:  schema.Ending_ENDING_UNREACHABLE,
 	balance.TimedOut:     schema.Ending_ENDING_HUNG,
+	balance.NoConnection: schema.Ending_ENDING_NO_CONNECTION,
 }
 
 var plainEndings = inverse(protoPlainEndings)
@@ -46,5 +48,5 @@
 // notRun holds the endings after which a request has certainly not run.
 var notRun = map[schema.Ending]bool{
 	schema.Ending_ENDING_BUSY: true, schema.Ending_ENDING_MISPLACED: true,
-	schema.Ending_ENDING_UNREACHABLE: true, schema.Ending_ENDING_WITHDRAWN: true,
+	schema.Ending_ENDING_UNREACHABLE: true, schema.Ending_ENDING_WITHDRAWN: true, schema.Ending_ENDING_NO_CONNECTION: true,
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -121,7 +121,7 @@
 		x.recordNotRun(decision, scheduler.EndedWithdrawn, 0, err)
 		return true
 	case errors.Is(err, hop.ErrNoConnection):
-		x.recordNotRun(decision, scheduler.EndedBusy, 0, err)
+		x.recordNotRun(decision, scheduler.EndedNoConnection, 0, err)
 		return true
 	case errors.Is(err, hop.ErrUnreachable):
 		x.recordNotRun(decision, scheduler.EndedUnreachable, 0, err)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -179,7 +179,7 @@
 	case errors.Is(a.err, hop.ErrWithdrawn):
 		return balance.Abandoned
 	case errors.Is(a.err, hop.ErrNoConnection):
-		return balance.Busy
+		return balance.NoConnection
 	case !a.sent:
 		return balance.Unreachable
 	case a.err != nil && ctx.Err() != nil:
