--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -42,6 +42,8 @@
 	// Unverified: the response ended with its connection, which does not tell whether it was
 	// complete.
 	Unverified
+	// NoConnection: not run, because the VM may open no further connection to the target.
+	NoConnection
 )
 
 const (
@@ -82,7 +84,7 @@
 
 // String returns the ending's name for logs.
 func (e Ending) String() string {
-	return [...]string{"ok", "busy", "failed", "hung", "unreachable", "abandoned", "broke", "unverified"}[e]
+	return [...]string{"ok", "busy", "failed", "hung", "unreachable", "abandoned", "broke", "unverified", "no_connection"}[e]
 }
 
 // Balancer holds one VM's statistics of targets.
@@ -159,7 +161,7 @@
 		s.observe(0, duration)
 	case Failed, Disconnected:
 		s.observe(1, s.latency)
-	case Busy:
+	case Busy, NoConnection:
 		s.ejectedUntil = now.Add(busyEjection)
 	case TimedOut:
 		s.observe(1, max(duration, s.latency))
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -88,6 +88,9 @@
 		s.refuse(r, "caller_leaves", noTargetRetryDelay)
 		return true
 	}
+	if _, exhausted := s.knownCapacity(now, r); exhausted {
+		return s.waitOrRefuse(now, r)
+	}
 	replica, replicaDelay, anyUsable := s.bestReplica(now, r)
 	if !anyUsable {
 		return s.waitOrRefuse(now, r)
@@ -204,7 +207,7 @@
 	t.recentGrants.add(now)
 	g := &grant{
 		target: t, ref: r.Ref, tokens: r.PromptTokens + r.OutputTokens,
-		pendingPrompt: prompt, deadline: r.Deadline, grantedAt: now,
+		pendingPrompt: prompt, deadline: r.Deadline, grantedAt: now, inFlight: t.running,
 	}
 	t.tokens += g.tokens
 	t.rememberPrompt(now, r)
--- a/internal/edge/endings.go
+++ b/internal/edge/endings.go
@@ -17,6 +17,7 @@
 	scheduler.EndedAbandoned:    schema.Ending_ENDING_ABANDONED,
 	scheduler.EndedWithdrawn:    schema.Ending_ENDING_WITHDRAWN,
 	scheduler.EndedUnverified:   schema.Ending_ENDING_UNVERIFIED,
+	scheduler.EndedNoConnection: schema.Ending_ENDING_NO_CONNECTION,
 }
 
 var endings = inverse(protoEndings)
@@ -32,6 +33,7 @@
 	balance.Unreachable:  schema.Ending_ENDING_UNREACHABLE,
 	balance.TimedOut:     schema.Ending_ENDING_HUNG,
 	balance.Unverified:   schema.Ending_ENDING_UNVERIFIED,
+	balance.NoConnection: schema.Ending_ENDING_NO_CONNECTION,
 }
 
 var plainEndings = inverse(protoPlainEndings)
@@ -48,5 +50,5 @@
 // notRun holds the endings after which a request has certainly not run.
 var notRun = map[schema.Ending]bool{
 	schema.Ending_ENDING_BUSY: true, schema.Ending_ENDING_MISPLACED: true,
-	schema.Ending_ENDING_UNREACHABLE: true, schema.Ending_ENDING_WITHDRAWN: true,
+	schema.Ending_ENDING_UNREACHABLE: true, schema.Ending_ENDING_WITHDRAWN: true, schema.Ending_ENDING_NO_CONNECTION: true,
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -93,7 +93,7 @@
 	r := &AdmitRequest{
 		Service: x.service.Name, Plain: true, Team: x.teamName(), Cost: x.cost(runs), Request: &x.req, Route: x.route,
 		Deadline: x.deadline, Content: x.digest, Exclude: exclude, BackedOff: x.g.backedOffTargets(),
-		RateLimited: x.g.cfg.RateLimits.Limited(),
+		RateLimited: x.g.cfg.RateLimits.Limited(x.service.Name),
 	}
 	if x.route.LatencyObjective > 0 {
 		r.FirstEventDeadline = x.startedAt.Add(x.route.LatencyObjective - x.requestAge)
@@ -202,7 +202,7 @@
 	case errors.Is(a.err, hop.ErrWithdrawn):
 		return balance.Abandoned
 	case errors.Is(a.err, hop.ErrNoConnection):
-		return balance.Busy
+		return balance.NoConnection
 	case !a.sent:
 		return balance.Unreachable
 	case a.err != nil && a.ctx.Err() != nil:
