servicequeue: hung requests of a VM without paths may still run at brittle targets

Cause: two parts met in the merge: the slot of a hung request is freed early, and a brittle target must count a request that its VM gave up for as long as the target may still run it.

Change: freeing such a slot counts as giving the request up.

Evidence: by reading; the tests of the package pass. Not shown by a test of its own.

--- a/coord/servicequeue/witness.go
+++ b/coord/servicequeue/witness.go
@@ -100,6 +100,7 @@
 			g := q.grants[key]
 			q.release(key, g)
 			q.balancer.Done(now, g.target, balance.Abandoned, 0)
+			q.recordGivenUp(now, g.target, balance.Abandoned)
 		}
 	}
 }
