--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -49,6 +49,8 @@
 	Trim     func(fleet.Item) fleet.Item
 	// Clocks reads the clocks of the machine.
 	Clocks clock.Source
+	// DialTarget opens connections for requests to targets; nil: those of the dialer.
+	DialTarget fleet.DialFunc
 }
 
 // Timing and sizes of the protocols between VMs.
@@ -212,6 +214,9 @@
 	})
 	n.pool = hop.New(func() { metrics.Dials.Add(1) })
 	n.pool.Now = n.now
+	if p.DialTarget != nil {
+		n.pool.Dial = p.DialTarget
+	}
 	n.gateway = gateway.New(gateway.Config{
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: n.pool,
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -18,12 +18,18 @@
 // response.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
+func dialTCP(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // Pool is a pool of connections to targets.
 type Pool struct {
 	mu      sync.Mutex
 	targets map[string]*targetConns
 	// OnDial, if set, is called before each connection attempt.
 	OnDial func()
+	// Dial opens TCP connections, which must implement syscall.Conn.
+	Dial func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
 	// Now returns the time against which idle connections expire.
 	Now func() time.Time
 	// afterFunc is time.AfterFunc; tests replace it.
@@ -50,7 +56,7 @@
 
 // New returns an empty Pool.
 func New(onDial func()) *Pool {
-	return &Pool{targets: map[string]*targetConns{}, OnDial: onDial, Now: time.Now, afterFunc: time.AfterFunc}
+	return &Pool{targets: map[string]*targetConns{}, OnDial: onDial, Dial: dialTCP, Now: time.Now, afterFunc: time.AfterFunc}
 }
 
 // acquire returns an idle connection, or a new one.
@@ -99,7 +105,7 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	raw, err := d.DialContext(ctx, "tcp", r.Address)
+	raw, err := p.Dial(ctx, &d, r.Address)
 	if err != nil {
 		p.releaseSlot(r.Key)
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", r.Key), ErrUnreachable)
@@ -169,7 +175,7 @@
 // a broken link still delays are then never delivered: the request must not run after it
 // was abandoned.
 func (p *Pool) reset(c *conn) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is already closed
 	}
 	p.discard(c)
