Let requests to targets go through another transport than the pool

A VM without paths to targets can only refuse: the front end sends through hop.Pool alone.

Change: gateway.Config.Pool is an interface, Transport. Its new errors are hop.ErrNoPath (nothing was sent, nothing is known about the target) and hop.ErrRelayLost (may have run, nothing is known about the target): both end an attempt as withdrawn or abandoned, never as a failure of the target, and ErrNoPath consumes no retry budget. hop.NewResponse makes a response of an answer from elsewhere. Forward carries what a relay needs to check and to send a request, AnswerHead how the target delimits the body. A connection attempt takes at most half of the time left, and the time left is encoded anew after it. A pool reports the results of its connection attempts, and marks requests whose bytes were being retransmitted when their context ended.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -132,6 +132,8 @@
 	// target's state in that copy: ready, draining, gone or unknown.
 	SenderCopy  StoreCopy
 	TargetState string
+	// Via is the VM that relayed the request; empty: none.
+	Via string
 	// RateLimit is the target's rate limit that applied to the placement, in requests per
 	// second; 0 means none.
 	RateLimit float64
@@ -141,7 +143,7 @@
 	f["placed_revision"], f["placed_age_ms"] = s.PlacementCopy.Revision, s.PlacementCopy.Age.Milliseconds()
 	f["verdict_lag_ms"], f["connect_ms"] = s.DecisionDelay.Milliseconds(), s.Connect.Milliseconds()
 	f["sender_revision"], f["sender_age_ms"] = s.SenderCopy.Revision, s.SenderCopy.Age.Milliseconds()
-	f["target_state"], f["rate_limit"] = s.TargetState, s.RateLimit
+	f["target_state"], f["rate_limit"], f["via"] = s.TargetState, s.RateLimit, s.Via
 	return f
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -17,6 +17,13 @@
 	Data(part []byte) error
 }
 
+// FramingSink is a Sink that is told how a target delimits the body of its response, if this is
+// known. Framing is called before Head.
+type FramingSink interface {
+	Sink
+	Framing(length int64, closeDelimited bool)
+}
+
 // Result is the result of an attempt. The response is complete only if Failure is nil.
 type Result struct {
 	Failure *schema.Failure
@@ -55,6 +62,16 @@
 	CodeRecordsFull       = "outcome_records_full"
 	CodeUnknownService    = "service_not_found"
 	CodeVersionRequired   = "version_required"
+	// CodeRelayUnavailable: the VM relays no requests, because it drains or cannot reach targets.
+	CodeRelayUnavailable = "relay_unavailable"
+	// CodeNoConnection: all connections that the VM may open to the target are in use.
+	CodeNoConnection = "no_connection"
+	// CodeWithdrawn: the request was withdrawn before it was sent.
+	CodeWithdrawn = "withdrawn"
+	// CodeTargetDisconnected: the target closed the connection before the response was complete.
+	CodeTargetDisconnected = "target_disconnected"
+	// CodeTargetFailed: the exchange with the target failed in another way.
+	CodeTargetFailed = "target_failed"
 )
 
 // FailedResult returns the Result of a failed attempt.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -58,44 +58,35 @@
 	info := &x.logEntry.Sent
 	info.Connect = connectTime
 	info.SenderCopy = x.storeCopy()
-	info.TargetState = x.targetState(target)
+	info.TargetState = x.g.targetState(target, info.SenderCopy.Revision, info.PlacementCopy.Revision)
 	switch {
 	case x.remaining() <= 0:
-		return x.withdraw(errDeadlinePassed)
+		return errDeadlinePassed
 	case x.g.isBackedOff(target):
-		return x.withdraw(errBackedOff)
-	case info.TargetState == stateGone || info.TargetState == fleet.TargetDraining.String():
-		return x.withdraw(errDraining)
+		return errBackedOff
+	case isDrainingOrGone(info.TargetState):
+		return errDraining
 	case x.g.cfg.DrainBounds.isStale(info.DecisionDelay, info.SenderCopy.Age):
-		return x.withdraw(errStaleDecision)
+		return errStaleDecision
 	}
-	if err := x.checkRateLimit(target); err != nil {
-		return x.withdraw(err)
-	}
-	return nil
+	return x.checkRateLimit(target)
 }
 
-// withdraw counts an attempt that is not sent. It consumes no retry budget, because nothing reaches
-// the target.
-func (x *exchange) withdraw(err error) error {
-	x.logEntry.Attempts--
-	x.g.cfg.Metrics.Withdrawn.Add(1)
-	return err
+func isDrainingOrGone(state string) bool {
+	return state == stateGone || state == fleet.TargetDraining.String()
 }
 
 // targetState returns what this VM knows about a target when it sends to it. A target that its
-// directory lacks is gone if it was removed here, or if this VM's copy, recorded before the
-// directory lookup, is not older than the one on which the target was chosen. Otherwise the target
-// is unknown: its announcement has reached the VM that chose it, but not yet this one.
-func (x *exchange) targetState(target string) string {
-	dir := x.g.cfg.Directory.Directory()
+// directory lacks is gone if it was removed here, or if this VM's copy, whose revision was read
+// before the directory lookup, is not older than the one on which the target was chosen. Otherwise
+// the target is unknown: its announcement has reached the VM that chose it, but not yet this one.
+func (g *Gateway) targetState(target string, copied, placed fleet.Revision) string {
+	dir := g.cfg.Directory.Directory()
 	t := dir.Targets[target]
 	switch {
 	case t != nil:
 		return t.State.String()
-	case dir.Removed[target]:
-		return stateGone
-	case x.logEntry.Sent.SenderCopy.Revision >= x.logEntry.Sent.PlacementCopy.Revision:
+	case dir.Removed[target], copied >= placed:
 		return stateGone
 	}
 	return stateUnknown
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,15 @@
 	Revision() fleet.Revision
 }
 
+// Transport sends requests to targets. It is implemented by hop.Pool, and by transports that use other
+// VMs as relays.
+type Transport interface {
+	// Do sends a request and returns its response. Its errors are those of package hop.
+	Do(ctx context.Context, r *hop.Request) (*hop.Response, error)
+	// CloseIdle closes idle connections that have expired at now.
+	CloseIdle(now time.Time)
+}
+
 // Config holds the dependencies and settings of a Gateway.
 type Config struct {
 	VM        string
@@ -49,7 +58,7 @@
 	Codec     fleet.Codec
 	Directory Directory
 	Admission Admission
-	Pool      *hop.Pool
+	Pool      Transport
 	// Retry configures the retry budgets.
 	Retry retry.Config
 	// VMs returns how many VMs share the retry budgets and the connections to targets.
--- a/internal/gateway/limited.go
+++ b/internal/gateway/limited.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
+	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
 // RateLimits reports which targets limit the rate of their requests.
@@ -30,15 +31,20 @@
 // checkRateLimit returns an error if the target's rate limit forbids sending the request on the
 // current decision.
 func (x *exchange) checkRateLimit(target string) error {
-	decision := &x.decision
-	if decision.RateLimit.Stamp != 0 {
-		if x.g.cfg.Now().Sub(decision.DecidedAt) > maxGrantAge {
+	return x.g.checkRateLimit(target, x.placement())
+}
+
+// checkRateLimit returns an error if the target's rate limit forbids sending a request on the
+// decision that p describes.
+func (g *Gateway) checkRateLimit(target string, p hop.Placement) error {
+	if p.Paced {
+		if g.cfg.Now().Sub(p.DecidedAt) > maxGrantAge {
 			return errStaleDecision
 		}
 		return nil
 	}
-	limit := x.g.cfg.RateLimits.Limit(target)
-	if limit.Stamp != 0 && decision.DecidedAt.Before(limit.Since.Add(limitPropagation)) {
+	limit := g.cfg.RateLimits.Limit(target)
+	if limit.Stamp != 0 && p.DecidedAt.Before(limit.Since.Add(limitPropagation)) {
 		return errRateLimited
 	}
 	return nil
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -99,9 +99,9 @@
 }
 
 // recordFailedAttempt reports and logs the end of an attempt after which another one may follow.
-// The next attempt excludes the target unless the decision was merely stale.
+// The next attempt excludes the target unless the decision was merely stale, or this VM has no path.
 func (x *exchange) recordFailedAttempt(decision Decision, ending scheduler.Ending, status int, err error) {
-	if !errors.Is(err, errStaleDecision) {
+	if !errors.IsAny(err, errStaleDecision, hop.ErrNoPath) {
 		x.exclude = append(x.exclude, decision.Target)
 	}
 	x.g.cfg.Admission.Done(decision, ending)
@@ -117,7 +117,7 @@
 		x.g.cfg.Admission.Done(decision, scheduler.EndedAbandoned)
 		x.recordOutcome("abandoned", 0, "caller_left", err)
 		abort()
-	case errors.Is(err, hop.ErrWithdrawn):
+	case errors.IsAny(err, hop.ErrWithdrawn, hop.ErrNoPath):
 		x.recordNotRun(decision, scheduler.EndedWithdrawn, 0, err)
 		return true
 	case errors.Is(err, hop.ErrNoConnection):
@@ -141,8 +141,12 @@
 	return false
 }
 
-// failureEnding distinguishes a disconnect by the target from its other failures.
+// failureEnding distinguishes a disconnect by the target from its other failures, and from the loss
+// of a relay.
 func (x *exchange) failureEnding(err error) scheduler.Ending {
+	if errors.Is(err, hop.ErrRelayLost) {
+		return scheduler.EndedAbandoned
+	}
 	if x.isDisconnect(err) {
 		return scheduler.EndedDisconnected
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -32,16 +32,26 @@
 	x.logEntry.Attempts++
 	x.logEntry.Target = d.target
 	h := x.header.Clone()
-	remaining := x.remaining()
 	start := x.g.cfg.Now()
-	x.g.cfg.Codec.Encode(h, fleet.CallMetadata{
-		Target: d.target, Remaining: remaining, Priority: d.priority, AdapterVersion: d.adapterVersion, LastEventID: d.lastEventID, Team: x.teamName(),
-	})
+	encode := func() {
+		x.g.cfg.Codec.Encode(h, fleet.CallMetadata{
+			Target: d.target, Remaining: x.remaining(), Priority: d.priority, AdapterVersion: d.adapterVersion, LastEventID: d.lastEventID, Team: x.teamName(),
+		})
+	}
+	encode()
 	resp, err := x.g.cfg.Pool.Do(ctx, &hop.Request{
-		Key: d.target, Address: d.address, MaxConns: x.maxConnections(),
+		Key: d.target, Address: d.address, MaxConns: x.g.maxConnections(x.service),
 		Method: x.r.Method, Path: x.requestTarget, Host: x.r.Host, Header: h, Body: x.body,
 		AckTimeout: x.g.cfg.DrainBounds.InFlight,
-		BeforeSend: func() error { return x.checkBeforeSend(d.target, x.g.cfg.Now().Sub(start)) },
+		BeforeSend: func() error {
+			if err := x.checkBeforeSend(d.target, x.g.cfg.Now().Sub(start)); err != nil {
+				return err
+			}
+			encode() // the time left is shorter than before a failed connection attempt
+			return nil
+		},
+		ID: x.req.ID, Deadline: x.deadline, Placement: x.placement(),
+		OnRelay: func(vm string) { x.logEntry.Sent.Via = vm },
 		Matches: func(status int, h http.Header) bool {
 			notice, class := x.g.cfg.Codec.Notice(status, h), x.g.cfg.Codec.Classify(x.req.ID, status, h)
 			x.g.cfg.OnNotice(d.target, notice, x.decisionFor(class))
@@ -51,9 +61,20 @@
 	if err == nil {
 		x.logEntry.Framing = resp.Framing()
 	}
+	if errors.IsAny(err, hop.ErrWithdrawn, hop.ErrNoPath) {
+		x.logEntry.Attempts-- // nothing reached the target, so the next attempt consumes no retry budget
+		x.g.cfg.Metrics.Withdrawn.Add(1)
+	}
 	return resp, err
 }
 
+// placement describes the current decision to a VM that relays the request.
+func (x *exchange) placement() hop.Placement {
+	return hop.Placement{
+		DecidedAt: x.decision.DecidedAt, Paced: x.decision.RateLimit.Stamp != 0, Revision: uint64(x.decision.StoreCopy.Revision),
+	}
+}
+
 // decisionFor returns the decision on which the request was sent whose response has this class;
 // nil: the response is to another request, or may come from another process.
 func (x *exchange) decisionFor(class fleet.AnswerClass) *Decision {
@@ -69,12 +90,12 @@
 
 // maxConnections returns how many connections this VM may open to one target: its share, but at
 // least 2; 0: no limit.
-func (x *exchange) maxConnections() int {
-	usable := float64(x.service.MaxConnections) * (1 - connectionReserve)
+func (g *Gateway) maxConnections(s *fleet.Service) int {
+	usable := float64(s.MaxConnections) * (1 - connectionReserve)
 	if usable <= 0 {
 		return 0
 	}
-	return max(int(usable)/max(x.g.cfg.VMs(), 1), 2)
+	return max(int(usable)/max(g.cfg.VMs(), 1), 2)
 }
 
 // maxBufferedBytes is the size of the largest response that is buffered before it is forwarded.
--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -33,6 +33,22 @@
 	ackTimer *time.Timer
 }
 
+// Answer is the head and the body of a response that was not received by a Pool.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length and CloseDelimited are as in Response.
+	Length         int64
+	CloseDelimited bool
+	// Body returns io.EOF at its end, and is closed in any case.
+	Body io.ReadCloser
+}
+
+// NewResponse returns a Response for an answer from elsewhere.
+func NewResponse(a Answer) *Response {
+	return &Response{Status: a.Status, Header: a.Header, Length: a.Length, CloseDelimited: a.CloseDelimited, body: a.Body}
+}
+
 // send writes the request. A body of more than maxInlineBodyBytes is written in the
 // background while the response is read.
 func (r *Response) send(req *Request) error {
@@ -129,6 +145,10 @@
 // Close releases the connection. The connection returns to the pool if the response was
 // read to its end and no further data is buffered on it. Otherwise it is closed.
 func (r *Response) Close() {
+	if r.conn == nil {
+		_ = r.body.Close() // nothing is left to read
+		return
+	}
 	if r.stopContextFunc != nil {
 		r.stopContextFunc()
 	}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -19,7 +19,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Errors of Do that guarantee that nothing was sent to the target. After any other
+// Errors of Do, or of a transport that uses other VMs as relays, that guarantee that nothing was sent to the target. After any other
 // error, the request may have run.
 var (
 	// ErrUnreachable means that no connection could be made.
@@ -28,17 +28,33 @@
 	ErrNoConnection = errors.New("no connection to the target is free")
 	// ErrWithdrawn means that Request.BeforeSend returned an error.
 	ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
+	// ErrNoPath means that this VM and its relays have no path to the target, which other VMs may
+	// reach.
+	ErrNoPath = errors.New("no path to the target")
+)
+
+// Errors of requests that may have run.
+var (
+	// ErrRelayLost means that the VM that relayed the request was lost. Nothing is known about the
+	// target.
+	ErrRelayLost = errors.New("the relay was lost")
+	// ErrUnacknowledged marks the error of a request whose context ended while its bytes were being
+	// retransmitted without an acknowledgement.
+	ErrUnacknowledged = errors.New("the target did not acknowledge the request")
 )
 
 // NotSent reports whether an error of Do guarantees that nothing was sent.
 func NotSent(err error) bool {
-	return errors.IsAny(err, ErrUnreachable, ErrNoConnection, ErrWithdrawn)
+	return errors.IsAny(err, ErrUnreachable, ErrNoConnection, ErrWithdrawn, ErrNoPath)
 }
 
 // Timeouts and sizes of connections.
 const (
 	// dialTimeout bounds a connection attempt. Targets are a few milliseconds away.
 	dialTimeout = 700 * time.Millisecond
+	// maxDialShare is the share of the time left for a request that a connection attempt may take.
+	// The rest is left for another way to the target.
+	maxDialShare = 0.5
 	// idleTimeoutMargin is how long before the target's idle timeout a connection is
 	// closed. The target starts its timer earlier, by the network delay of its response.
 	idleTimeoutMargin = 700 * time.Millisecond
@@ -75,6 +91,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// DialTimeout bounds a connection attempt further than the default; 0: it does not.
+	DialTimeout time.Duration
 	// BeforeSend, if set, is called when a connection is available and nothing has been
 	// sent yet, since a new connection may take up to dialTimeout. If it returns an error,
 	// the request is not sent and Do returns the error marked as ErrWithdrawn.
@@ -87,9 +105,27 @@
 	AckTimeout time.Duration
 	// Matches reports whether a response belongs to this request.
 	Matches func(status int, h http.Header) bool
+	// ID, Deadline and Placement are for VMs that relay the request; Pool does not use them.
+	ID string
+	// Deadline is when the caller stops waiting.
+	Deadline  time.Time
+	Placement Placement
+	// OnRelay, if set, is called with the VM to which the request is sent to be relayed.
+	OnRelay func(vm string)
+}
+
+// Placement describes the decision that chose the target of a request.
+type Placement struct {
+	// DecidedAt is the earliest time at which the decision can have been made.
+	DecidedAt time.Time
+	// Paced is set if the decision keeps to the rate limit of the target.
+	Paced bool
+	// Revision is that of the copy of the store on which the target was chosen.
+	Revision uint64
 }
 
-func (r *Request) checkBeforeSend() error {
+// CheckBeforeSend calls BeforeSend and marks its error as ErrWithdrawn.
+func (r *Request) CheckBeforeSend() error {
 	if r.BeforeSend == nil {
 		return nil
 	}
@@ -106,18 +142,24 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := r.checkBeforeSend(); err != nil {
+	if err := r.CheckBeforeSend(); err != nil {
 		p.putUnused(c)
 		return nil, err
 	}
 	resp := &Response{pool: p, conn: c, ackTimer: p.applyAckTimeout(c, r.AckTimeout)}
-	resp.stopContextFunc = context.AfterFunc(ctx, func() { p.reset(c) })
-	if err := resp.send(r); err != nil {
-		resp.Close()
-		return nil, err
+	resp.stopContextFunc = context.AfterFunc(ctx, func() {
+		c.unacknowledged.Store(c.retransmits())
+		p.reset(c)
+	})
+	err = resp.send(r)
+	if err == nil {
+		err = resp.readHead(r)
 	}
-	if err := resp.readHead(r); err != nil {
+	if err != nil {
 		resp.Close()
+		if c.unacknowledged.Load() {
+			err = errors.Mark(err, ErrUnacknowledged)
+		}
 		return nil, err
 	}
 	return resp, nil
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -28,6 +28,9 @@
 	targets map[string]*targetConns
 	// OnDial, if set, is called before each connection attempt.
 	OnDial func()
+	// OnDialed, if set, is called with the key of the target and the result of each connection
+	// attempt, unless the context of the request ended early.
+	OnDialed func(key string, err error)
 	// Dial opens TCP connections, which must implement syscall.Conn.
 	Dial func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
 	// Now returns the time against which idle connections expire.
@@ -52,6 +55,8 @@
 	// ackTimeoutSet is true while the ack timeout of a request is set on the connection
 	// in place of defaultAckTimeout.
 	ackTimeoutSet atomic.Bool
+	// unacknowledged is set if bytes were being retransmitted when the context of the request ended.
+	unacknowledged atomic.Bool
 }
 
 // New returns an empty Pool.
@@ -99,13 +104,16 @@
 }
 
 func (p *Pool) dial(ctx context.Context, r *Request) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, r.dialTimeout(ctx))
 	defer cancel()
 	d := net.Dialer{Control: dialControl, KeepAliveConfig: keepAlive}
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	raw, err := p.Dial(ctx, &d, r.Address)
+	raw, err := p.Dial(dialCtx, &d, r.Address)
+	if p.OnDialed != nil && ctx.Err() == nil {
+		p.OnDialed(r.Key, err)
+	}
 	if err != nil {
 		p.releaseSlot(r.Key)
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", r.Key), ErrUnreachable)
@@ -113,6 +121,18 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), key: r.Key}, nil
 }
 
+// dialTimeout returns the timeout of a connection attempt for a request with the given context.
+func (r *Request) dialTimeout(ctx context.Context) time.Duration {
+	timeout := dialTimeout
+	if r.DialTimeout > 0 {
+		timeout = min(timeout, r.DialTimeout)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Duration(maxDialShare*float64(time.Until(deadline))))
+	}
+	return timeout
+}
+
 // dialControl sets the ack timeout of a new connection, which makes a connection to a
 // machine without power fail.
 func dialControl(_, _ string, raw syscall.RawConn) error {
@@ -157,6 +177,20 @@
 	c.ackTimeoutSet.Store(isShort)
 }
 
+// retransmits reports whether sent bytes are being retransmitted without an acknowledgement.
+func (c *conn) retransmits() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	var sockErr error
+	err = raw.Control(func(fd uintptr) {
+		info, sockErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	return err == nil && sockErr == nil && info.Unacked > 0 && info.Retransmits > 0
+}
+
 func (p *Pool) releaseSlot(key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -67,15 +67,21 @@
 	id      string
 	attempt uint32
 	seq     uint64
+	framing *schema.BodyFraming
 }
 
 // Head sends the status and the headers of the response.
 func (w *AnswerWriter) Head(status int, headers []*schema.Header) error {
 	return writeFrame(w.stream, &schema.Frame{Kind: &schema.Frame_Head{Head: &schema.AnswerHead{
-		RequestId: w.id, Attempt: w.attempt, Status: int32(status), Headers: headers,
+		RequestId: w.id, Attempt: w.attempt, Status: int32(status), Headers: headers, Framing: w.framing,
 	}}})
 }
 
+// Framing sets how the target delimits the body. It implements forward.FramingSink.
+func (w *AnswerWriter) Framing(length int64, closeDelimited bool) {
+	w.framing = &schema.BodyFraming{Length: length, CloseDelimited: closeDelimited}
+}
+
 // Data sends a part of the body.
 func (w *AnswerWriter) Data(part []byte) error {
 	w.seq++
@@ -228,6 +234,9 @@
 			return nil, errFrameMismatch
 		}
 		r.headReceived = true
+		if sink, ok := r.sink.(forward.FramingSink); ok && kind.Head.Framing != nil {
+			sink.Framing(kind.Head.Framing.Length, kind.Head.Framing.CloseDelimited)
+		}
 		return nil, r.sink.Head(int(kind.Head.Status), kind.Head.Headers)
 	case *schema.Frame_Data:
 		r.seq++
@@ -257,5 +266,5 @@
 // AnyVM is passed as the dialled VM when the VM at an address is not known in advance.
 const AnyVM coord.VMID = "*"
 
-var _ forward.Sink = (*AnswerWriter)(nil)
+var _ forward.FramingSink = (*AnswerWriter)(nil)
 var _ forward.Executor = (*Remote)(nil)
