Declare the interface of a VM's reachability of targets

All methods are without effect: no VM is named as a relay, so that every request goes to its target as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,9 +8,10 @@
 // orders.go sends their orders, admit.go requests decisions, running.go records the requests that
 // run, and leadermonitor.go detects an unresponsive leader. queues.go queues the requests to plain
 // services. quotas.go charges requests to their teams, ratelimits.go tracks the rate limits of
-// targets, and quarantine.go blocks contents that crash targets. join.go joins the fleet through
-// the seeds. suspension.go detects suspensions of this VM, and notices.go applies the notices that
-// targets send beside their answers.
+// targets, and quarantine.go blocks contents that crash targets. reachability.go records which targets
+// this VM cannot reach, and reachprobe.go probes them. join.go joins the fleet through the seeds.
+// suspension.go detects suspensions of this VM, and notices.go applies the notices that targets send
+// beside their answers.
 package edge
 
 import (
@@ -125,7 +126,8 @@
 	quotas     *quotas
 	quarantine *contentQuarantine
 	// rateLimits holds the rate limits that targets announced.
-	rateLimits *rateLimits
+	rateLimits   *rateLimits
+	reachability *reachability
 
 	// loggedDirectory is the last directory that was logged. The feed's callbacks are not
 	// concurrent.
@@ -200,6 +202,7 @@
 	n.quotas = newQuotas(n, s.Quota)
 	n.quarantine = newContentQuarantine(n)
 	n.rateLimits = newRateLimits(n)
+	n.reachability = newReachability(n)
 	n.mesh = peer.New(peer.Config{
 		Self: self, Zone: s.Vm.Zone, Incarnation: incarnation, DialTimeout: peerDialTimeout, AckTimeout: peerAckTimeout,
 	}, (*peerHandler)(n), n.peerAddress)
