--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -5,6 +5,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/reach"
+	"github.com/junctionfold/junctionfold/coord/rendezvous"
 )
 
 // maxRelays is the number of relays that relays returns.
@@ -19,7 +20,7 @@
 	table *reach.Table
 }
 
-func newReachability(n *Node) *reachability { return &reachability{node: n, table: reach.New()} }
+func newReachability(n *Node) *reachability { return &reachability{node: n, table: reach.New(rendezvous.Hash(n.settings.Vm.Id))} }
 
 // viaRelay reports whether requests to a target are to be sent through another VM. It returns false
 // when no other VM can relay.
