--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -267,7 +267,9 @@
 		Retry: retry.Config{Ratio: 0.2, Slack: 50}, VMs: func() int { return 1 },
 		Log: events.Discard(), Metrics: NewMetrics(), Now: time.Now,
 	})
-	x.server = httptest.NewServer(x.gateway)
+	x.server = httptest.NewUnstartedServer(x.gateway)
+	x.server.Config.ConnContext = WithConn
+	x.server.Start()
 	t.Cleanup(x.server.Close)
 	return x
 }
@@ -685,3 +687,18 @@
 		})
 	}
 }
+
+// TestLongChunkedAnswerLosesBytes checks an answer of unknown length that is too long to be buffered.
+func TestLongChunkedAnswerLosesBytes(t *testing.T) {
+	want := strings.Repeat("0123456789abcdef", 2*maxBufferedBytes/16)
+	a := newBackend(t, "a")
+	a.handler = func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).Flush() // omits the length
+		_, _ = io.WriteString(w, want)
+	}
+	x := newFixture(t, a)
+	resp, body := x.send(t, http.MethodPost, "/once/x", "prompt")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, len(body), len(want))
+	assert.Assert(t, body == want)
+}
