Move the leadership away from a VM that is isolated from the targets

Orders cannot be relayed, because a holder of orders is one VM. A leader that was cut off from all targets stayed the leader, since it was in contact with the store and the other VMs.

Change: VMs publish in the roster whether they are isolated. Isolated VMs are no leader candidates unless all live VMs are isolated; a leader steps down while another candidate is not isolated. The successor then waits the whole lease, also where engines check fencing tokens: the leader was in touch and may have sent orders until then. The VMs that watch the store are chosen as before, whether isolated or not.

Which VM is expected to acquire the leadership now changes while nobody holds it. A VM that has returned, or that replaces a live VM, therefore waits anew: the other may have acquired it, with its claim in transit.

Where engines check tokens, a leader that finds itself isolated by mistake costs the fleet a lease without loads.

--- a/coord/leadership/leadership.go
+++ b/coord/leadership/leadership.go
@@ -17,10 +17,12 @@
 //
 // Only VMs with enough capacity become leader, because the leader works for all other
 // VMs. The leader keeps its role while it is live: a VM that returns does not take
-// leadership back.
+// leadership back. A leader that is isolated from the targets steps down if another
+// candidate is not, because orders cannot be relayed.
 package leadership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
@@ -69,7 +71,16 @@
 	// began or ended; initially the start of this process.
 	lastClaim time.Time
 	leader    coord.VMID
-	rejected  bool
+	// expected is the VM that should have acquired leadership next, as of the last update; empty
+	// while there is a claim.
+	expected coord.VMID
+	rejected bool
+	// claimant is the VM whose claim was last received.
+	claimant coord.VMID
+	// handedOver reports whether that VM is live and has given up its claim because it is isolated.
+	handedOver bool
+	// handoverWait replaces lease after such a claim.
+	handoverWait time.Duration
 	// settledAt is when this VM has been up for long enough to know the other VMs.
 	settledAt time.Time
 	// enginesCheckTokens reports whether engines reject lower fencing tokens.
@@ -93,9 +104,14 @@
 func New(now time.Time, self coord.VMID, name string, lease time.Duration, enginesCheckTokens bool) *Machine {
 	return &Machine{
 		self: self, key: rendezvous.Hash(name), lease: lease, lastClaim: now, settledAt: now.Add(settleTime), enginesCheckTokens: enginesCheckTokens,
+		handoverWait: lease,
 	}
 }
 
+// SetHandoverWait sets the waiting time after the claim of a leader that steps down because it is
+// isolated. Unlike one that has failed, it may have sent orders until then.
+func (m *Machine) SetHandoverWait(d time.Duration) { m.handoverWait = d }
+
 // Phase returns the current phase.
 func (m *Machine) Phase() Phase { return m.phase }
 
@@ -117,11 +133,16 @@
 // the store's revision and call Acquire.
 func (m *Machine) Update(now time.Time, r *roster.Roster) (acquire bool) {
 	claimant := m.highestClaim(now, r)
+	excluded := isExcluded(r)
+	if excluded || r.Self().Isolated && m.expected != m.self {
+		m.lastClaim = now // a VM that returns waits like one that starts
+	}
 	switch {
-	case m.phase == Leading && (m.highestSeen > m.token || m.rejected || r.Self().Leaving):
+	case m.phase == Leading && (m.highestSeen > m.token || m.rejected || r.Self().Leaving || excluded):
 		m.stepDown(now)
 	case m.phase == Leading:
 		m.leader = m.self
+		m.expected = ""
 		if !r.HasMajority() {
 			m.stepDown(now)
 		}
@@ -129,6 +150,7 @@
 	}
 	if claimant != "" {
 		m.leader = claimant
+		m.expected = ""
 		m.phase = Idle
 		return false
 	}
@@ -137,7 +159,7 @@
 		m.phase = Idle
 		return false
 	}
-	m.leader = m.successor(r.LeaderCandidates())
+	m.expect(now, r, m.successor(r.LeaderCandidates()))
 	if m.leader != m.self {
 		m.phase = Idle
 		return false
@@ -145,20 +167,26 @@
 	if m.phase == Idle {
 		m.phase = Waiting
 	}
-	if m.phase == Waiting && now.Sub(m.lastClaim) >= m.lease {
+	if m.phase == Waiting && now.Sub(m.lastClaim) >= m.wait() {
 		m.phase = Acquiring
 		return true
 	}
 	return false
 }
 
+// isExcluded reports whether this VM is isolated from the targets, and another candidate is not.
+func isExcluded(r *roster.Roster) bool {
+	return r.Self().Isolated && slices.ContainsFunc(r.LeaderCandidates(), func(e roster.Entry) bool { return !e.Isolated })
+}
+
 // highestClaim returns the live VM with the highest claim, or "" if there is none. It
-// updates highestSeen and lastClaim.
+// updates highestSeen, lastClaim, claimant and handedOver.
 func (m *Machine) highestClaim(now time.Time, r *roster.Roster) coord.VMID {
 	var claimant coord.VMID
 	var highest uint64
 	for _, member := range r.Members() {
 		if member.FencingToken == 0 {
+			m.handedOver = m.handedOver || member.ID == m.claimant && member.Isolated && member.State == roster.Live
 			continue
 		}
 		m.highestSeen = max(m.highestSeen, member.FencingToken)
@@ -170,9 +198,30 @@
 			claimant, highest = member.ID, member.FencingToken
 		}
 	}
+	if claimant != "" {
+		m.claimant, m.handedOver = claimant, false
+	}
 	return claimant
 }
 
+// wait returns how long no other VM may have claimed the leadership before this one acquires it.
+func (m *Machine) wait() time.Duration {
+	if m.handedOver {
+		return m.handoverWait
+	}
+	return m.lease
+}
+
+// expect sets the VM that should acquire leadership next. If a live VM was expected before, this VM
+// waits anew: that one may have acquired it, and its claim may be in transit.
+func (m *Machine) expect(now time.Time, r *roster.Roster, successor coord.VMID) {
+	before := r.Member(m.expected)
+	if successor == m.self && before != nil && before.State == roster.Live {
+		m.lastClaim = now
+	}
+	m.expected, m.leader = successor, successor
+}
+
 // successor returns the candidate that should acquire leadership next.
 func (m *Machine) successor(candidates []roster.Entry) coord.VMID {
 	ids := make([]coord.VMID, len(candidates))
--- a/coord/leadership/leadership_test.go
+++ b/coord/leadership/leadership_test.go
@@ -124,6 +124,21 @@
 		{"a rejection of an earlier token", func(m *Machine, _ *roster.Roster, _ time.Time) { m.HandleRejection(m.FencingToken() - 1) }, Leading},
 		{"this VM stood still", func(m *Machine, _ *roster.Roster, at time.Time) { m.HandleSuspension(at) }, Waiting},
 		{"this VM leaves", func(_ *Machine, r *roster.Roster, _ time.Time) { r.SetLeaving() }, Idle},
+		{"isolated, and another candidate is not", func(_ *Machine, r *roster.Roster, at time.Time) {
+			r.Merge(at, []roster.Entry{{ID: "b", Incarnation: 1, Heartbeat: 1}})
+			r.SetIsolated(true)
+		}, Idle},
+		{"isolated, and so is the only other candidate", func(_ *Machine, r *roster.Roster, at time.Time) {
+			r.Merge(at, []roster.Entry{{ID: "b", Incarnation: 1, Heartbeat: 1, Isolated: true}})
+			r.SetIsolated(true)
+		}, Leading},
+		{"isolated, and the only other VM leaves", func(_ *Machine, r *roster.Roster, at time.Time) {
+			r.Merge(at, []roster.Entry{{ID: "b", Incarnation: 1, Heartbeat: 1, Leaving: true}})
+			r.SetIsolated(true)
+		}, Leading},
+		{"another candidate is isolated", func(_ *Machine, r *roster.Roster, at time.Time) {
+			r.Merge(at, []roster.Entry{{ID: "b", Incarnation: 1, Heartbeat: 1, Isolated: true}})
+		}, Leading},
 		{"contact lost with most of the fleet", func(_ *Machine, r *roster.Roster, at time.Time) {
 			r.Merge(at.Add(-suspectAfter), []roster.Entry{{ID: "b", Incarnation: 1, Heartbeat: 1}, {ID: "c", Incarnation: 1, Heartbeat: 1}})
 			for t := at.Add(-suspectAfter); !t.After(at); t = t.Add(step) {
--- a/coord/roster/gossip.go
+++ b/coord/roster/gossip.go
@@ -6,12 +6,21 @@
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 )
 
+// Values that are hashed into the digest of an entry with the flag set.
+const (
+	leavingFlag  = 1
+	isolatedFlag = 2
+)
+
 // digest returns a hash of the entry without its heartbeat count and its capacity.
 func (e Entry) digest() uint64 {
 	hash := rendezvous.Weight(rendezvous.Hash(string(e.ID)+e.Address+e.Zone), e.Incarnation)
 	hash = rendezvous.Weight(hash, e.FencingToken)
 	if e.Leaving {
-		hash++
+		hash = rendezvous.Weight(hash, leavingFlag)
+	}
+	if e.Isolated {
+		hash = rendezvous.Weight(hash, isolatedFlag)
 	}
 	return hash
 }
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -34,6 +34,8 @@
 	// Heartbeat counts the process's heartbeats.
 	Heartbeat uint64
 	Leaving   bool
+	// Isolated reports that the VM is cut off from all targets.
+	Isolated bool
 	// FencingToken is the token under which the VM holds the scheduler's lease; 0 means
 	// that it does not hold the lease.
 	FencingToken uint64
@@ -136,6 +138,9 @@
 // SetLeaving marks this VM as leaving.
 func (r *Roster) SetLeaving() { r.self.Leaving = true }
 
+// SetIsolated sets whether this VM is cut off from all targets.
+func (r *Roster) SetIsolated(isolated bool) { r.self.Isolated = isolated }
+
 // SetFencingToken sets the token under which this VM holds the scheduler's lease; 0 means
 // that it does not hold the lease.
 func (r *Roster) SetFencingToken(token uint64) { r.self.FencingToken = token }
@@ -169,15 +174,43 @@
 	return live
 }
 
-// LeaderCandidates returns the live VMs with at least half of the largest capacity of any
-// live VM. They have enough capacity to work for all other VMs.
+// CapableVMs returns the live VMs with at least half of the largest capacity of any live VM. They
+// have enough capacity to work for all other VMs.
+func (r *Roster) CapableVMs() []Entry { return capable(r.Live()) }
+
+// LeaderCandidates returns the capable VMs among those that are not isolated. If all live VMs are
+// isolated, it returns the capable ones.
 func (r *Roster) LeaderCandidates() []Entry {
 	live := r.Live()
+	connected := slices.DeleteFunc(slices.Clone(live), func(e Entry) bool { return e.Isolated })
+	if len(connected) == 0 {
+		return capable(live)
+	}
+	return capable(connected)
+}
+
+// capable returns the VMs with at least half of the largest capacity.
+func capable(vms []Entry) []Entry {
 	maxCapacity := uint32(0)
-	for _, e := range live {
+	for _, e := range vms {
 		maxCapacity = max(maxCapacity, e.Capacity)
 	}
-	return slices.DeleteFunc(live, func(e Entry) bool { return 2*e.Capacity < maxCapacity })
+	return slices.DeleteFunc(vms, func(e Entry) bool { return 2*e.Capacity < maxCapacity })
+}
+
+// ConnectedCount returns the number of VMs in the fleet that are not isolated, as far as known, at
+// least 1.
+func (r *Roster) ConnectedCount() int {
+	connected := r.Size()
+	if r.self.Isolated {
+		connected--
+	}
+	for _, m := range r.members {
+		if m.Isolated {
+			connected--
+		}
+	}
+	return max(connected, 1)
 }
 
 // Size returns the number of VMs in the fleet, including this VM and unresponsive ones.
--- a/coord/roster/roster_test.go
+++ b/coord/roster/roster_test.go
@@ -250,6 +250,44 @@
 	assert.DeepEqual(t, ids, []coord.VMID{"b", "c"})
 }
 
+func ids(entries []Entry) []coord.VMID {
+	var out []coord.VMID
+	for _, e := range entries {
+		out = append(out, e.ID)
+	}
+	return out
+}
+
+func TestIsolatedVMsAreNoLeaderCandidates(t *testing.T) {
+	r := New(cfg, Entry{ID: "a", Capacity: 30})
+	r.Merge(start, []Entry{{ID: "b", Incarnation: 1, Capacity: 80, Isolated: true}, {ID: "c", Incarnation: 1, Capacity: 20}, {ID: "d", Incarnation: 1, Capacity: 10}})
+	assert.DeepEqual(t, ids(r.LeaderCandidates()), []coord.VMID{"a", "c"})
+	assert.DeepEqual(t, ids(r.CapableVMs()), []coord.VMID{"b"})
+	assert.Equal(t, r.ConnectedCount(), 3)
+	r.SetIsolated(true)
+	assert.DeepEqual(t, ids(r.LeaderCandidates()), []coord.VMID{"c", "d"})
+	r.Merge(start, []Entry{{ID: "c", Incarnation: 1, Heartbeat: 1, Capacity: 20, Isolated: true}, {ID: "d", Incarnation: 1, Heartbeat: 1, Capacity: 10, Isolated: true}})
+	assert.DeepEqual(t, ids(r.LeaderCandidates()), []coord.VMID{"b"})
+	assert.Equal(t, r.ConnectedCount(), 1)
+}
+
+func TestIsolationIsSentInFull(t *testing.T) {
+	a, c := newRoster("a"), newRoster("c")
+	isolated := entry("b", 1, 2)
+	isolated.Isolated = true
+	a.Merge(start, []Entry{entry("b", 1, 1)})
+	c.Merge(start, []Entry{entry("b", 1, 1)})
+	later := start.Add(fullEntryPeriod)
+	a.Merge(later, []Entry{isolated})
+	entries, _ := a.Digest(later)
+	c.Merge(later, entries)
+	assert.Assert(t, c.Member("b").Isolated)
+	leaving := entry("b", 1, 2)
+	leaving.Leaving = true
+	assert.Assert(t, isolated.digest() != leaving.digest())
+	assert.Assert(t, isolated.digest() != entry("b", 1, 2).digest())
+}
+
 // TestLargeFleetConverges starts 195 VMs together. They join through three seeds and send to
 // three other VMs in each round, as the edge role does. Within a bounded number of rounds
 // every VM must know all others, and the number of entries sent must be bounded.
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/leadership"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -32,7 +33,7 @@
 // store watchers is in this VM's zone, this VM queries only those.
 func (n *Node) updateStoreWatchers() {
 	n.mu.Lock()
-	live := n.roster.LeaderCandidates()
+	live := n.roster.CapableVMs()
 	n.vmCount.Store(int64(max(n.roster.Size(), 1)))
 	n.mu.Unlock()
 	hashes := make([]uint64, len(live))
@@ -94,6 +95,9 @@
 		n.log.LeadershipChanged(oldPhase.String(), newPhase.String(), vms, majority)
 	}
 	n.schedulers.setLease(token)
+	if oldPhase == leadership.Leading && newPhase != leadership.Leading {
+		n.sendHeartbeatToAll()
+	}
 	if acquire {
 		go n.acquireLeadership()
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -138,7 +138,7 @@
 	for _, e := range entries {
 		out.Entries = append(out.Entries, &schema.RosterEntry{
 			Vm: string(e.ID), Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation,
-			Beat: e.Heartbeat, Leaving: e.Leaving, Fence: e.FencingToken, Capacity: e.Capacity,
+			Beat: e.Heartbeat, Leaving: e.Leaving, Fence: e.FencingToken, Capacity: e.Capacity, Isolated: e.Isolated,
 		})
 	}
 	return out
@@ -149,7 +149,7 @@
 	for _, e := range r.Entries {
 		entries = append(entries, roster.Entry{
 			ID: coord.VMID(e.Vm), Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation,
-			Heartbeat: e.Beat, Leaving: e.Leaving, FencingToken: e.Fence, Capacity: e.Capacity,
+			Heartbeat: e.Beat, Leaving: e.Leaving, FencingToken: e.Fence, Capacity: e.Capacity, Isolated: e.Isolated,
 		})
 	}
 	return entries
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -178,7 +178,7 @@
 func (n *Node) sendSuspects(all, blocked *schema.Suspects) {
 	n.mu.Lock()
 	candidates := map[coord.VMID]bool{}
-	for _, e := range n.roster.LeaderCandidates() {
+	for _, e := range append(n.roster.CapableVMs(), n.roster.LeaderCandidates()...) {
 		candidates[e.ID] = true
 	}
 	n.mu.Unlock()
