--- a/coord/leadership/isolation_test.go
+++ b/coord/leadership/isolation_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/roster"
 )
 
 // cutFleet is a fleet in which some VMs are cut off from the targets.
@@ -79,19 +80,31 @@
 
 func TestAtMostOneLeaderWhileVMsAreCutOffFromTargets(t *testing.T) {
 	for seed := range uint64(150) {
-		f := newCutFleet(seed, 3+int(seed%5))
-		highestToken := uint64(0)
-		for i := range 400 {
-			f.injectFaults()
-			f.changeCuts()
-			f.step()
-			leaders := f.leaders()
-			assert.Assert(t, len(leaders) <= 1, "seed %d, step %d: %d leaders", seed, i, len(leaders))
-			if len(leaders) == 1 {
-				token := leaders[0].m.FencingToken()
-				assert.Assert(t, token>>tieBreakBits >= highestToken>>tieBreakBits, "seed %d, step %d: token %d after %d", seed, i, token, highestToken)
-				highestToken = max(highestToken, token)
-			}
+		checkAtMostOneLeader(t, seed)
+	}
+}
+
+// A VM is partitioned at the moment at which others return.
+func TestAtMostOneLeaderWhenVMsReturnDuringAPartition(t *testing.T) {
+	for _, seed := range []uint64{568, 1186} {
+		checkAtMostOneLeader(t, seed)
+	}
+}
+
+func checkAtMostOneLeader(t *testing.T, seed uint64) {
+	t.Helper()
+	f := newCutFleet(seed, 3+int(seed%5))
+	highestToken := uint64(0)
+	for i := range 400 {
+		f.injectFaults()
+		f.changeCuts()
+		f.step()
+		leaders := f.leaders()
+		assert.Assert(t, len(leaders) <= 1, "seed %d, step %d: %d leaders", seed, i, len(leaders))
+		if len(leaders) == 1 {
+			token := leaders[0].m.FencingToken()
+			assert.Assert(t, token>>tieBreakBits >= highestToken>>tieBreakBits, "seed %d, step %d: token %d after %d", seed, i, token, highestToken)
+			highestToken = max(highestToken, token)
 		}
 	}
 }
@@ -149,3 +162,23 @@
 		assert.Equal(t, f.leader(t), leader, "seed %d", seed)
 	}
 }
+
+// The VM that was expected may have led for a moment, unseen by this one.
+func TestSuccessorOfALiveVMWaitsAnew(t *testing.T) {
+	r := newRoster("a", 1)
+	m := New(start, "a", "orders", lease, false)
+	other := roster.Entry{ID: "b", Incarnation: 1, Heartbeat: 1}
+	for m.successor([]roster.Entry{r.Self(), other}) != other.ID {
+		other.ID += "b"
+	}
+	r.Merge(start, []roster.Entry{other})
+	at := start.Add(2 * lease)
+	assert.Assert(t, !m.Update(at, r))
+	assert.Equal(t, m.Leader(), other.ID)
+	other.Heartbeat, other.Isolated = 2, true
+	r.Merge(at, []roster.Entry{other})
+	assert.Assert(t, !m.Update(at, r))
+	assert.Equal(t, m.Leader(), coord.VMID("a"))
+	assert.Assert(t, !m.Update(at.Add(lease-1), r))
+	assert.Assert(t, m.Update(at.Add(lease), r))
+}
