Do not blame targets for requests whose packets are lost

An attempt that times out on a connection whose packets are lost ended as a timeout of the target, and its leader ejected the target for the whole fleet.

New connections to a target that is really gone still fail, and those count.

Conclusion: failures after a reset, or after the ack timeout, are still the target's here; they cannot be told apart at one VM.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -149,10 +149,10 @@
 	return scheduler.EndedOK
 }
 
-// failureEnding distinguishes a disconnect by the target from its other failures, and from the loss
-// of a relay.
+// failureEnding distinguishes a disconnect by the target from its other failures, and from those of
+// relays and paths.
 func (x *exchange) failureEnding(err error) scheduler.Ending {
-	if errors.Is(err, hop.ErrRelayLost) {
+	if errors.IsAny(err, hop.ErrRelayLost, hop.ErrUnacknowledged) {
 		return scheduler.EndedAbandoned
 	}
 	if x.isDisconnect(err) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -176,7 +176,7 @@
 	switch {
 	case x.callerLeft():
 		return balance.Abandoned
-	case errors.IsAny(a.err, hop.ErrWithdrawn, hop.ErrNoPath, hop.ErrRelayLost):
+	case errors.IsAny(a.err, hop.ErrWithdrawn, hop.ErrNoPath, hop.ErrRelayLost, hop.ErrUnacknowledged):
 		return balance.Abandoned
 	case errors.Is(a.err, hop.ErrNoConnection):
 		return balance.Busy
--- a/internal/gateway/transport_test.go
+++ b/internal/gateway/transport_test.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// TestLostRelayIsNotTheTargetsFailure guards against blaming targets for the loss of a relay, and
-// against repeating requests that may have run.
+// TestLostRelayIsNotTheTargetsFailure guards against blaming targets for the loss of a relay or of
+// packets, and against repeating requests that may have run.
 func TestLostRelayIsNotTheTargetsFailure(t *testing.T) {
 	for _, row := range []struct {
 		path     string
@@ -89,17 +89,19 @@
 		{"/once/x", http.StatusBadGateway, 1},
 		{"/again/x", http.StatusOK, 2},
 	} {
-		t.Run(row.path, func(t *testing.T) {
-			x, transport, _, _ := transportFixture(t, hop.ErrRelayLost, 1)
-			resp, _ := x.send(t, "POST", row.path, "")
-			assert.Equal(t, resp.StatusCode, row.status)
-			assert.Equal(t, len(transport.requests), row.requests)
-			if row.path == "/stream/x" {
-				assert.DeepEqual(t, x.admission.ended(), []scheduler.Ending{scheduler.EndedAbandoned})
-				return
-			}
-			assert.Equal(t, x.admission.plainEndings[0], balance.Abandoned)
-		})
+		for _, lost := range []error{hop.ErrRelayLost, hop.ErrUnacknowledged} {
+			t.Run(row.path+" "+lost.Error(), func(t *testing.T) {
+				x, transport, _, _ := transportFixture(t, lost, 1)
+				resp, _ := x.send(t, "POST", row.path, "")
+				assert.Equal(t, resp.StatusCode, row.status)
+				assert.Equal(t, len(transport.requests), row.requests)
+				if row.path == "/stream/x" {
+					assert.DeepEqual(t, x.admission.ended(), []scheduler.Ending{scheduler.EndedAbandoned})
+					return
+				}
+				assert.Equal(t, x.admission.plainEndings[0], balance.Abandoned)
+			})
+		}
 	}
 }
 
