Track which targets a VM cannot reach, and announce an isolation

An edge VM had no record of its own paths to targets, and told no other VM that it had lost them all.

Connections to targets are divided among the VMs that are not known to be isolated, retry budgets among all as before. Events path_broken, path_restored, isolation_began, isolation_ended; metrics fleet_vms_connected, paths_broken, isolated.

Conclusion: nothing records dials and relayed requests yet: the transport does that. Until then no VM is isolated.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,7 +154,11 @@
 	// storeWatchers are the other VMs that watch the store.
 	storeWatchers atomic.Pointer[[]roster.Entry]
 	vmCount       atomic.Int64
-	draining      atomic.Bool
+	// connectedVMs is the number of VMs that are not cut off from all targets.
+	connectedVMs atomic.Int64
+	// heartbeatDue makes the next heartbeat round run at once.
+	heartbeatDue chan struct{}
+	draining     atomic.Bool
 	// heartbeatsInFlight holds the VMs with a heartbeat in flight, at most one for each.
 	heartbeatsInFlight sync.Map
 
@@ -170,6 +174,7 @@
 	n := &Node{
 		settings: s, activeSettings: s, log: l, platform: p, clock: nodeClock, now: nodeClock.Now, metrics: metrics,
 		orders: pond.NewPool(orderWorkers), reports: pond.NewPool(reportWorkers), loggedDirectory: &feed.Directory{},
+		heartbeatDue: make(chan struct{}, 1),
 	}
 	self := coord.VMID(s.Vm.Id)
 	n.startedAt = n.now()
@@ -182,13 +187,16 @@
 		ID: self, Address: advertisedAddress(s.Listen), Zone: s.Vm.Zone, Incarnation: incarnation,
 		Capacity: uint32(capacityUnitsPerCore * s.Vm.CpuShare * s.Vm.CpuCores),
 	})
-	leaseWait := time.Duration(s.Orders.LeaseMs) * time.Millisecond
+	lease := time.Duration(s.Orders.LeaseMs) * time.Millisecond
+	leaseWait := lease
 	if s.Orders.EnginesCheckFence {
 		leaseWait = min(leaseWait, fencedLeadershipWait)
 	}
 	n.leadership = leadership.New(n.startedAt, self, leadershipKey, leaseWait, s.Orders.EnginesCheckFence)
+	n.leadership.SetHandoverWait(lease)
 	n.leader.Store(new(coord.VMID))
 	n.vmCount.Store(1)
+	n.connectedVMs.Store(1)
 	n.storeWatchers.Store(&[]roster.Entry{})
 	replicas, err := lru.New[coord.AdapterRef, lastReplica](maxLastReplicas)
 	if err != nil {
@@ -218,7 +226,8 @@
 	n.gateway = gateway.New(gateway.Config{
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: n.pool,
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
-		VMs:   func() int { return int(n.vmCount.Load()) }, DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
+		VMs:   func() int { return int(n.vmCount.Load()) }, ConnectedVMs: func() int { return int(n.connectedVMs.Load()) },
+		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
 		OnNotice: n.handleNotice, RateLimits: n.rateLimits, CheckSuspension: n.checkSuspension, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
@@ -291,6 +300,7 @@
 	n.loggedDirectory = d
 	n.logConfig(old, d)
 	n.logTargets(old, d)
+	n.reachability.apply(d)
 	n.quotas.apply(d)
 	n.queues.apply(d)
 	n.schedulers.apply(d)
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -40,6 +40,9 @@
 	n.metrics.Gauge("adapter_load_ms", func() int64 { return n.schedulers.stats().ColdLoad.Milliseconds() })
 	n.metrics.Gauge("adapter_load_kept_ms", func() int64 { return n.schedulers.stats().WarmLoad.Milliseconds() })
 	n.metrics.Gauge("fleet_vms", n.vmCount.Load)
+	n.metrics.Gauge("fleet_vms_connected", n.connectedVMs.Load)
+	n.metrics.Gauge("paths_broken", n.reachability.brokenPaths)
+	n.metrics.Gauge("isolated", n.reachability.isolated)
 	n.metrics.Gauge("config_version", func() int64 {
 		if c := n.feed.Directory().Config; c != nil {
 			return int64(c.Version)
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -19,6 +19,7 @@
 		case <-ctx.Done():
 			return
 		case <-time.After(n.currentHeartbeatInterval()):
+		case <-n.heartbeatDue:
 		}
 		n.runHeartbeatRound()
 	}
@@ -36,7 +37,9 @@
 
 func (n *Node) runHeartbeatRound() {
 	now := n.now()
+	isolated := n.reachability.announcesIsolation(now)
 	n.mu.Lock()
+	n.roster.SetIsolated(isolated)
 	changes, paused := n.roster.Tick(now)
 	if paused {
 		n.leadership.HandleSuspension(now)
@@ -48,6 +51,7 @@
 		n.log.Paused(suspectAfter / 2)
 	}
 	n.onRosterChanges(changes)
+	n.updateRelays()
 	n.updateLeadership()
 	n.quotas.tick()
 	n.rateLimits.tick(n.responsiveShare())
@@ -161,5 +165,6 @@
 	}
 	if len(changes) > 0 {
 		n.updateStoreWatchers()
+		n.updateRelays()
 	}
 }
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -1,31 +1,61 @@
 package edge
 
 import (
+	"slices"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/reach"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
+	"github.com/junctionfold/junctionfold/coord/roster"
+	"github.com/junctionfold/junctionfold/internal/feed"
+	"github.com/junctionfold/junctionfold/internal/fleet"
 )
 
-// maxRelays is the number of relays that relays returns.
-const maxRelays = 3
+const (
+	// maxRelays is the number of VMs that relays returns.
+	maxRelays = 3
+	// minZoneRelayRatio is the fraction of a zone's VMs that must be able to relay before requests
+	// are relayed within the zone: the relays do the work of all its VMs.
+	minZoneRelayRatio = 1.0 / 3
+)
 
 // reachability records which targets this VM can reach itself, and names the VMs that can relay
-// requests to the others.
+// requests to the others. Lock order: no other lock is acquired while reachability.mu is held.
 type reachability struct {
 	node *Node
+	// candidates holds the VMs that can relay, as of the last heartbeat round.
+	candidates atomic.Pointer[relayCandidates]
 
 	mu    sync.Mutex
 	table *reach.Table
 }
 
-func newReachability(n *Node) *reachability { return &reachability{node: n, table: reach.New(rendezvous.Hash(n.settings.Vm.Id))} }
+func newReachability(n *Node) *reachability {
+	r := &reachability{node: n, table: reach.New(rendezvous.Hash(n.settings.Vm.Id))}
+	r.candidates.Store(&relayCandidates{})
+	return r
+}
+
+// apply replaces the targets by those of a directory that accept requests.
+func (r *reachability) apply(d *feed.Directory) {
+	ids := make([]string, 0, len(d.Targets))
+	for id, t := range d.Targets {
+		if t.State == fleet.TargetReady {
+			ids = append(ids, id)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.SetTargets(ids)
+}
 
 // viaRelay reports whether requests to a target are to be sent through another VM. It returns false
 // when no other VM can relay.
 func (r *reachability) viaRelay(target string) bool {
-	if len(r.relays()) == 0 {
+	if r.candidates.Load().isEmpty() {
 		return false
 	}
 	r.mu.Lock()
@@ -37,8 +67,9 @@
 // existing connections are not recorded.
 func (r *reachability) recordDial(target string, err error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.table.RecordDial(r.node.now(), target, err == nil)
+	change := r.table.RecordDial(r.node.now(), target, err == nil)
+	r.mu.Unlock()
+	r.handle(change)
 }
 
 // recordDirectFailure records that a connection to a target was reset, or its bytes not
@@ -51,10 +82,104 @@
 
 // recordRelayed records whether a relay reached a target.
 func (r *reachability) recordRelayed(target string, reached bool) {
+	r.mu.Lock()
+	change := r.table.RecordRelayed(r.node.now(), target, reached)
+	r.mu.Unlock()
+	r.handle(change)
+}
+
+// handle logs a change. The beginning of an isolation is announced at once.
+func (r *reachability) handle(c reach.Change) {
+	if c.Broken != "" {
+		r.node.log.PathBroken(c.Broken)
+	}
+	if c.Restored != "" {
+		r.node.log.PathRestored(c.Restored)
+	}
+	if c.IsolationEnded {
+		r.node.log.IsolationEnded(c.BrokenPaths, c.Duration)
+	}
+	if c.IsolationBegan {
+		r.node.log.IsolationBegan(c.BrokenPaths)
+		r.node.runHeartbeatRoundSoon()
+	}
+}
+
+// announcesIsolation reports whether this VM announces that it is cut off from all targets.
+func (r *reachability) announcesIsolation(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.AnnouncesIsolation(now)
+}
+
+// brokenPaths returns the number of targets whose paths are broken.
+func (r *reachability) brokenPaths() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return int64(r.table.BrokenPaths())
+}
+
+// isolated returns 1 if this VM is cut off from all targets, otherwise 0.
+func (r *reachability) isolated() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.RecordRelayed(r.node.now(), target, reached)
+	if r.table.Isolated() {
+		return 1
+	}
+	return 0
 }
 
-// relays returns up to maxRelays VMs that can relay requests, best first.
-func (r *reachability) relays() []coord.VMID { return nil }
+// relays returns up to maxRelays VMs that can relay requests, best first. It returns none if no
+// other VM can.
+func (r *reachability) relays() []coord.VMID {
+	c := r.candidates.Load()
+	relays := randomSample(slices.Clone(c.preferred), maxRelays)
+	return append(relays, randomSample(slices.Clone(c.others), maxRelays-len(relays))...)
+}
+
+// relayCandidates holds the VMs that can relay requests.
+type relayCandidates struct{ preferred, others []coord.VMID }
+
+func (c *relayCandidates) isEmpty() bool { return len(c.preferred)+len(c.others) == 0 }
+
+// selectRelayCandidates divides the live VMs, other than this one, that are not isolated. Those of
+// this VM's zone are preferred if they are enough for the zone, since traffic between zones is
+// charged for.
+func selectRelayCandidates(self coord.VMID, zone string, live []roster.Entry) *relayCandidates {
+	var sameZone, others []coord.VMID
+	zoneSize := 0
+	for _, e := range live {
+		if e.Zone == zone {
+			zoneSize++
+		}
+		switch {
+		case e.ID == self || e.Isolated:
+		case e.Zone == zone:
+			sameZone = append(sameZone, e.ID)
+		default:
+			others = append(others, e.ID)
+		}
+	}
+	if float64(len(sameZone)) < minZoneRelayRatio*float64(zoneSize) {
+		return &relayCandidates{others: append(sameZone, others...)}
+	}
+	return &relayCandidates{preferred: sameZone, others: others}
+}
+
+// updateRelays determines the VMs that can relay requests, and how many VMs share the connections
+// to targets.
+func (n *Node) updateRelays() {
+	n.mu.Lock()
+	live := n.roster.Live()
+	n.connectedVMs.Store(int64(n.roster.ConnectedCount()))
+	n.mu.Unlock()
+	n.reachability.candidates.Store(selectRelayCandidates(coord.VMID(n.settings.Vm.Id), n.settings.Vm.Zone, live))
+}
+
+// runHeartbeatRoundSoon makes the heartbeat loop run its next round at once.
+func (n *Node) runHeartbeatRoundSoon() {
+	select {
+	case n.heartbeatDue <- struct{}{}:
+	default: // a round is due already
+	}
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -30,7 +30,7 @@
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){n.feed.Run, n.feed.RunConfirmation, n.heartbeatLoop, n.tickLoop, n.seedLoop} {
+	for _, loop := range []func(context.Context){n.feed.Run, n.feed.RunConfirmation, n.heartbeatLoop, n.tickLoop, n.seedLoop, n.reachability.probeLoop} {
 		wg.Go(func() { loop(loopCtx) })
 	}
 	go n.mesh.Serve(n.peerListener)
--- a/internal/events/vm.go
+++ b/internal/events/vm.go
@@ -16,6 +16,24 @@
 	l.warn("suspensions_unseen", log.Fields{"error": errorText(err)})
 }
 
+// PathBroken records that this VM cannot reach a target that another VM reaches.
+func (l *Log) PathBroken(target string) { l.warn("path_broken", log.Fields{"target": target}) }
+
+// PathRestored records that this VM can reach such a target again.
+func (l *Log) PathRestored(target string) { l.info("path_restored", log.Fields{"target": target}) }
+
+// IsolationBegan records that this VM is cut off from all targets, and how many of its paths were
+// known to be broken.
+func (l *Log) IsolationBegan(brokenPaths int) {
+	l.warn("isolation_began", log.Fields{"broken_paths": brokenPaths})
+}
+
+// IsolationEnded records that this VM reaches targets again, how many of its paths were still known
+// to be broken, and how long it was isolated.
+func (l *Log) IsolationEnded(brokenPaths int, d time.Duration) {
+	l.info("isolation_ended", log.Fields{"broken_paths": brokenPaths, "isolated_ms": d.Milliseconds()})
+}
+
 // Paused records that this process did not run for longer than limit.
 func (l *Log) Paused(limit time.Duration) {
 	l.warn("paused", log.Fields{"longer_than_ms": limit.Milliseconds()})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,8 +52,10 @@
 	Pool      *hop.Pool
 	// Retry configures the retry budgets.
 	Retry retry.Config
-	// VMs returns how many VMs share the retry budgets and the connections to targets.
+	// VMs returns how many VMs share the retry budgets.
 	VMs func() int
+	// ConnectedVMs returns how many VMs share the connections to targets.
+	ConnectedVMs func() int
 	// DrainBounds limits how late requests may reach draining targets.
 	DrainBounds DrainBounds
 	// OnNotice handles what a target reports about itself beside a response. decision is the one on
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -264,7 +264,7 @@
 				x.gateway.RecordBackoff(target, notice.Backoff)
 			}
 		},
-		Retry: retry.Config{Ratio: 0.2, Slack: 50}, VMs: func() int { return 1 },
+		Retry: retry.Config{Ratio: 0.2, Slack: 50}, VMs: func() int { return 1 }, ConnectedVMs: func() int { return 1 },
 		Log: events.Discard(), Metrics: NewMetrics(), Now: time.Now,
 	})
 	x.server = httptest.NewServer(x.gateway)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -74,7 +74,7 @@
 	if usable <= 0 {
 		return 0
 	}
-	return max(int(usable)/max(x.g.cfg.VMs(), 1), 2)
+	return max(int(usable)/max(x.g.cfg.ConnectedVMs(), 1), 2)
 }
 
 // maxBufferedBytes is the size of the largest response that is buffered before it is forwarded.
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -95,11 +95,7 @@
 func (p *Pool) dial(ctx context.Context, r *Request) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := net.Dialer{Control: dialControl, KeepAliveConfig: keepAlive}
-	if p.OnDial != nil {
-		p.OnDial()
-	}
-	raw, err := d.DialContext(ctx, "tcp", r.Address)
+	raw, err := p.connect(ctx, r.Address)
 	if err != nil {
 		p.releaseSlot(r.Key)
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", r.Key), ErrUnreachable)
@@ -107,6 +103,15 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), key: r.Key}, nil
 }
 
+// connect makes a new connection.
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Control: dialControl, KeepAliveConfig: keepAlive}
+	if p.OnDial != nil {
+		p.OnDial()
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // dialControl sets the ack timeout of a new connection, which makes a connection to a
 // machine without power fail.
 func dialControl(_, _ string, raw syscall.RawConn) error {
