--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -95,7 +95,7 @@
 	if usable <= 0 {
 		return 0
 	}
-	return max(int(usable)/max(g.cfg.VMs(), 1), 2)
+	return max(int(usable)/max(g.cfg.ConnectedVMs(), 1), 2)
 }
 
 // maxBufferedBytes is the size of the largest response that is buffered before it is forwarded.
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -106,11 +106,7 @@
 func (p *Pool) dial(ctx context.Context, r *Request) (*conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, r.dialTimeout(ctx))
 	defer cancel()
-	d := net.Dialer{Control: dialControl, KeepAliveConfig: keepAlive}
-	if p.OnDial != nil {
-		p.OnDial()
-	}
-	raw, err := p.Dial(dialCtx, &d, r.Address)
+	raw, err := p.connect(dialCtx, r.Address)
 	if p.OnDialed != nil && ctx.Err() == nil {
 		p.OnDialed(r.Key, err)
 	}
@@ -133,6 +129,15 @@
 	return timeout
 }
 
+// connect makes a new connection.
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Control: dialControl, KeepAliveConfig: keepAlive}
+	if p.OnDial != nil {
+		p.OnDial()
+	}
+	return p.Dial(ctx, &d, address)
+}
+
 // dialControl sets the ack timeout of a new connection, which makes a connection to a
 // machine without power fail.
 func dialControl(_, _ string, raw syscall.RawConn) error {
