Relay requests of VMs without a path to their target

Callers of VMs without paths to targets got 503 (44 to 60 of 60 in the test of five VMs), those of the others up to 30 of 90, for a VM had no way to a target but its own connections.

Change: edge.transport sends directly, and through another VM while this VM's path is suspect or broken, and in the same attempt after a failed connection attempt, when nothing was sent. An attempt that may have arrived is never repeated there. The relay (relayServer) uses its own connections, checks the target itself before the first byte, applies notices, and resets its connection when the sender closes the stream. A second relay is asked only if the first sent nothing; two that did not reach the target make it unreachable, otherwise it is hop.ErrNoPath. A relay that drains takes no further requests and completes those it has. Field via, metrics relayed_total and relayed_for_others_total.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,9 +9,10 @@
 // run, and leadermonitor.go detects an unresponsive leader. queues.go queues the requests to plain
 // services. quotas.go charges requests to their teams, ratelimits.go tracks the rate limits of
 // targets, and quarantine.go blocks contents that crash targets. reachability.go records which targets
-// this VM cannot reach, and reachprobe.go probes them. join.go joins the fleet through the seeds.
-// suspension.go detects suspensions of this VM, and notices.go applies the notices that targets send
-// beside their answers.
+// this VM cannot reach, and reachprobe.go probes them. transport.go sends requests to targets,
+// relayclient.go through other VMs, and relayserver.go those of other VMs. join.go joins the fleet
+// through the seeds. suspension.go detects suspensions of this VM, and notices.go applies the notices
+// that targets send beside their answers.
 package edge
 
 import (
@@ -130,6 +131,7 @@
 	// rateLimits holds the rate limits that targets announced.
 	rateLimits   *rateLimits
 	reachability *reachability
+	relayServer  *relayServer
 
 	// loggedDirectory is the last directory that was logged. The feed's callbacks are not
 	// concurrent.
@@ -213,6 +215,7 @@
 	n.quarantine = newContentQuarantine(n)
 	n.rateLimits = newRateLimits(n)
 	n.reachability = newReachability(n)
+	n.relayServer = &relayServer{node: n}
 	n.mesh = peer.New(peer.Config{
 		Self: self, Zone: s.Vm.Zone, Incarnation: incarnation, DialTimeout: peerDialTimeout, AckTimeout: peerAckTimeout,
 	}, (*peerHandler)(n), n.peerAddress)
@@ -229,7 +232,7 @@
 		n.pool.Dial = p.DialTarget
 	}
 	n.gateway = gateway.New(gateway.Config{
-		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: n.pool,
+		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: newTransport(n, n.pool),
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		VMs:   func() int { return int(n.vmCount.Load()) }, ConnectedVMs: func() int { return int(n.connectedVMs.Load()) },
 		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -10,7 +10,6 @@
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
-	"github.com/junctionfold/junctionfold/internal/peer"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -20,10 +19,6 @@
 // peerHandler serves the messages of other VMs.
 type peerHandler Node
 
-// ServeForward does nothing: edge VMs send requests to targets themselves.
-func (h *peerHandler) ServeForward(_ context.Context, _ coord.VMID, _ *schema.Forward, _ *peer.AnswerWriter) {
-}
-
 // HandleHeartbeat applies the roster that a heartbeat carries.
 func (h *peerHandler) HandleHeartbeat(hb *schema.Heartbeat) {
 	if hb.Roster != nil {
--- /dev/null
+++ b/internal/edge/relayserver.go
@@ -0,0 +1,183 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/forward"
+	"github.com/junctionfold/junctionfold/internal/hop"
+	"github.com/junctionfold/junctionfold/internal/peer"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+const (
+	// relayDialTimeout bounds a connection attempt for another VM, whose own attempt took time too.
+	// Targets are a few milliseconds away.
+	relayDialTimeout = 400 * time.Millisecond
+	// relayBufferBytes is the size of the parts in which a body is relayed.
+	relayBufferBytes = 4 << 10
+)
+
+// relayServer sends requests of other VMs to targets. It uses this VM's own connections only, never
+// another relay. Lock order: no other lock is acquired while relayServer.mu is held.
+type relayServer struct {
+	node *Node
+
+	mu       sync.Mutex
+	draining bool
+	running  sync.WaitGroup // Add is called with mu held
+}
+
+// ServeForward sends a request of another VM to its target and returns the response.
+func (h *peerHandler) ServeForward(ctx context.Context, _ coord.VMID, f *schema.Forward, w *peer.AnswerWriter) {
+	n := (*Node)(h)
+	result := n.relayServer.serve(ctx, f, w)
+	n.metrics.RelayedForOthers.Add(resultName(result), 1)
+	_ = w.End(result) // the other VM has left, or notices the missing end
+}
+
+// resultName returns the name of a result for metrics.
+func resultName(r forward.Result) string {
+	if r.Failure == nil {
+		return "complete"
+	}
+	return r.Failure.Code
+}
+
+// begin counts a request. It returns false if this VM drains.
+func (s *relayServer) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.running.Add(1)
+	return true
+}
+
+// drain makes this VM accept no further requests of others.
+func (s *relayServer) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// wait waits until the requests of others have ended, or until ctx ends. drain must have been called.
+func (s *relayServer) wait(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.running.Wait()
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// serve sends a request to its target and copies the response to w.
+func (s *relayServer) serve(ctx context.Context, f *schema.Forward, w forward.FramingSink) forward.Result {
+	if f.Relayed == nil || s.node.reachability.isolated() != 0 || !s.begin() {
+		return notSentResult(forward.CodeRelayUnavailable, nil)
+	}
+	defer s.running.Done()
+	resp, err := s.node.pool.Do(ctx, s.request(ctx, f))
+	if err != nil {
+		return relayFailure(ctx, err)
+	}
+	defer resp.Close()
+	return copyResponse(ctx, resp, w)
+}
+
+func (s *relayServer) request(ctx context.Context, f *schema.Forward) *hop.Request {
+	n, receivedAt := s.node, s.node.now()
+	deadline := receivedAt.Add(time.Duration(f.Relayed.LeftMs) * time.Millisecond)
+	placement := hop.Placement{
+		DecidedAt: receivedAt.Add(-time.Duration(f.Relayed.DecisionAgeMs) * time.Millisecond),
+		Paced:     f.Relayed.Paced, Revision: f.Relayed.FeedRevision,
+	}
+	header := headersFromProto(f.Headers)
+	maxConns, known := n.gateway.MaxConnections(f.Target)
+	if !known {
+		maxConns = int(f.Relayed.MaxConnections)
+	}
+	return &hop.Request{
+		Key: f.Target, Address: f.Relayed.Address, MaxConns: maxConns,
+		Method: f.Method, Path: f.Path, Host: f.Relayed.Host, Header: header, Body: f.Body,
+		AckTimeout: drainBounds(n.settings.Times).InFlight, DialTimeout: relayDialTimeout,
+		BeforeSend: func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			n.platform.Codec.Encode(header, fleet.CallMetadata{Target: f.Target, Remaining: n.until(deadline), Priority: -1})
+			return n.gateway.CheckRelayed(f.Target, placement)
+		},
+		Matches: func(status int, h http.Header) bool {
+			n.handleNotice(f.Target, n.platform.Codec.Notice(status, h), nil)
+			return n.platform.Codec.Classify(f.RequestId, status, h) != fleet.Mismatched
+		},
+	}
+}
+
+// copyResponse copies a response to w and returns its result.
+func copyResponse(ctx context.Context, resp *hop.Response, w forward.FramingSink) forward.Result {
+	w.Framing(resp.Length, resp.CloseDelimited)
+	if err := w.Head(resp.Status, headersToProto(resp.Header)); err != nil {
+		return failedResult(forward.CodeCancelled, err)
+	}
+	var buffer [relayBufferBytes]byte
+	for {
+		n, readErr := resp.Read(buffer[:])
+		if n > 0 {
+			if err := w.Data(buffer[:n]); err != nil {
+				return failedResult(forward.CodeCancelled, err)
+			}
+		}
+		if readErr == io.EOF {
+			return forward.Result{}
+		}
+		if readErr != nil {
+			return relayFailure(ctx, readErr)
+		}
+	}
+}
+
+// relayFailure returns the result of an attempt that failed with an error of package hop.
+func relayFailure(ctx context.Context, err error) forward.Result {
+	switch {
+	case errors.Is(err, hop.ErrUnreachable):
+		return notSentResult(forward.CodeTargetUnreachable, err)
+	case errors.Is(err, hop.ErrNoConnection):
+		return notSentResult(forward.CodeNoConnection, err)
+	case errors.Is(err, hop.ErrWithdrawn):
+		return notSentResult(forward.CodeWithdrawn, err)
+	case ctx.Err() != nil:
+		return failedResult(forward.CodeTimeout, err)
+	case errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE):
+		return failedResult(forward.CodeTargetDisconnected, err)
+	}
+	return failedResult(forward.CodeTargetFailed, err)
+}
+
+func notSentResult(code string, err error) forward.Result {
+	return forward.FailedResult(code, http.StatusServiceUnavailable, schema.Outcome_OUTCOME_NOT_RUN, 0, errorMessage(err))
+}
+
+func failedResult(code string, err error) forward.Result {
+	return forward.FailedResult(code, http.StatusBadGateway, schema.Outcome_OUTCOME_UNKNOWN, 0, errorMessage(err))
+}
+
+func errorMessage(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -106,6 +106,7 @@
 	n.log.Draining(n.gateway.OpenRequests())
 	n.draining.Store(true)
 	n.gateway.Drain()
+	n.relayServer.drain()
 	n.mu.Lock()
 	n.roster.SetLeaving()
 	n.mu.Unlock()
@@ -117,6 +118,7 @@
 	if err := frontEnd.Shutdown(ctx); err != nil {
 		n.log.DrainIncomplete(n.gateway.OpenRequests(), err)
 	}
+	n.relayServer.wait(ctx)
 }
 
 // tickLoop runs periodic work until the context ends.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,8 +4,9 @@
 // gateway.go reads requests, identify.go authenticates them and responses.go responds without a
 // target. routes.go finds routes; plain.go and model.go choose targets and retry attempts.
 // drain.go, backoff.go and limited.go hold requests back from targets that drain, request backoff
-// or limit their rate. relay.go returns responses, framing.go delimits them and detects those that
-// were broken off, and resume.go resumes broken streams at another target.
+// or limit their rate, and relayed.go those that this VM sends for others. relay.go returns responses,
+// framing.go delimits them and detects those that were broken off, and resume.go resumes broken streams
+// at another target.
 //
 // Responses state only what is certain: 503 and 429 mean that the request has not run and never
 // will; 502 and 504 mean that it may have run. A response that breaks off ends with its connection.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,9 @@
 	// Withdrawn counts attempts that were not sent, for example because their target was draining
 	// or their decision was stale.
 	Withdrawn *expvar.Int
+	// Relayed counts requests that this VM sent through another VM, by result. RelayedForOthers
+	// counts those that it sent for others.
+	Relayed, RelayedForOthers *expvar.Map
 	// Resumed counts model requests that were to be resumed at another target.
 	Resumed *expvar.Int
 	// BudgetEmpty counts retries that the budget did not allow.
@@ -38,12 +41,15 @@
 func NewMetrics() *Metrics {
 	m := &Metrics{
 		Map: new(expvar.Map).Init(), Ended: new(expvar.Map).Init(), NotRun: new(expvar.Map).Init(),
+		Relayed: new(expvar.Map).Init(), RelayedForOthers: new(expvar.Map).Init(),
 		Withdrawn: new(expvar.Int), Resumed: new(expvar.Int), BudgetEmpty: new(expvar.Int), Dials: new(expvar.Int), StoreCalls: new(expvar.Map).Init(),
 		Orders: new(expvar.Map).Init(), FirstEvent: &Histogram{}, DecisionDelay: &Histogram{},
 	}
 	m.Map.Set("requests_ended_total", m.Ended)
 	m.Map.Set("attempts_not_run_total", m.NotRun)
 	m.Map.Set("attempts_withdrawn_total", m.Withdrawn)
+	m.Map.Set("relayed_total", m.Relayed)
+	m.Map.Set("relayed_for_others_total", m.RelayedForOthers)
 	m.Map.Set("model_requests_resumed_total", m.Resumed)
 	m.Map.Set("retry_budget_empty_total", m.BudgetEmpty)
 	m.Map.Set("target_connections_total", m.Dials)
