--- a/internal/edge/relayclient.go
+++ b/internal/edge/relayclient.go
@@ -197,11 +197,10 @@
 	return out
 }
 
-// relayedAnswer receives the response to a relayed request. It implements forward.FramingSink.
+// relayedAnswer receives the response to a relayed request. It implements forward.Sink.
 type relayedAnswer struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	answer hop.Answer
 	heads  chan hop.Answer
 	// results holds the result of the attempt; nil: the response is complete.
 	results chan error
@@ -213,20 +212,15 @@
 func newRelayedAnswer(ctx context.Context, cancel context.CancelFunc) *relayedAnswer {
 	a := &relayedAnswer{ctx: ctx, cancel: cancel, heads: make(chan hop.Answer, 1), results: make(chan error, 1)}
 	a.reader, a.writer = io.Pipe()
-	a.answer = hop.Answer{Length: -1, Body: (*relayedBody)(a)}
 	context.AfterFunc(ctx, func() { a.writer.CloseWithError(ctx.Err()) })
 	return a
 }
 
-// Framing implements forward.FramingSink.
-func (a *relayedAnswer) Framing(length int64, closeDelimited bool) {
-	a.answer.Length, a.answer.CloseDelimited = length, closeDelimited
-}
-
 // Head implements forward.Sink.
-func (a *relayedAnswer) Head(status int, headers []*schema.Header) error {
-	a.answer.Status, a.answer.Header = status, headersFromProto(headers)
-	a.heads <- a.answer
+func (a *relayedAnswer) Head(h forward.Head) error {
+	a.heads <- hop.Answer{
+		Status: h.Status, Header: headersFromProto(h.Headers), Length: h.Length, CloseDelimited: h.CloseDelimited, Body: (*relayedBody)(a),
+	}
 	return nil
 }
 
@@ -317,4 +311,4 @@
 	return errors.Mark(err, hop.ErrRelayLost)
 }
 
-var _ forward.FramingSink = (*relayedAnswer)(nil)
+var _ forward.Sink = (*relayedAnswer)(nil)
--- a/internal/edge/relayserver.go
+++ b/internal/edge/relayserver.go
@@ -84,7 +84,7 @@
 }
 
 // serve sends a request to its target and copies the response to w.
-func (s *relayServer) serve(ctx context.Context, f *schema.Forward, w forward.FramingSink) forward.Result {
+func (s *relayServer) serve(ctx context.Context, f *schema.Forward, w forward.Sink) forward.Result {
 	if f.Relayed == nil || s.node.reachability.isolated() != 0 || !s.begin() {
 		return notSentResult(forward.CodeRelayUnavailable, nil)
 	}
@@ -128,9 +128,11 @@
 }
 
 // copyResponse copies a response to w and returns its result.
-func copyResponse(ctx context.Context, resp *hop.Response, w forward.FramingSink) forward.Result {
-	w.Framing(resp.Length, resp.CloseDelimited)
-	if err := w.Head(resp.Status, headersToProto(resp.Header)); err != nil {
+func copyResponse(ctx context.Context, resp *hop.Response, w forward.Sink) forward.Result {
+	head := forward.Head{
+		Status: resp.Status, Headers: headersToProto(resp.Header), Length: resp.Length, CloseDelimited: resp.CloseDelimited,
+	}
+	if err := w.Head(head); err != nil {
 		return failedResult(forward.CodeCancelled, err)
 	}
 	var buffer [relayBufferBytes]byte
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,20 +10,24 @@
 	"github.com/junctionfold/junctionfold/schema"
 )
 
+// Head is the head of a response.
+type Head struct {
+	Status  int
+	Headers []*schema.Header
+	// CloseDelimited is set if the target's body ends with its connection. Such a body may have been
+	// broken off although no failure is reported.
+	CloseDelimited bool
+	// Length is the length of the body in bytes; -1: unknown. It is set for relayed requests only.
+	Length int64
+}
+
 // Sink receives a response. Head is called once, followed by any number of calls to
 // Data. An error from the sink means that the caller has closed its connection.
 type Sink interface {
-	Head(status int, headers []*schema.Header) error
+	Head(h Head) error
 	Data(part []byte) error
 }
 
-// FramingSink is a Sink that is told how a target delimits the body of its response, if this is
-// known. Framing is called before Head.
-type FramingSink interface {
-	Sink
-	Framing(length int64, closeDelimited bool)
-}
-
 // Result is the result of an attempt. The response is complete only if Failure is nil.
 type Result struct {
 	Failure *schema.Failure
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
@@ -202,6 +203,12 @@
 	return append([]scheduler.Ending(nil), a.endings...)
 }
 
+func (a *fixedAdmission) endedPlain() []balance.Ending {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.plainEndings)
+}
+
 // fixedDirectory is a Directory whose content tests set.
 type fixedDirectory struct {
 	dir *feed.Directory
@@ -268,7 +275,7 @@
 		Log: events.Discard(), Metrics: NewMetrics(), Now: time.Now,
 	})
 	x.server = httptest.NewUnstartedServer(x.gateway)
-	x.server.Config.ConnContext = WithConn
+	x.server.Config.ConnContext = framing.WithConn
 	x.server.Start()
 	t.Cleanup(x.server.Close)
 	return x
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return x.handleModelError(decision, err)
 	}
-	if x.isResumable(resp) {
+	if x.route.Resumable {
 		err = x.relayEvents(resp, prefix)
 	} else {
 		err = x.relay(resp, prefix)
@@ -213,11 +213,11 @@
 }
 
 // readFirstEvent reads the first bytes of a stream. A stream that is resumed after its last event
-// may be empty.
+// may be empty, but the end of a connection does not show that.
 func (x *exchange) readFirstEvent(decision Decision, resp *hop.Response, sentAt time.Time) (prefix []byte, err error) {
 	buffer := make([]byte, 512)
 	n, err := resp.Read(buffer)
-	streamEnded := err == io.EOF && x.stream.header != nil
+	streamEnded := err == io.EOF && x.stream.header != nil && !resp.CloseDelimited
 	if n == 0 && err != nil && !streamEnded {
 		return nil, errors.Wrap(err, "read first event")
 	}
@@ -233,15 +233,26 @@
 	if err != nil {
 		return x.handleModelError(decision, err)
 	}
-	ending := successEnding(resp)
-	if resp.Status >= http.StatusInternalServerError {
-		ending = scheduler.EndedFailed
-	}
-	x.g.cfg.Admission.Done(decision, ending)
 	if complete {
+		x.g.cfg.Admission.Done(decision, x.nonStreamEnding(resp, nil))
 		x.writeBuffered(resp, body)
 		return false
 	}
-	x.relayUnbuffered(resp, body)
+	err = x.relay(resp, body)
+	x.g.cfg.Admission.Done(decision, x.nonStreamEnding(resp, err))
+	x.recordUnbuffered(resp, err)
 	return false
 }
+
+// nonStreamEnding returns the ending of a response that was read or, with err, failed to be relayed.
+func (x *exchange) nonStreamEnding(resp *hop.Response, err error) scheduler.Ending {
+	switch {
+	case x.callerLeft() || errors.Is(err, errCallerLeft):
+		return scheduler.EndedAbandoned
+	case err != nil:
+		return x.failureEnding(err)
+	case resp.Status >= http.StatusInternalServerError:
+		return scheduler.EndedFailed
+	}
+	return successEnding(resp)
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -121,7 +121,7 @@
 	}
 	complete = len(body) <= maxBufferedBytes
 	if complete && isBrokenOff(resp, body) {
-		return nil, false, errBrokenOff
+		return nil, false, brokenOffError(resp)
 	}
 	return body, complete, nil
 }
@@ -139,9 +139,7 @@
 
 // writeBuffered writes a buffered response to the caller.
 func (x *exchange) writeBuffered(resp *hop.Response, body []byte) {
-	if bodyAllowed(resp.Status) && !resp.CloseDelimited {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
+	x.setLength(resp, len(body))
 	x.beginBody(resp)
 	x.w.WriteHeader(resp.Status)
 	_, err := x.w.Write(body)
@@ -156,6 +154,16 @@
 	x.recordOutcome("ok", resp.Status, "", nil)
 }
 
+// setLength sets the length of a buffered response: for HEAD the one that the target names.
+func (x *exchange) setLength(resp *hop.Response, length int) {
+	if x.r.Method == http.MethodHead {
+		length = int(resp.Length)
+	}
+	if length >= 0 && bodyAllowed(resp.Status) && !resp.CloseDelimited {
+		x.w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
+}
+
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
@@ -172,7 +180,8 @@
 // relay forwards the body as it arrives, after prefix, which was read before. It returns
 // errCallerLeft if the write to the caller failed, or the target's failure.
 func (x *exchange) relay(resp *hop.Response, prefix []byte) error {
-	if resp.Length >= 0 {
+	// A stream gets no length: that it ends inside an event shows only after all its bytes were sent.
+	if resp.Length >= 0 && !isEventStream(resp.Header) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	x.beginBody(resp)
