Use a codec of the test's own in the tests of relays

Cause: TestNamesOfThePlatformStandHereOnly fails: the tests of relays named headers of the users' wire outside platform/.

Change: a codec with a wire format for these tests, as in the front end's.

Evidence: it passes, as do the tests of relays (4 runs under -race).

Conclusion: no change of the code.

--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -24,10 +24,32 @@
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/gateway"
 	"github.com/junctionfold/junctionfold/internal/hop"
-	"github.com/junctionfold/junctionfold/platform"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
+// relayCodec implements the part of fleet.Codec that relays use, with a wire format for tests.
+type relayCodec struct{ fleet.Codec }
+
+func (relayCodec) Encode(h http.Header, c fleet.CallMetadata) {
+	h.Set("Target", c.Target)
+	h.Set("Left", strconv.FormatInt(c.Remaining.Milliseconds(), 10))
+}
+
+func (relayCodec) Classify(id string, _ int, h http.Header) fleet.AnswerClass {
+	switch {
+	case h.Get("Not-Run") != "":
+		return fleet.Busy
+	case h.Get("Id") != id:
+		return fleet.Mismatched
+	}
+	return fleet.Answered
+}
+
+func (relayCodec) Notice(_ int, h http.Header) fleet.Notice {
+	seconds, _ := strconv.Atoi(h.Get("Rest")) // 0 if there is none
+	return fleet.Notice{Backoff: time.Duration(seconds) * time.Second}
+}
+
 // relayFleet is a VM, "sender", and VMs that can relay its requests, over real sessions.
 type relayFleet struct {
 	t      *testing.T
@@ -65,7 +87,7 @@
 		},
 		Store: &schema.EdgeStore{}, Times: &schema.EdgeTimes{DrainMs: 2000, ConfigApplyMs: 2000}, Retry: &schema.EdgeRetry{},
 		Quota: &schema.EdgeQuota{}, Orders: &schema.EdgeOrders{},
-	}, Platform{Codec: platform.Codec{}, Clocks: clock.System()}, gateway.NewMetrics(), events.Discard())
+	}, Platform{Codec: relayCodec{}, Clocks: clock.System()}, gateway.NewMetrics(), events.Discard())
 	assert.NilError(f.t, err)
 	go n.mesh.Serve(listener)
 	f.t.Cleanup(func() {
@@ -120,16 +142,16 @@
 	}
 }
 
-const responseHead = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+const responseHead = "HTTP/1.1 200 OK\r\nId: r1\r\n"
 
 // request returns a request to a target.
 func (f *relayFleet) request(address string) *hop.Request {
 	return &hop.Request{
 		Key: "t#1", Address: address, Method: http.MethodPost, Path: "/a%2Fb?c=d", Host: "h.example", ID: "r1",
-		Header:   http.Header{"Request-Id": {"r1"}, "Expect-Instance": {"t"}, "Deadline-Ms": {"9000"}},
+		Header:   http.Header{"Id": {"r1"}, "Target": {"t#1"}, "Left": {"9000"}},
 		Deadline: time.Now().Add(8 * time.Second), Placement: hop.Placement{DecidedAt: time.Now(), Revision: 1},
 		Matches: func(status int, h http.Header) bool {
-			return platform.Codec{}.Classify("r1", status, h) != fleet.Mismatched
+			return relayCodec{}.Classify("r1", status, h) != fleet.Mismatched
 		},
 	}
 }
@@ -159,7 +181,7 @@
 		{"chunks", "POST", responseHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n", "body", "chunked", 200},
 		{"the end of the connection", "POST", responseHead + "\r\nbody", "body", "close", 200},
 		{"a response to HEAD", "HEAD", responseHead + "Content-Length: 4\r\n\r\n", "", "length", 200},
-		{"no content", "POST", "HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\n\r\n", "", "length", 204},
+		{"no content", "POST", "HTTP/1.1 204 No Content\r\nId: r1\r\n\r\n", "", "length", 204},
 		{"an informational response first", "POST", "HTTP/1.1 103 Early Hints\r\n\r\n" + responseHead + "Content-Length: 4\r\n\r\nbody", "body", "length", 200},
 	} {
 		t.Run(row.name, func(t *testing.T) {
@@ -188,7 +210,7 @@
 	for name, reply := range map[string]string{
 		"no response":              "",
 		"a line of the head":       "HTTP/1.1 200 OK\r\n",
-		"a part of a line":         "HTTP/1.1 200 OK\r\nReque",
+		"a part of a line":         "HTTP/1.1 200 OK\r\nI",
 		"less than the length":     responseHead + "Content-Length: 10\r\n\r\nhalf",
 		"chunks without an end":    responseHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 		"a part of a chunk":        responseHead + "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf",
@@ -249,7 +271,7 @@
 // against repeating a request that may have arrived.
 func TestLostRelayIsNotTheTargetsFailure(t *testing.T) {
 	for name, beforeLoss := range map[string]string{
-		"before the head": "", "within the head": "HTTP/1.1 200 OK\r\nReque", "within the body": responseHead + "\r\ndata: 1\n\n",
+		"before the head": "", "within the head": "HTTP/1.1 200 OK\r\nI", "within the body": responseHead + "\r\ndata: 1\n\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newRelayFleet(t, "a", "b")
@@ -337,8 +359,8 @@
 	got := <-received
 	assert.Equal(t, got.RequestURI, "/a%2Fb?c=d")
 	assert.Equal(t, got.Host, "h.example")
-	assert.Equal(t, got.Header.Get("Expect-Instance"), "t")
-	left, err := strconv.Atoi(got.Header.Get("Deadline-Ms"))
+	assert.Equal(t, got.Header.Get("Target"), "t#1")
+	left, err := strconv.Atoi(got.Header.Get("Left"))
 	assert.NilError(t, err)
 	assert.Assert(t, left > 0 && left <= 5000, left)
 }
@@ -380,7 +402,7 @@
 // TestRelayAppliesNotices guards against requests that a relay sends to targets that asked it not to.
 func TestRelayAppliesNotices(t *testing.T) {
 	f := newRelayFleet(t, "a")
-	target := newRawTarget(t, respondText("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n"))
+	target := newRawTarget(t, respondText("HTTP/1.1 503 Service Unavailable\r\nId: r1\r\nNot-Run: 1\r\nRest: 30\r\nContent-Length: 0\r\n\r\n"))
 	resp, _, err := f.do(f.request(target.address))
 	assert.NilError(t, err)
 	assert.Equal(t, resp.Status, http.StatusServiceUnavailable)
@@ -540,7 +562,7 @@
 // on.
 func TestMismatchedResponseBehindRelay(t *testing.T) {
 	f := newRelayFleet(t, "a")
-	other := "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold"
+	other := "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 3\r\n\r\nold"
 	target := newRawTarget(t, respondText(other+responseHead+"Content-Length: 4\r\n\r\nmine"))
 	_, body, err := f.do(f.request(target.address))
 	assert.NilError(t, err)
