--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,9 +8,11 @@
 // orders.go sends their orders, admit.go requests decisions, running.go records the requests that
 // run, and leadermonitor.go detects an unresponsive leader. queues.go queues the requests to plain
 // services. quotas.go charges requests to their teams, ratelimits.go tracks the rate limits of
-// targets, and quarantine.go blocks contents that crash targets. join.go joins the fleet through
-// the seeds. suspension.go detects suspensions of this VM, and notices.go applies the notices that
-// targets send beside their answers.
+// targets, and quarantine.go blocks contents that crash targets. reachability.go records which targets
+// this VM cannot reach, and reachprobe.go probes them. transport.go sends requests to targets,
+// relayclient.go through other VMs, and relayserver.go those of other VMs. join.go joins the fleet
+// through the seeds. suspension.go detects suspensions of this VM, and notices.go applies the notices
+// that targets send beside their answers.
 package edge
 
 import (
@@ -49,6 +51,8 @@
 	Trim     func(fleet.Item) fleet.Item
 	// Clocks reads the clocks of the machine.
 	Clocks clock.Source
+	// DialTarget opens connections for requests to targets; nil: those of the dialer.
+	DialTarget fleet.DialFunc
 }
 
 // Timing and sizes of the protocols between VMs.
@@ -128,6 +132,8 @@
 	rateLimits *targetLimits
 	// rejectionLimits holds the numbers of rejections with which targets announced that they crash.
 	rejectionLimits *targetLimits
+	reachability    *reachability
+	relayServer     *relayServer
 
 	// loggedDirectory is the last directory that was logged. The feed's callbacks are not
 	// concurrent.
@@ -154,7 +160,11 @@
 	// storeWatchers are the other VMs that watch the store.
 	storeWatchers atomic.Pointer[[]roster.Entry]
 	vmCount       atomic.Int64
-	draining      atomic.Bool
+	// connectedVMs is the number of VMs that are not cut off from all targets.
+	connectedVMs atomic.Int64
+	// heartbeatDue makes the next heartbeat round run at once.
+	heartbeatDue chan struct{}
+	draining     atomic.Bool
 	// heartbeatsInFlight holds the VMs with a heartbeat in flight, at most one for each.
 	heartbeatsInFlight sync.Map
 
@@ -170,6 +180,7 @@
 	n := &Node{
 		settings: s, activeSettings: s, log: l, platform: p, clock: nodeClock, now: nodeClock.Now, metrics: metrics,
 		orders: pond.NewPool(orderWorkers), reports: pond.NewPool(reportWorkers), loggedDirectory: &feed.Directory{},
+		heartbeatDue: make(chan struct{}, 1),
 	}
 	self := coord.VMID(s.Vm.Id)
 	n.startedAt = n.now()
@@ -182,13 +193,16 @@
 		ID: self, Address: advertisedAddress(s.Listen), Zone: s.Vm.Zone, Incarnation: incarnation,
 		Capacity: uint32(capacityUnitsPerCore * s.Vm.CpuShare * s.Vm.CpuCores),
 	})
-	leaseWait := time.Duration(s.Orders.LeaseMs) * time.Millisecond
+	lease := time.Duration(s.Orders.LeaseMs) * time.Millisecond
+	leaseWait := lease
 	if s.Orders.EnginesCheckFence {
 		leaseWait = min(leaseWait, fencedLeadershipWait)
 	}
 	n.leadership = leadership.New(n.startedAt, self, leadershipKey, leaseWait, s.Orders.EnginesCheckFence)
+	n.leadership.SetHandoverWait(lease)
 	n.leader.Store(new(coord.VMID))
 	n.vmCount.Store(1)
+	n.connectedVMs.Store(1)
 	n.storeWatchers.Store(&[]roster.Entry{})
 	replicas, err := lru.New[coord.AdapterRef, lastReplica](maxLastReplicas)
 	if err != nil {
@@ -202,6 +216,8 @@
 	n.quotas = newQuotas(n, s.Quota)
 	n.quarantine = newContentQuarantine(n)
 	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
+	n.reachability = newReachability(n)
+	n.relayServer = &relayServer{node: n}
 	n.mesh = peer.New(peer.Config{
 		Self: self, Zone: s.Vm.Zone, Incarnation: incarnation, DialTimeout: peerDialTimeout, AckTimeout: peerAckTimeout,
 	}, (*peerHandler)(n), n.peerAddress)
@@ -214,10 +230,14 @@
 	})
 	n.pool = hop.New(func() { metrics.Dials.Add(1) })
 	n.pool.Now = n.now
+	if p.DialTarget != nil {
+		n.pool.Dial = p.DialTarget
+	}
 	n.gateway = gateway.New(gateway.Config{
-		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: n.pool,
+		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: newTransport(n, n.pool),
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
-		VMs:   func() int { return int(n.vmCount.Load()) }, DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
+		VMs:   func() int { return int(n.vmCount.Load()) }, ConnectedVMs: func() int { return int(n.connectedVMs.Load()) },
+		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
 		OnNotice: n.handleNotice, RateLimits: (*limitedTargets)(n), CheckSuspension: n.checkSuspension, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
@@ -290,6 +310,7 @@
 	n.loggedDirectory = d
 	n.logConfig(old, d)
 	n.logTargets(old, d)
+	n.reachability.apply(d)
 	n.quotas.apply(d)
 	n.queues.apply(d)
 	n.schedulers.apply(d)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -10,7 +10,6 @@
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
-	"github.com/junctionfold/junctionfold/internal/peer"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -20,10 +19,6 @@
 // peerHandler serves the messages of other VMs.
 type peerHandler Node
 
-// ServeForward does nothing: edge VMs send requests to targets themselves.
-func (h *peerHandler) ServeForward(_ context.Context, _ coord.VMID, _ *schema.Forward, _ *peer.AnswerWriter) {
-}
-
 // HandleHeartbeat applies the roster that a heartbeat carries.
 func (h *peerHandler) HandleHeartbeat(hb *schema.Heartbeat) {
 	if hb.Roster != nil {
@@ -138,7 +133,7 @@
 	for _, e := range entries {
 		out.Entries = append(out.Entries, &schema.RosterEntry{
 			Vm: string(e.ID), Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation,
-			Beat: e.Heartbeat, Leaving: e.Leaving, Fence: e.FencingToken, Capacity: e.Capacity,
+			Beat: e.Heartbeat, Leaving: e.Leaving, Fence: e.FencingToken, Capacity: e.Capacity, Isolated: e.Isolated,
 		})
 	}
 	return out
@@ -149,7 +144,7 @@
 	for _, e := range r.Entries {
 		entries = append(entries, roster.Entry{
 			ID: coord.VMID(e.Vm), Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation,
-			Heartbeat: e.Beat, Leaving: e.Leaving, FencingToken: e.Fence, Capacity: e.Capacity,
+			Heartbeat: e.Beat, Leaving: e.Leaving, FencingToken: e.Fence, Capacity: e.Capacity, Isolated: e.Isolated,
 		})
 	}
 	return entries
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -17,6 +17,8 @@
 	// CloseDelimited is set if the target's body ends with its connection. Such a body may have been
 	// broken off although no failure is reported.
 	CloseDelimited bool
+	// Length is the length of the body in bytes; -1: unknown. It is set for relayed requests only.
+	Length int64
 }
 
 // Sink receives a response. Head is called once, followed by any number of calls to
@@ -64,6 +66,16 @@
 	CodeRecordsFull       = "outcome_records_full"
 	CodeUnknownService    = "service_not_found"
 	CodeVersionRequired   = "version_required"
+	// CodeRelayUnavailable: the VM relays no requests, because it drains or cannot reach targets.
+	CodeRelayUnavailable = "relay_unavailable"
+	// CodeNoConnection: all connections that the VM may open to the target are in use.
+	CodeNoConnection = "no_connection"
+	// CodeWithdrawn: the request was withdrawn before it was sent.
+	CodeWithdrawn = "withdrawn"
+	// CodeTargetDisconnected: the target closed the connection before the response was complete.
+	CodeTargetDisconnected = "target_disconnected"
+	// CodeTargetFailed: the exchange with the target failed in another way.
+	CodeTargetFailed = "target_failed"
 )
 
 // FailedResult returns the Result of a failed attempt.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,8 +4,9 @@
 // gateway.go reads requests, identify.go authenticates them and responses.go responds without a
 // target. routes.go finds routes; plain.go and model.go choose targets and retry attempts.
 // drain.go, backoff.go and limited.go hold requests back from targets that drain, request backoff
-// or limit their rate. relay.go returns responses, framing.go delimits them and detects those that
-// were broken off, and resume.go resumes broken streams at another target.
+// or limit their rate, and relayed.go those that this VM sends for others. relay.go returns responses,
+// framing.go delimits them and detects those that were broken off, and resume.go resumes broken streams
+// at another target.
 //
 // Responses state only what is certain: 503 and 429 mean that the request has not run and never
 // will; 502 and 504 mean that it may have run. A response that breaks off ends with its connection.
@@ -42,6 +43,15 @@
 	Revision() fleet.Revision
 }
 
+// Transport sends requests to targets. It is implemented by hop.Pool, and by transports that use other
+// VMs as relays.
+type Transport interface {
+	// Do sends a request and returns its response. Its errors are those of package hop.
+	Do(ctx context.Context, r *hop.Request) (*hop.Response, error)
+	// CloseIdle closes idle connections that have expired at now.
+	CloseIdle(now time.Time)
+}
+
 // Config holds the dependencies and settings of a Gateway.
 type Config struct {
 	VM        string
@@ -49,11 +59,13 @@
 	Codec     fleet.Codec
 	Directory Directory
 	Admission Admission
-	Pool      *hop.Pool
+	Pool      Transport
 	// Retry configures the retry budgets.
 	Retry retry.Config
-	// VMs returns how many VMs share the retry budgets and the connections to targets.
+	// VMs returns how many VMs share the retry budgets.
 	VMs func() int
+	// ConnectedVMs returns how many VMs share the connections to targets.
+	ConnectedVMs func() int
 	// DrainBounds limits how late requests may reach draining targets.
 	DrainBounds DrainBounds
 	// OnNotice handles what a target reports about itself beside a response. decision is the one on
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -73,6 +73,7 @@
 func (w *AnswerWriter) Head(h forward.Head) error {
 	return writeFrame(w.stream, &schema.Frame{Kind: &schema.Frame_Head{Head: &schema.AnswerHead{
 		RequestId: w.id, Attempt: w.attempt, Status: int32(h.Status), Headers: h.Headers, CloseDelimited: h.CloseDelimited,
+		Length: h.Length,
 	}}})
 }
 
@@ -230,6 +231,7 @@
 		r.headReceived = true
 		return nil, r.sink.Head(forward.Head{
 			Status: int(kind.Head.Status), Headers: kind.Head.Headers, CloseDelimited: kind.Head.CloseDelimited,
+			Length: kind.Head.Length,
 		})
 	case *schema.Frame_Data:
 		r.seq++
