--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -88,6 +88,9 @@
 		s.refuse(r, "caller_leaves", noTargetRetryDelay)
 		return true
 	}
+	if _, exhausted := s.knownCapacity(now, r); exhausted {
+		return s.waitOrRefuse(now, r)
+	}
 	replica, replicaDelay, anyUsable := s.bestReplica(now, r)
 	if !anyUsable {
 		return s.waitOrRefuse(now, r)
@@ -204,12 +207,13 @@
 	t.recentGrants.add(now)
 	g := &grant{
 		target: t, ref: r.Ref, tokens: r.PromptTokens + r.OutputTokens,
-		pendingPrompt: prompt, deadline: r.Deadline, grantedAt: now,
+		pendingPrompt: prompt, deadline: r.Deadline, grantedAt: now, inFlight: t.running,
 	}
 	t.tokens += g.tokens
 	t.rememberPrompt(now, r)
-	if t.health.consecutiveFailures >= ejectAfterFailures {
+	if t.health.isEjected() {
 		t.health.probing = true
+		t.prober = r.Key
 	}
 	s.grants[r.Key] = g
 	a := Action{Kind: ActGrant, Key: r.Key, Target: t.id, Ref: r.Ref, Priority: priority}
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -20,8 +20,9 @@
 // choice of a target, replicas.go the choice of targets for loading an adapter, loads.go the
 // duration of loads (learnt, coord/loadtime), heat.go the request rate of adapters, orders.go and
 // reports.go the orders that change adapter slots and the reports that verify them, freed.go the
-// evidence that frees slots, health.go failing targets, limited.go targets that limit their request
-// rate.
+// evidence that frees slots, health.go failing targets, witness.go failures that show a fault of a VM's path,
+// limited.go targets that limit their request rate, brittle.go targets that crash when they reject too
+// many requests.
 package scheduler
 
 import (
@@ -33,7 +34,9 @@
 	"github.com/junctionfold/junctionfold/coord/enginecost"
 	"github.com/junctionfold/junctionfold/coord/loadlimit"
 	"github.com/junctionfold/junctionfold/coord/loadtime"
+	"github.com/junctionfold/junctionfold/coord/overload"
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
+	"github.com/junctionfold/junctionfold/coord/witness"
 )
 
 // Scheduler is the state for one service.
@@ -71,17 +74,24 @@
 	loadCount                  uint64
 	nextModelLoad              time.Time
 	// pacer keeps the requests to targets within their announced rates. rateWaiters is the number
-	// of requests that wait for a rate limit, counted anew in each round. retryDelays spreads out
+	// of requests that wait for a rate limit or a brittle target, counted anew in each round. retryDelays spreads out
 	// the retries of refused callers.
 	pacer       *ratelimit.Pacer
 	rateWaiters int
+	// exhausted has the capacity of the targets for the kinds of requests that none accepts, by
+	// capacityKey, as found since the last round began.
+	exhausted   map[string]capacity
 	retryDelays ratelimit.RetryDelays
+	// guard bounds the requests at brittle targets.
+	guard *overload.Guard
 	// lastRoundAt is when waiting requests were last processed.
 	lastRoundAt time.Time
 	// searchesLeft is the number of searches for a load target that remain in this round.
 	searchesLeft int
 	actions      []Action
 	freed        [freedByCount]int64
+	// judge tells failures of targets from failures of a VM's paths to them.
+	judge *witness.Judge
 }
 
 // maxSearchesPerRound bounds the work of one round. A search looks at every target, and fewer loads
@@ -104,6 +114,9 @@
 		versions:          map[coord.AdapterRef]int64{},
 		runningReportedAt: map[coord.VMID]time.Time{},
 		pacer:             ratelimit.NewPacer(),
+		judge:             witness.New(),
+		guard:             overload.NewGuard(),
+		exhausted:         map[string]capacity{},
 	}
 }
 
@@ -130,6 +143,7 @@
 	s.leading = leading
 	if gained {
 		s.pacer.Reset(now)
+		s.guard.Reset(now)
 		s.evictionBlockedUntil = now.Add(runningReportTimeout)
 		s.unreportedVMs = make(map[coord.VMID]bool, len(others))
 		for _, vm := range others {
@@ -237,6 +251,7 @@
 			s.release(now, key, g)
 		}
 	}
+	s.judge.Expire(now)
 	return s.runRound(now)
 }
 
@@ -274,6 +289,7 @@
 	s.rank(now)
 	s.searchesLeft = maxSearchesPerRound
 	s.rateWaiters = 0
+	clear(s.exhausted)
 	s.replicateOverloaded(now)
 	remaining := s.waiting[:0]
 	blocked := map[coord.AdapterRef]bool{}
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -78,11 +78,13 @@
 	// EndedUnverified: the response ended with its connection, which does not tell whether it was
 	// complete.
 	EndedUnverified
+	// EndedNoConnection: not run; the VM may open no further connection to the target.
+	EndedNoConnection
 )
 
 // String returns the name that logs use.
 func (e Ending) String() string {
-	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned", "withdrawn", "broke", "unverified"}[e]
+	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned", "withdrawn", "broke", "unverified", "no_connection"}[e]
 }
 
 // ActionKind is the kind of an action.
--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -7,7 +7,7 @@
 //
 //   - A target gets one request more than it has slots, or as many as it has slots once a target
 //     has rejected the extra one (limit.go). It gets no more requests per second than its own
-//     rate limit (rates.go).
+//     rate limit (rates.go), and a brittle one no more than it has room for (brittle.go).
 //   - Requests that can still meet their soft deadline go first, by priority and age; the others
 //     follow.
 //   - A request whose expected wait is too long for its soft deadline waits among the others, or
@@ -26,6 +26,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/overload"
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
 )
 
@@ -71,8 +72,10 @@
 type grant struct {
 	target string
 	// inFlight is the number of requests at the target when this one was granted, itself included.
-	inFlight int
-	deadline time.Time
+	inFlight            int
+	grantedAt, deadline time.Time
+	// late reports that the request has taken so long that it may have hung.
+	late bool
 }
 
 // Queue holds the state of one service.
@@ -87,12 +90,16 @@
 	// callers refused under these limits.
 	pacer       *ratelimit.Pacer
 	retryDelays ratelimit.RetryDelays
-	actions     []Action
+	// testimony tells failures of targets from failures of a VM's paths to them.
+	testimony testimony
+	// guard bounds the requests at brittle targets.
+	guard   *overload.Guard
+	actions []Action
 }
 
 // New returns a Queue without targets.
 func New() *Queue {
-	return &Queue{limit: newConcurrencyLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer()}
+	return &Queue{limit: newConcurrencyLimit(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer(), testimony: newTestimony(), guard: overload.NewGuard()}
 }
 
 // Delays and timeouts of the queue.
@@ -124,6 +131,7 @@
 // SetTargets replaces the targets that accept requests.
 func (q *Queue) SetTargets(now time.Time, targets []Target) []Action {
 	q.targets = targets
+	q.guard.SetTargets(now, targetIDs(targets))
 	return q.schedule(now)
 }
 
@@ -146,12 +154,14 @@
 		return q.schedule(now)
 	}
 	q.release(key, g)
-	q.balancer.Done(now, g.target, ending, duration)
+	q.recordEnding(now, key.VM, g.target, ending, duration)
+	q.recordGivenUp(now, g.target, ending)
 	switch {
 	case ending == balance.OK || ending == balance.Unverified || ending == balance.Failed && duration > 0:
 		q.limit.observe(duration)
 	case ending == balance.Busy:
 		q.limit.recordRejection(g.inFlight, q.slots(g.target))
+		q.guard.Rejected(now, g.target, g.inFlight)
 	}
 	return q.schedule(now)
 }
@@ -181,6 +191,7 @@
 		if key.VM == vm && key.Ticket < beforeTicket {
 			q.release(key, g)
 			q.balancer.Done(now, g.target, balance.Abandoned, 0)
+			q.guard.Withdrawn(now, g.target)
 		}
 	}
 	return q.schedule(now)
@@ -203,7 +214,9 @@
 			q.balancer.Done(now, g.target, balance.Abandoned, 0)
 		}
 	}
+	q.releaseHung(now)
 	q.balancer.ExpireIdle(now)
+	q.testimony.expire(now)
 	return q.schedule(now)
 }
 
@@ -215,17 +228,26 @@
 	q.rank(now)
 	remaining := q.waiting[:0]
 	perSecond, untilFirst := q.throughput(now)
-	noCapacity := false
+	trials := q.newTrials()
+	noCapacity, ahead := false, 0
 	for _, r := range q.waiting {
+		if trials.exhausted(r.VM) {
+			if !q.refuseIfTooLate(now, r, untilFirst, perSecond) {
+				remaining = append(remaining, r)
+			}
+			continue
+		}
 		// If a request without excluded targets finds no capacity, the following ones find none
 		// either. Each attempt scans all targets, and hundreds of requests may wait
 		// (BenchmarkLongLine).
 		if !(noCapacity && len(r.Exclude) == 0) && q.grant(now, r) {
+			trials.count(r.VM)
 			continue
 		}
 		noCapacity = noCapacity || len(r.Exclude) == 0
-		if !q.refuseIfTooLate(now, r, untilFirst+ratelimit.DurationFor(float64(len(remaining)), perSecond), perSecond) {
+		if !q.refuseIfTooLate(now, r, untilFirst+ratelimit.DurationFor(float64(ahead), perSecond), perSecond) {
 			remaining = append(remaining, r)
+			ahead++
 		}
 	}
 	clear(q.waiting[len(remaining):])
@@ -264,7 +286,7 @@
 	}
 	q.pacer.Consume(now, id)
 	q.running[id]++
-	q.grants[r.Key] = grant{target: id, inFlight: q.running[id], deadline: r.Deadline}
+	q.grants[r.Key] = grant{target: id, inFlight: q.running[id], grantedAt: now, deadline: r.Deadline}
 	q.emit(Action{Key: r.Key, Target: id})
 	return true
 }
@@ -302,7 +324,7 @@
 			continue
 		}
 		candidate := balance.Target{ID: t.ID, SameZone: t.Zone == r.Zone}
-		if q.balancer.Ejected(now, t.ID) {
+		if q.balancer.Ejected(now, t.ID) || !q.mayProbe(now, t.ID, r.VM) {
 			continue
 		}
 		available = append(available, candidate)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -129,9 +129,11 @@
 	quotas     *quotas
 	quarantine *contentQuarantine
 	// rateLimits holds the rate limits that targets announced.
-	rateLimits   *rateLimits
-	reachability *reachability
-	relayServer  *relayServer
+	rateLimits *targetLimits
+	// rejectionLimits holds the numbers of rejections with which targets announced that they crash.
+	rejectionLimits *targetLimits
+	reachability    *reachability
+	relayServer     *relayServer
 
 	// loggedDirectory is the last directory that was logged. The feed's callbacks are not
 	// concurrent.
@@ -213,7 +215,7 @@
 	n.queues = newQueues(n)
 	n.quotas = newQuotas(n, s.Quota)
 	n.quarantine = newContentQuarantine(n)
-	n.rateLimits = newRateLimits(n)
+	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
 	n.reachability = newReachability(n)
 	n.relayServer = &relayServer{node: n}
 	n.mesh = peer.New(peer.Config{
@@ -236,7 +238,7 @@
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		VMs:   func() int { return int(n.vmCount.Load()) }, ConnectedVMs: func() int { return int(n.connectedVMs.Load()) },
 		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
-		OnNotice: n.handleNotice, RateLimits: n.rateLimits, CheckSuspension: n.checkSuspension, Log: l, Metrics: metrics, Now: n.now,
+		OnNotice: n.handleNotice, RateLimits: (*limitedTargets)(n), CheckSuspension: n.checkSuspension, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
 	return n, n.listen()
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -22,7 +22,7 @@
 		decision := x.g.cfg.Admission.Admit(x.ctx, &AdmitRequest{
 			Service: x.service.Name, Team: x.teamName(), Cost: x.cost(x.runs), Request: &x.req, Route: x.route,
 			Deadline: x.deadline, FirstEventDeadline: x.firstEventDeadline(admitStart), Age: x.requestAge, Content: x.digest, Exclude: x.exclude,
-			BackedOff: x.g.backedOffTargets(), RateLimited: x.g.cfg.RateLimits.Limited(),
+			BackedOff: x.g.backedOffTargets(), RateLimited: x.g.cfg.RateLimits.Limited(x.service.Name),
 		})
 		x.logEntry.AdmitTime += x.g.cfg.Now().Sub(admitStart)
 		x.logEntry.DecidedBy = decision.DecidedBy
@@ -121,7 +121,7 @@
 		x.recordNotRun(decision, scheduler.EndedWithdrawn, 0, err)
 		return true
 	case errors.Is(err, hop.ErrNoConnection):
-		x.recordNotRun(decision, scheduler.EndedBusy, 0, err)
+		x.recordNotRun(decision, scheduler.EndedNoConnection, 0, err)
 		return true
 	case errors.Is(err, hop.ErrUnreachable):
 		x.recordNotRun(decision, scheduler.EndedUnreachable, 0, err)
