Ask VMs of other zones before a target is taken for unreachable

Cause: a VM whose connection to a target failed asked relays of its own zone first. They had lost their paths with it, and had not announced it yet; each reported the target as unreachable. Two such reports cleared the suspicion of the VM's own path and blamed the target, so that no VM of the zone ever found out. Class: evidence of witnesses that share the fault.

TestRelayWithoutPathsBlamesTarget and TestDoubtsOfOwnPaths are new.

Change: until a VM knows that it is isolated, a VM of another zone is asked first. A relay that does not reach a target and has failed elsewhere since its last new connection connects to another target before it says that this one is unreachable, and says that it cannot relay if that fails too.

Tests: TestRelaysAreDistinctAndBounded asked for VMs of the own zone first in any case; it asks for that once the VM is isolated, and for one of another zone first before, and that all are distinct.

Conclusion: the comparison needs a witness that does not share the fault, or knows that it may.

--- a/coord/reach/probe.go
+++ b/coord/reach/probe.go
@@ -68,6 +68,19 @@
 	return "", false
 }
 
+// Comparison returns a target other than the given one to which no connection has failed recently. ok
+// is false if there is none.
+func (t *Table) Comparison(target string) (other string, ok bool) {
+	i, _ := slices.BinarySearch(t.targets, target)
+	n := len(t.targets)
+	for k := range n {
+		if id := t.targets[(i+k)%n]; id != target && t.paths[id] == nil {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // firstInTurn returns the index of the target after the last one probed.
 func (t *Table) firstInTurn() int {
 	if t.prober.last == "" {
--- a/coord/reach/reach.go
+++ b/coord/reach/reach.go
@@ -57,6 +57,8 @@
 	beganAt, endedAt time.Time
 	// reached is the first target that was reached while isolated; empty: none.
 	reached string
+	// reachedAt is when a new connection last succeeded.
+	reachedAt time.Time
 	// failedDials counts the failed connections since then.
 	failedDials int
 	prober      prober
@@ -112,6 +114,20 @@
 	return t.isolated || !t.endedAt.IsZero() && now.Sub(t.endedAt) < announceTime
 }
 
+// Doubts reports whether this VM may have lost its paths, so that a failed connection to a target says
+// nothing about it: a connection to another target has failed recently, and none has succeeded since.
+func (t *Table) Doubts(now time.Time, target string) bool {
+	if t.isolated {
+		return true
+	}
+	for id, p := range t.paths {
+		if id != target && now.Sub(p.failedAt) < evidenceTime && !p.failedAt.Before(t.reachedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // BrokenPaths returns the number of targets whose paths are broken.
 func (t *Table) BrokenPaths() int {
 	return t.count(func(p *path) bool { return p.broken })
@@ -213,6 +229,7 @@
 // recordReached applies a successful connection.
 func (t *Table) recordReached(now time.Time, target string) Change {
 	var c Change
+	t.reachedAt = now
 	if p := t.paths[target]; p != nil && p.broken {
 		c.Restored = target
 		t.prober.due = now
--- a/coord/reach/reach_test.go
+++ b/coord/reach/reach_test.go
@@ -229,3 +229,24 @@
 	}
 	assert.Equal(t, len(first), 4)
 }
+
+// TestDoubtsOfOwnPaths guards against a VM that takes targets for unreachable after it has lost its own
+// paths.
+func TestDoubtsOfOwnPaths(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New(1)
+	table.SetTargets([]string{"a", "b", "c"})
+	table.RecordDial(now, "a", false)
+	assert.Assert(t, !table.Doubts(now, "a"), "nothing else has failed")
+	assert.Assert(t, table.Doubts(now, "b"))
+	other, ok := table.Comparison("b")
+	assert.Assert(t, ok && other == "c")
+	now = now.Add(time.Millisecond)
+	table.RecordDial(now, "c", true)
+	assert.Assert(t, !table.Doubts(now, "b"), "a connection has succeeded since")
+	table.RecordDial(now, "b", false)
+	table.RecordDial(now, "c", false)
+	_, ok = table.Comparison("a")
+	assert.Assert(t, table.Doubts(now, "a") && !ok)
+	assert.Assert(t, !table.Doubts(now.Add(evidenceTime), "a"), "the failures are too old")
+}
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,9 @@
 	// minZoneRelayRatio is the fraction of a zone's VMs that must be able to relay before requests
 	// are relayed within the zone: the relays do the work of all its VMs.
 	minZoneRelayRatio = 1.0 / 3
+	// comparisonTimeout bounds a connection attempt that tells a broken target from broken paths.
+	// Targets are a few milliseconds away.
+	comparisonTimeout = 200 * time.Millisecond
 )
 
 // reachability records which targets this VM can reach itself, and names the VMs that can relay
@@ -130,11 +134,41 @@
 }
 
 // relays returns up to maxRelays VMs that can relay requests, best first. It returns none if no
-// other VM can.
+// other VM can. Until this VM knows that it is isolated, a VM of another zone comes first: those of
+// its own zone may have lost their paths with it, and not have announced it yet.
 func (r *reachability) relays() []coord.VMID {
 	c := r.candidates.Load()
-	relays := randomSample(slices.Clone(c.preferred), maxRelays)
-	return append(relays, randomSample(slices.Clone(c.others), maxRelays-len(relays))...)
+	preferred := randomSample(slices.Clone(c.preferred), maxRelays)
+	others := randomSample(slices.Clone(c.others), maxRelays)
+	if r.isolated() == 0 && len(others) > 0 {
+		preferred, others = append(others[:1:1], preferred...), others[1:]
+	}
+	relays := append(preferred, others...)
+	return relays[:min(len(relays), maxRelays)]
+}
+
+// isAtFault reports whether a target that this VM did not reach is at fault, and not this VM's paths.
+// In doubt, it connects to another target.
+func (r *reachability) isAtFault(ctx context.Context, target string) bool {
+	if !r.doubts(target) {
+		return true
+	}
+	r.mu.Lock()
+	other, found := r.table.Comparison(target)
+	r.mu.Unlock()
+	if !found {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, comparisonTimeout)
+	defer cancel()
+	r.connect(ctx, other)
+	return !r.doubts(target)
+}
+
+func (r *reachability) doubts(target string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Doubts(r.node.now(), target)
 }
 
 // relayCandidates holds the VMs that can relay requests.
--- a/internal/edge/reachability_test.go
+++ b/internal/edge/reachability_test.go
@@ -89,7 +89,7 @@
 }
 
 func TestRelaysAreDistinctAndBounded(t *testing.T) {
-	n, _ := reachabilityNode(t, nil)
+	n, _ := reachabilityNode(t, map[string]string{"t1": "", "t2": ""})
 	n.settings.Vm.Zone = "z0"
 	var vms []roster.Entry
 	for i := range 2 {
@@ -99,12 +99,19 @@
 		vms = append(vms, roster.Entry{ID: coord.VMID(fmt.Sprintf("far-%d", i)), Zone: "z1", Incarnation: 1})
 	}
 	addVMs(n, vms...)
-	for range 100 {
-		relays := n.reachability.relays()
-		assert.Equal(t, len(relays), maxRelays)
-		near := slices.Sorted(slices.Values(relays[:2]))
-		assert.DeepEqual(t, near, []coord.VMID{"near-0", "near-1"})
+	checkRelays := func(firstNear int) {
+		t.Helper()
+		for range 100 {
+			relays := n.reachability.relays()
+			assert.Equal(t, len(relays), maxRelays)
+			assert.Equal(t, len(slices.Compact(slices.Sorted(slices.Values(relays)))), maxRelays)
+			near := slices.Sorted(slices.Values(relays[firstNear : firstNear+2]))
+			assert.DeepEqual(t, near, []coord.VMID{"near-0", "near-1"})
+		}
 	}
+	checkRelays(1) // after one of another zone
+	isolate(n, "t1", "t2")
+	checkRelays(0)
 }
 
 // isolate makes a node find that it is isolated.
--- a/internal/edge/reachprobe.go
+++ b/internal/edge/reachprobe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // probeLoop probes targets, one at a time, while there are broken paths, until the context ends.
@@ -27,12 +29,17 @@
 	if !due {
 		return
 	}
+	r.connect(ctx, id)
+}
+
+// connect makes a connection to a target, without a request, and records the result.
+func (r *reachability) connect(ctx context.Context, id string) {
 	target := r.node.feed.Directory().Targets[id]
 	if target == nil {
 		return // removed meanwhile
 	}
 	err := r.node.pool.Probe(ctx, id, target.Address)
-	if ctx.Err() == nil {
+	if !errors.Is(ctx.Err(), context.Canceled) {
 		r.recordDial(id, err)
 	}
 }
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -644,3 +644,21 @@
 		return poll.Continue("the relay ends the request")
 	}, poll.WithTimeout(10*time.Second))
 }
+
+// TestRelayWithoutPathsBlamesTarget guards against a relay that has lost its own paths and reports a
+// target as unreachable.
+func TestRelayWithoutPathsBlamesTarget(t *testing.T) {
+	refused := "127.0.0.1:1"
+	f := newRelayFleet(t, "a", "b")
+	for _, vm := range f.relays {
+		vm.reachability.table.SetTargets([]string{"other"})
+		vm.reachability.recordDial("other", errRefused)
+	}
+	_, _, err := f.do(f.request(refused))
+	assert.Assert(t, errors.Is(err, hop.ErrNoPath) && hop.NotSent(err), "%v", err)
+	for _, vm := range f.relays {
+		vm.reachability.recordDial("other", nil)
+	}
+	_, _, err = f.do(f.request(refused))
+	assert.Assert(t, errors.Is(err, hop.ErrUnreachable), "%v", err)
+}
--- a/internal/edge/relayserver.go
+++ b/internal/edge/relayserver.go
@@ -90,6 +90,9 @@
 	}
 	defer s.running.Done()
 	resp, err := s.node.pool.Do(ctx, s.request(ctx, f))
+	if errors.Is(err, hop.ErrUnreachable) && !s.node.reachability.isAtFault(ctx, f.Target) {
+		return notSentResult(forward.CodeRelayUnavailable, err)
+	}
 	if err != nil {
 		return relayFailure(ctx, err)
 	}
