Do not count a relay's broken paths against targets

Cause: a relay that lost its paths while it relayed reported the reset as "target_disconnected". The sender took that for a disconnect by the target, which feeds breakers and the quarantine of contents, and for proof that the relay had reached the target, which marks the sender's own path as broken. The relay did not record the failure either, so that a VM without callers of its own never doubted its paths on connections that were open before the cut.

Change: a relay records its failures before the response like those of its own requests, and judges a path failure as it does a failed connection: in doubt it connects to another target. If that fails as well, the sender is told that the answer was cut off, which is neutral (hop.ErrRelayLost).

Evidence: both tests failed before (relay cut: "target_disconnected ... connection reset by peer" instead of ErrRelayLost; doubts not set). Conclusion: the targets are no longer blamed; a reset that the target caused keeps its meaning, which the second half of the first test holds.

--- a/internal/edge/reachability_test.go
+++ b/internal/edge/reachability_test.go
@@ -53,7 +53,14 @@
 	n.heartbeatDue = make(chan struct{}, 1)
 	n.pool = hop.New(nil)
 	n.reachability = newReachability(n)
-	n.feed = feed.New(feed.Config{
+	n.feed = feedOf(n, addresses)
+	return n, now
+}
+
+// feedOf returns a feed with targets at the given addresses, by their ids, that a node's reachability
+// follows.
+func feedOf(n *Node, addresses map[string]string) *feed.Feed {
+	f := feed.New(feed.Config{
 		Decode: func(i fleet.Item) (fleet.Decoded, error) {
 			return fleet.Decoded{Target: &fleet.Target{ID: i.Key, Service: "s", Address: addresses[i.Key]}}, nil
 		},
@@ -63,8 +70,8 @@
 	for id := range addresses {
 		u.Items = append(u.Items, fleet.Item{Key: id, Revision: 1})
 	}
-	n.feed.Apply(u)
-	return n, now
+	f.Apply(u)
+	return f
 }
 
 // addVMs adds live VMs to a node's roster.
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -662,3 +662,52 @@
 	_, _, err = f.do(f.request(refused))
 	assert.Assert(t, errors.Is(err, hop.ErrUnreachable), "%v", err)
 }
+
+// TestRelayThatLosesItsPathsIsNotTheTargetsFailure guards against relayed requests that count against
+// targets, and as proof that these were reached, although their relay was cut off.
+func TestRelayThatLosesItsPathsIsNotTheTargetsFailure(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		t.Run(strconv.FormatBool(cut), func(t *testing.T) {
+			f := newRelayFleet(t, "a")
+			relay, ids := f.relays["a"], []string{"t#1", "t#2", "t#3"}
+			f.sender.reachability.table.SetTargets(ids)
+			relay.reachability.table.SetTargets(ids)
+			relay.reachability.recordDirectFailure("t#2")
+			target := newRawTarget(t, func(c *net.TCPConn, _ *http.Request) { _ = c.SetLinger(0) })
+			relay.feed = feedOf(relay, map[string]string{"t#1": target.address, "t#2": target.address, "t#3": target.address})
+			relay.pool.OnDialed = nil // as on a connection that was open before
+			if cut {
+				relay.pool.Dial = dialOnce(relay.pool.Dial)
+			}
+			f.sender.reachability.recordDirectFailure("t#1")
+			_, _, err := f.do(f.request(target.address))
+			assert.Assert(t, err != nil && !hop.NotSent(err), "%v", err)
+			assert.Equal(t, errors.Is(err, hop.ErrRelayLost), cut, "%v", err)
+			assert.Equal(t, isDisconnect(err), !cut, "%v", err)
+			assert.Equal(t, f.sender.reachability.brokenPaths() == 1, !cut)
+		})
+	}
+}
+
+// dialOnce returns a dial function whose first connection is that of dial, and whose others are refused.
+func dialOnce(dial fleet.DialFunc) fleet.DialFunc {
+	var dialed atomic.Bool
+	return func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+		if dialed.Swap(true) {
+			return nil, errRefused
+		}
+		return dial(ctx, d, address)
+	}
+}
+
+// TestRelayRecordsItsOwnFailures guards against a VM without callers that goes on relaying without paths.
+func TestRelayRecordsItsOwnFailures(t *testing.T) {
+	f := newRelayFleet(t, "a")
+	relay := f.relays["a"]
+	relay.reachability.table.SetTargets([]string{"t#1", "t#2"})
+	relay.pool.OnDialed = nil // as on a connection that was open before
+	target := newRawTarget(t, func(c *net.TCPConn, _ *http.Request) { _ = c.SetLinger(0) })
+	_, _, err := f.do(f.request(target.address))
+	assert.Assert(t, err != nil, "the target responded")
+	assert.Assert(t, relay.reachability.doubts("t#2"))
+}
--- a/internal/edge/relayserver.go
+++ b/internal/edge/relayserver.go
@@ -93,11 +93,23 @@
 	if errors.Is(err, hop.ErrUnreachable) && !s.node.reachability.isAtFault(ctx, f.Target) {
 		return notSentResult(forward.CodeRelayUnavailable, err)
 	}
+	if isPathFailure(ctx, err) {
+		s.node.reachability.recordDirectFailure(f.Target)
+	}
 	if err != nil {
-		return relayFailure(ctx, err)
+		return s.failure(ctx, f.Target, err)
 	}
 	defer resp.Close()
-	return copyResponse(ctx, resp, w)
+	return s.copyResponse(ctx, f.Target, resp, w)
+}
+
+// failure returns the result of an attempt at a target that failed with an error of package hop. A
+// failure that this VM's own paths may have caused says nothing about the target.
+func (s *relayServer) failure(ctx context.Context, target string, err error) forward.Result {
+	if isPathFailure(ctx, err) && !s.node.reachability.isAtFault(ctx, target) {
+		return failedResult(forward.CodeAnswerTruncated, err)
+	}
+	return relayFailure(ctx, err)
 }
 
 func (s *relayServer) request(ctx context.Context, f *schema.Forward) *hop.Request {
@@ -130,8 +142,8 @@
 	}
 }
 
-// copyResponse copies a response to w and returns its result.
-func copyResponse(ctx context.Context, resp *hop.Response, w forward.Sink) forward.Result {
+// copyResponse copies the response of a target to w and returns its result.
+func (s *relayServer) copyResponse(ctx context.Context, target string, resp *hop.Response, w forward.Sink) forward.Result {
 	head := forward.Head{
 		Status: resp.Status, Headers: headersToProto(resp.Header), Length: resp.Length, CloseDelimited: resp.CloseDelimited,
 	}
@@ -150,7 +162,7 @@
 			return forward.Result{}
 		}
 		if readErr != nil {
-			return relayFailure(ctx, readErr)
+			return s.failure(ctx, target, readErr)
 		}
 	}
 }
