Find lost paths of a leader that has no callers

Cause: only requests of a VM's own callers fed its reachability. A leader without callers, or whose callers pause, that lost its paths kept the leadership: its orders and report requests failed, and no VM loaded an adapter any more. Callers of all other VMs saw requests for adapters that were not loaded refused.

Change: failed connections of orders and report requests count as failures of the path. Responses that other VMs report to the leader confirm that a target can be reached, as a relay's would, once 300 ms have passed since the first failure there: until then the report may be about an earlier response. Probes and the rule for isolation are unchanged, and a successful connection still clears the evidence, so that a target's pause isolates nobody.

Conclusion: fixed where requests of other VMs succeed at two targets.

--- a/coord/reach/reach.go
+++ b/coord/reach/reach.go
@@ -33,11 +33,16 @@
 	isolationPaths = 2
 	// announceTime is how long an isolation is still announced after it ended.
 	announceTime = time.Second
+	// reportTime is how long the report of a response that another VM received may take: an earlier
+	// one may be about a response from before the failure.
+	reportTime = 300 * time.Millisecond
 )
 
 // path is the path to one target with a recent failure.
 type path struct {
 	failedAt time.Time
+	// firstFailedAt is the time of the first of these failures.
+	firstFailedAt time.Time
 	// broken is set when a relay reached the target after the failure.
 	broken bool
 	// isEvidence is set when the path broke after the last successful connection to any target.
@@ -150,7 +155,7 @@
 	}
 	p := t.paths[target]
 	if p == nil {
-		p = &path{}
+		p = &path{firstFailedAt: now}
 		t.paths[target] = p
 	}
 	p.failedAt = now
@@ -177,6 +182,16 @@
 	return t.beginIsolation(now, Change{Broken: target})
 }
 
+// RecordReachedElsewhere records that another VM reported a response of a target. It tells as much as
+// a relay does, also for a VM that sends no requests of its own.
+func (t *Table) RecordReachedElsewhere(now time.Time, target string) Change {
+	p := t.paths[target]
+	if p == nil || now.Sub(p.firstFailedAt) < reportTime {
+		return Change{}
+	}
+	return t.RecordRelayed(now, target, true)
+}
+
 // RecordDial records the result of a new connection to a target.
 func (t *Table) RecordDial(now time.Time, target string, ok bool) Change {
 	if !t.isKnown(target) {
--- a/coord/reach/reach_test.go
+++ b/coord/reach/reach_test.go
@@ -250,3 +250,43 @@
 	assert.Assert(t, table.Doubts(now, "a") && !ok)
 	assert.Assert(t, !table.Doubts(now.Add(evidenceTime), "a"), "the failures are too old")
 }
+
+// TestVMWithoutRequestsIsIsolatedByReportsOfOthers guards against a leader without callers whose orders
+// all fail, and which never learns that other VMs reach the targets.
+func TestVMWithoutRequestsIsIsolatedByReportsOfOthers(t *testing.T) {
+	table := New(0)
+	table.SetTargets([]string{"a", "b", "c"})
+	now := start
+	table.RecordFailure(now, "a")
+	table.RecordReachedElsewhere(now.Add(reportTime/2), "a")
+	assert.Equal(t, table.BrokenPaths(), 0, "the response may precede the failure")
+	now = now.Add(reportTime)
+	table.RecordFailure(now, "a")
+	table.RecordReachedElsewhere(now, "c")
+	table.RecordReachedElsewhere(now, "a")
+	assert.Equal(t, table.BrokenPaths(), 1)
+	probed, due := table.NextProbe(now)
+	assert.Assert(t, due && probed != "a")
+	table.RecordDial(now, probed, false)
+	assert.Assert(t, !table.Isolated(), "one target may be at fault")
+	now = now.Add(reportTime)
+	assert.Assert(t, table.RecordReachedElsewhere(now, probed).IsolationBegan)
+}
+
+// TestPausedTargetDoesNotIsolate guards against a VM that takes a target's pause for lost paths.
+func TestPausedTargetDoesNotIsolate(t *testing.T) {
+	table := New(0)
+	table.SetTargets([]string{"a", "b", "c"})
+	now := start
+	table.RecordFailure(now, "a")
+	now = now.Add(time.Second)
+	table.RecordReachedElsewhere(now, "a")
+	for range 3 {
+		if target, due := table.NextProbe(now); due {
+			table.RecordDial(now, target, true)
+		}
+		now = now.Add(probeInterval)
+	}
+	assert.Assert(t, !table.Isolated())
+	assert.Equal(t, table.BrokenPaths(), 0)
+}
--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// TargetOf returns the target at which a request runs; empty: none.
+func (s *Scheduler) TargetOf(key Key) string {
+	if g := s.grants[key]; g != nil {
+		return g.target.id
+	}
+	return ""
+}
+
 // FirstEvent records that the first event of a granted request has arrived.
 func (s *Scheduler) FirstEvent(now time.Time, key Key) {
 	g := s.grants[key]
--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -146,6 +146,9 @@
 	return q.schedule(now)
 }
 
+// TargetOf returns the target at which a request runs; empty: none.
+func (q *Queue) TargetOf(key Key) string { return q.grants[key].target }
+
 // Done records the end of a granted request and its duration, or withdraws a waiting request.
 func (q *Queue) Done(now time.Time, key Key, ending balance.Ending, duration time.Duration) []Action {
 	q.waiting = slices.DeleteFunc(q.waiting, func(r *Request) bool { return r.Key == key })
--- a/internal/edge/endings.go
+++ b/internal/edge/endings.go
@@ -52,3 +52,8 @@
 	schema.Ending_ENDING_BUSY: true, schema.Ending_ENDING_MISPLACED: true,
 	schema.Ending_ENDING_UNREACHABLE: true, schema.Ending_ENDING_WITHDRAWN: true, schema.Ending_ENDING_NO_CONNECTION: true,
 }
+
+// responded holds the endings, and the first event, that show that the target was reached.
+var responded = map[schema.Ending]bool{
+	schema.Ending_ENDING_OK: true, schema.Ending_ENDING_UNVERIFIED: true, schema.Ending_ENDING_FIRST_EVENT: true,
+}
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -27,6 +27,7 @@
 			Version: a.Version, Holder: n.settings.Vm.Id, FencingToken: token, ExpectedOrders: a.ExpectedOrders,
 		})
 	}
+	n.reachability.recordEngineCall(t.ID, err)
 	n.handleNotice(t.ID, answer.Notice, nil)
 	result := answer.Result
 	n.logOrder(t, a, token, result, err, n.now().Sub(startedAt))
@@ -79,6 +80,7 @@
 // incarnation shows that the requested one is gone; the report of an earlier one shows nothing.
 func (ss *schedulers) readReport(sc *serviceScheduler, t *fleet.Target) {
 	report, err := ss.node.platform.Engines.Report(context.Background(), t.ID, t.Address)
+	ss.node.reachability.recordEngineCall(t.ID, err)
 	ss.node.handleNotice(t.ID, report.Notice, nil)
 	otherIncarnation := err == nil && t.Started != 0 && report.Started != 0 && report.Started != t.Started
 	if otherIncarnation {
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -47,7 +47,7 @@
 	source := &suspendable{}
 	n.clock = source.clock(&now)
 	n.now = n.clock.Now
-	n.schedulers = newSchedulers(n)
+	n.schedulers, n.reachability = newSchedulers(n), newReachability(n)
 	sc := &serviceScheduler{scheduler: scheduler.New(scheduler.Config{})}
 	send := func(token uint64) int {
 		n.schedulers.sendOrder(sc, &fleet.Target{ID: "t"}, scheduler.Action{
--- a/internal/edge/queues.go
+++ b/internal/edge/queues.go
@@ -149,14 +149,17 @@
 	}
 	key := servicequeue.Key{VM: from, Ticket: d.Ticket}
 	qs.mu.Lock()
-	defer qs.mu.Unlock()
 	sq := qs.services[d.Service]
 	if sq == nil {
+		qs.mu.Unlock()
 		return
 	}
+	target := sq.queue.TargetOf(key)
 	delete(sq.waiters, key)
 	took := time.Duration(d.TookMs * float64(time.Millisecond))
 	qs.deliver(sq, sq.queue.Done(qs.node.now(), key, ending, took))
+	qs.mu.Unlock()
+	qs.node.recordReport(from, target, d.Ending)
 }
 
 // deliver sends decisions to the waiting requests. qs.mu is held.
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -5,14 +5,18 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/reach"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/schema"
 )
 
 const (
@@ -92,6 +96,30 @@
 	r.handle(change)
 }
 
+// recordReachedElsewhere records that another VM reported a response of a target.
+func (r *reachability) recordReachedElsewhere(target string) {
+	r.mu.Lock()
+	change := r.table.RecordReachedElsewhere(r.node.now(), target)
+	r.mu.Unlock()
+	r.handle(change)
+}
+
+// recordReport uses the end, or the first event, of another VM's request as proof that its target can be
+// reached.
+func (n *Node) recordReport(from coord.VMID, target string, ending schema.Ending) {
+	if responded[ending] && from != coord.VMID(n.settings.Vm.Id) {
+		n.reachability.recordReachedElsewhere(target)
+	}
+}
+
+// recordEngineCall records the result of an order or a report request. Only failures of the
+// connection count; err is nil on success.
+func (r *reachability) recordEngineCall(target string, err error) {
+	if isPathFailure(context.Background(), err) || errors.IsAny(err, context.DeadlineExceeded, syscall.ECONNREFUSED) {
+		r.recordDirectFailure(target)
+	}
+}
+
 // handle logs a change. The beginning of an isolation is announced at once.
 func (r *reachability) handle(c reach.Change) {
 	if c.Broken != "" {
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -252,15 +252,17 @@
 		ss.mu.Unlock()
 		return
 	}
+	target := sc.scheduler.TargetOf(key)
+	var work []func()
 	if d.Ending == schema.Ending_ENDING_FIRST_EVENT {
 		sc.scheduler.FirstEvent(now, key)
-		ss.mu.Unlock()
-		return
+	} else {
+		delete(sc.waiters, key)
+		work = ss.applyActions(sc, sc.scheduler.Done(now, key, ending))
 	}
-	delete(sc.waiters, key)
-	work := ss.applyActions(sc, sc.scheduler.Done(now, key, ending))
 	ss.mu.Unlock()
 	runAll(work)
+	ss.node.recordReport(from, target, d.Ending)
 }
 
 // applyActions delivers decisions to the waiting requests. It returns functions that submit orders
