Bound the sessions that a VM opens to relays

Cause: relays were drawn anew for each request from the whole zone, and from all other zones; in a fleet of 408 VMs one VM without paths would open a session to each of them.

Change: each VM has eight relays in its zone and eight in others, selected by rendezvous hashing of its id, which change only as VMs come, go or become isolated.

Evidence: TestSessionsToRelaysAreBounded (400 VMs in four zones; before, 99 and 300 candidates for each).

--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -22,6 +22,8 @@
 const (
 	// maxRelays is the number of VMs that relays returns.
 	maxRelays = 3
+	// maxRelayCandidates bounds the sessions that a VM opens to relays, in its own zone and in others.
+	maxRelayCandidates = 8
 	// minZoneRelayRatio is the fraction of a zone's VMs that must be able to relay before requests
 	// are relayed within the zone: the relays do the work of all its VMs.
 	minZoneRelayRatio = 1.0 / 3
@@ -223,9 +225,24 @@
 		}
 	}
 	if float64(len(sameZone)) < minZoneRelayRatio*float64(zoneSize) {
-		return &relayCandidates{others: append(sameZone, others...)}
+		return &relayCandidates{others: selectByHash(self, append(sameZone, others...))}
 	}
-	return &relayCandidates{preferred: sameZone, others: others}
+	return &relayCandidates{preferred: selectByHash(self, sameZone), others: selectByHash(self, others)}
+}
+
+// selectByHash returns maxRelayCandidates VMs, or all if there are fewer. Each VM has its own, which
+// change only as VMs come and go.
+func selectByHash(self coord.VMID, vms []coord.VMID) []coord.VMID {
+	hashes := make([]uint64, len(vms))
+	for i, vm := range vms {
+		hashes[i] = rendezvous.Hash(string(vm))
+	}
+	best := make([]int, maxRelayCandidates)
+	var out []coord.VMID
+	for _, i := range best[:rendezvous.Top(hashes, rendezvous.Hash(string(self)), best)] {
+		out = append(out, vms[i])
+	}
+	return out
 }
 
 // updateRelays determines the VMs that can relay requests, and how many VMs share the connections
--- a/internal/edge/reachability_test.go
+++ b/internal/edge/reachability_test.go
@@ -46,6 +46,24 @@
 	}
 }
 
+// TestSessionsToRelaysAreBounded guards against a VM that opens sessions to a whole large fleet, and against
+// relays that get the requests of all.
+func TestSessionsToRelaysAreBounded(t *testing.T) {
+	live := newFleet(4, 100)
+	senders := map[coord.VMID]int{}
+	for _, e := range live {
+		c := selectRelayCandidates(e.ID, e.Zone, live)
+		assert.Equal(t, len(c.preferred), maxRelayCandidates)
+		assert.Equal(t, len(c.others), maxRelayCandidates)
+		for _, vm := range append(slices.Clone(c.preferred), c.others...) {
+			senders[vm]++
+		}
+	}
+	for vm, n := range senders {
+		assert.Assert(t, n <= 4*2*maxRelayCandidates, "%s relays for %d VMs", vm, n)
+	}
+}
+
 // reachabilityNode returns VM a with targets at the given addresses, by their ids.
 func reachabilityNode(t *testing.T, addresses map[string]string) (n *Node, now *time.Time) {
 	t.Helper()
