One test for the media type of event streams

Cause: the gateway compared a prefix in exact case, the serve role's client parsed the type; both stand for one rule.

Change: eventstream.IsDeclared, which ignores case and parameters, also malformed ones.

Evidence: TestIsDeclared; the tests of both users pass.

Conclusion: a stream whose type is written in other case is a stream for the gateway too now.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -3,7 +3,17 @@
 // with a colon are comments and belong to no event.
 package eventstream
 
-import "bytes"
+import (
+	"bytes"
+	"net/http"
+	"strings"
+)
+
+// IsDeclared reports whether the headers of a response declare an event stream.
+func IsDeclared(h http.Header) bool {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
 
 // Scanner follows a stream from its start. The zero value is at the start.
 type Scanner struct {
@@ -18,6 +28,7 @@
 	afterCR bool
 }
 
+// byteOrderMark may begin a stream.
 var byteOrderMark = []byte("\xef\xbb\xbf")
 
 // InEvent reports whether the stream would end inside an event or a line if it ended here.
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -62,6 +63,15 @@
 	}
 }
 
+func TestIsDeclared(t *testing.T) {
+	for contentType, want := range map[string]bool{
+		"text/event-stream": true, "Text/Event-Stream; charset=utf-8": true, "text/event-stream;charset": true,
+		"text/event-streams": false, "text/plain": false, "": false,
+	} {
+		assert.Equal(t, IsDeclared(http.Header{"Content-Type": {contentType}}), want, contentType)
+	}
+}
+
 func TestLastID(t *testing.T) {
 	for _, row := range []struct {
 		events, id string
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -69,7 +69,7 @@
 // checkEnd returns an error if the end of a target's response shows that it was broken off, or shows
 // nothing and the caller's response would claim that it is complete.
 func (x *exchange) checkEnd(resp *hop.Response) error {
-	if isEventStream(resp.Header) && x.stream.scanner.InEvent() {
+	if eventstream.IsDeclared(resp.Header) && x.stream.scanner.InEvent() {
 		return brokenOffError(resp)
 	}
 	if resp.CloseDelimited && !x.closeDelimited {
@@ -80,7 +80,7 @@
 
 // isBrokenOff reports whether the body of a response shows that it ended too early.
 func isBrokenOff(resp *hop.Response, body []byte) bool {
-	if isEventStream(resp.Header) {
+	if eventstream.IsDeclared(resp.Header) {
 		var scanner eventstream.Scanner
 		scanner.Scan(body)
 		return scanner.InEvent()
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -10,6 +10,7 @@
 
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
+	"github.com/junctionfold/junctionfold/internal/eventstream"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
@@ -178,7 +179,7 @@
 	if x.stream.header != nil && !x.continuesStream(resp) {
 		return x.handleModelError(decision, errNotContinued)
 	}
-	if resp.Status != http.StatusOK || !isEventStream(resp.Header) {
+	if resp.Status != http.StatusOK || !eventstream.IsDeclared(resp.Header) {
 		return x.relayNonStream(decision, resp)
 	}
 	prefix, err := x.readFirstEvent(decision, resp, sentAt)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,11 +5,11 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/junctionfold/junctionfold/internal/eventstream"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
@@ -181,7 +181,7 @@
 // errCallerLeft if the write to the caller failed, or the target's failure.
 func (x *exchange) relay(resp *hop.Response, prefix []byte) error {
 	// A stream gets no length: that it ends inside an event shows only after all its bytes were sent.
-	if resp.Length >= 0 && !isEventStream(resp.Header) {
+	if resp.Length >= 0 && !eventstream.IsDeclared(resp.Header) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	x.beginBody(resp)
@@ -250,7 +250,3 @@
 	}
 	return nil
 }
-
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -69,7 +69,7 @@
 // continuesStream reports whether a response continues the one of which the caller has received a
 // part.
 func (x *exchange) continuesStream(resp *hop.Response) bool {
-	return resp.Status == http.StatusOK && isEventStream(resp.Header) && x.g.cfg.Codec.CanResume(x.stream.header, resp.Header)
+	return resp.Status == http.StatusOK && eventstream.IsDeclared(resp.Header) && x.g.cfg.Codec.CanResume(x.stream.header, resp.Header)
 }
 
 // recordResume ends an attempt after which another target is to continue the stream.
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -19,8 +19,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Errors of Do, or of a transport that uses other VMs as relays, that guarantee that nothing was sent to the target. After any other
-// error, the request may have run.
+// Errors of Do, or of a transport that uses other VMs as relays, that guarantee that nothing was sent
+// to the target. After any other error, the request may have run.
 var (
 	// ErrUnreachable means that no connection could be made.
 	ErrUnreachable = errors.New("the target cannot be reached")
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"mime"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -91,7 +90,7 @@
 		a.ConnectionLost()
 		return CallerDisconnected(err)
 	}
-	isStream := isEventStream(resp.Header)
+	isStream := eventstream.IsDeclared(resp.Header)
 	var events eventstream.Scanner
 	buf := make([]byte, copyBufferBytes)
 	for {
@@ -118,8 +117,3 @@
 		}
 	}
 }
-
-func isEventStream(h http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	return err == nil && mediaType == "text/event-stream"
-}
