Split three files by duty

Change: schedule.go, budget.go and directory.go; functions are moved as they are. The page of package edge named a file that is gone.

Evidence: the tests of the three packages pass.

--- /dev/null
+++ b/coord/servicequeue/schedule.go
@@ -0,0 +1,136 @@
+package servicequeue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/ratelimit"
+)
+
+// schedule grants targets to waiting requests and refuses those that cannot be granted in time.
+func (q *Queue) schedule(now time.Time) []Action {
+	if len(q.waiting) == 0 {
+		return q.takeActions()
+	}
+	q.rank(now)
+	remaining := q.waiting[:0]
+	perSecond, untilFirst := q.throughput(now)
+	trials := q.newTrials()
+	noCapacity, ahead := false, 0
+	for _, r := range q.waiting {
+		if trials.exhausted(r.VM) {
+			if !q.refuseIfTooLate(now, r, untilFirst, perSecond) {
+				remaining = append(remaining, r)
+			}
+			continue
+		}
+		// If a request without excluded targets finds no capacity, the following ones find none
+		// either. Each attempt scans all targets, and hundreds of requests may wait
+		// (BenchmarkLongLine).
+		if !(noCapacity && len(r.Exclude) == 0) && q.grant(now, r) {
+			trials.count(r.VM)
+			continue
+		}
+		noCapacity = noCapacity || len(r.Exclude) == 0
+		if !q.refuseIfTooLate(now, r, untilFirst+ratelimit.DurationFor(float64(ahead), perSecond), perSecond) {
+			remaining = append(remaining, r)
+			ahead++
+		}
+	}
+	clear(q.waiting[len(remaining):])
+	q.waiting = remaining
+	return q.takeActions()
+}
+
+// rank sorts waiting requests: those that can meet their soft deadline first, then by priority
+// and age.
+func (q *Queue) rank(now time.Time) {
+	for _, r := range q.waiting {
+		r.late = q.missesSoftDeadline(now, r, 0)
+	}
+	slices.SortStableFunc(q.waiting, func(a, b *Request) int {
+		switch {
+		case a.late && !b.late:
+			return 1
+		case b.late && !a.late:
+			return -1
+		}
+		return cmp.Or(a.Priority-b.Priority, a.arrived.Compare(b.arrived))
+	})
+}
+
+// missesSoftDeadline reports whether the response to a request granted after the given wait would
+// be late.
+func (q *Queue) missesSoftDeadline(now time.Time, r *Request, wait time.Duration) bool {
+	return !r.SoftDeadline.IsZero() && now.Add(wait+q.limit.p90ServiceTime()+networkDelay).After(r.SoftDeadline)
+}
+
+// grant grants a target to a request and reports whether one had capacity.
+func (q *Queue) grant(now time.Time, r *Request) bool {
+	id := q.pick(now, r)
+	if id == "" {
+		return false
+	}
+	q.pacer.Consume(now, id)
+	q.running[id]++
+	q.grants[r.Key] = grant{target: id, inFlight: q.running[id], grantedAt: now, deadline: r.Deadline}
+	q.emit(Action{Key: r.Key, Target: id})
+	return true
+}
+
+// refuseIfTooLate refuses a request if the given expected wait is too long for it or no target is
+// eligible. It reports whether it did. perSecond is the throughput of all targets.
+func (q *Queue) refuseIfTooLate(now time.Time, r *Request, wait time.Duration, perSecond float64) bool {
+	if !q.hasEligibleTarget(r) {
+		q.refuse(r, ReasonNoTarget, noTargetRetryDelay)
+		return true
+	}
+	latestGrant := r.Deadline.Add(-q.limit.serviceTime())
+	if q.missesSoftDeadline(now, r, wait) && r.arrived.Add(maxLateWait).Before(latestGrant) {
+		latestGrant = r.arrived.Add(maxLateWait)
+	}
+	if now.Add(wait).After(latestGrant) {
+		q.refuse(r, ReasonQueueTooLong, q.retryDelay(now, wait, perSecond))
+		return true
+	}
+	return false
+}
+
+// hasEligibleTarget reports whether there is a target that the request does not exclude.
+func (q *Queue) hasEligibleTarget(r *Request) bool {
+	return slices.ContainsFunc(q.targets, func(t Target) bool { return !slices.Contains(r.Exclude, t.ID) })
+}
+
+// pick returns the best target with capacity and counts the request there, or returns "" if there
+// is none. A rate-limited target that is due for a probe comes first. Ejected targets are used only
+// if all eligible targets are ejected.
+func (q *Queue) pick(now time.Time, r *Request) string {
+	var available, withCapacity []balance.Target
+	for _, t := range q.targets {
+		if slices.Contains(r.Exclude, t.ID) {
+			continue
+		}
+		candidate := balance.Target{ID: t.ID, SameZone: t.Zone == r.Zone}
+		if q.balancer.Ejected(now, t.ID) || !q.mayProbe(now, t.ID, r.VM) {
+			continue
+		}
+		available = append(available, candidate)
+		if q.pacer.ProbeDue(now, t.ID) && q.hasCapacity(now, t) {
+			return q.balancer.Pick(now, []balance.Target{candidate}, nil)
+		}
+		if q.hasCapacity(now, t) {
+			withCapacity = append(withCapacity, candidate)
+		}
+	}
+	if len(available) > 0 {
+		return q.balancer.Pick(now, withCapacity, nil)
+	}
+	for _, t := range q.targets {
+		if !slices.Contains(r.Exclude, t.ID) && q.hasCapacity(now, t) {
+			withCapacity = append(withCapacity, balance.Target{ID: t.ID, SameZone: t.Zone == r.Zone})
+		}
+	}
+	return q.balancer.Pick(now, withCapacity, nil)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,17 +2,18 @@
 // the sessions with other edge VMs, and the scheduler of model requests, which the leader runs for
 // the whole fleet.
 //
-// edge.go builds the parts, gauges.go publishes their state, and run.go starts and stops them.
-// heartbeat.go maintains the roster, leader.go determines the store watchers and the leader, and
-// peers.go and update.go exchange messages with other VMs. schedule.go runs the schedulers,
-// orders.go sends their orders, admit.go requests decisions, running.go records the requests that
-// run, and leadermonitor.go detects an unresponsive leader. queues.go queues the requests to plain
-// services. quotas.go charges requests to their teams, ratelimits.go tracks the rate limits of
-// targets, and quarantine.go blocks contents that crash targets. reachability.go records which targets
-// this VM cannot reach, and reachprobe.go probes them. transport.go sends requests to targets,
-// relayclient.go through other VMs, and relayserver.go those of other VMs. join.go joins the fleet
-// through the seeds. suspension.go detects suspensions of this VM, and notices.go applies the notices
-// that targets send beside their answers.
+// edge.go builds the parts, directory.go passes changed directories to them, gauges.go publishes their
+// state, and run.go starts and stops them. heartbeat.go maintains the roster, leader.go determines the
+// store watchers and the leader, and peers.go and update.go exchange messages with other VMs.
+// schedule.go runs the schedulers, orders.go sends their orders, admit.go requests decisions,
+// running.go records the requests that run, and leadermonitor.go detects an unresponsive leader.
+// queues.go queues the requests to plain services. quotas.go charges requests to their teams,
+// targetlimits.go tracks the limits that targets announce, of the kinds in limitkinds.go, and
+// quarantine.go blocks contents that crash targets. reachability.go records which targets this VM
+// cannot reach, and reachprobe.go probes them. transport.go sends requests to targets, relayclient.go
+// through other VMs, and relayserver.go those of other VMs. join.go joins the fleet through the seeds.
+// suspension.go detects suspensions of this VM, and notices.go applies the notices that targets send
+// beside their answers.
 package edge
 
 import (
@@ -304,48 +305,6 @@
 	}
 }
 
-// onDirectory applies a changed directory to quotas, queues and schedulers, and logs the changes.
-func (n *Node) onDirectory(d *feed.Directory) {
-	old := n.loggedDirectory
-	n.loggedDirectory = d
-	n.logConfig(old, d)
-	n.logTargets(old, d)
-	n.reachability.apply(d)
-	n.quotas.apply(d)
-	n.queues.apply(d)
-	n.schedulers.apply(d)
-}
-
-func (n *Node) logConfig(old, d *feed.Directory) {
-	var oldVersion uint64
-	if old.Config != nil {
-		oldVersion = old.Config.Version
-	}
-	if d.Config != nil && d.Config != old.Config {
-		n.log.ConfigAdopted(oldVersion, d.Config.Version, len(d.Config.Routes), len(d.Config.Services), d.Revision)
-		n.logTeams(old.Config, d.Config)
-	}
-}
-
-func (n *Node) logTargets(old, d *feed.Directory) {
-	for id, t := range d.Targets {
-		oldState := ""
-		if oldTarget := old.Targets[id]; oldTarget != nil {
-			oldState = oldTarget.State.String()
-		}
-		if newState := t.State.String(); newState != oldState {
-			n.log.TargetChanged(id, t.Service, oldState, newState, d.Revision)
-		}
-	}
-}
-
-func (n *Node) onTargetsRemoved(ids []string) {
-	for _, id := range ids {
-		n.pool.Forget(id)
-		n.log.TargetChanged(id, "", "removed", "gone", n.feed.Revision())
-	}
-}
-
 // randomSample returns at most limit of the given VMs in random order. It shuffles vms in place.
 func randomSample(vms []coord.VMID, limit int) []coord.VMID {
 	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,11 +2,11 @@
 // route, obtains a target for it, sends it there and returns the response.
 //
 // gateway.go reads requests, identify.go authenticates them and responses.go responds without a
-// target. routes.go finds routes; plain.go and model.go choose targets and retry attempts.
-// drain.go, backoff.go and limited.go hold requests back from targets that drain, request backoff
-// or limit their rate, and relayed.go those that this VM sends for others. relay.go returns responses,
-// framing.go delimits them and detects those that were broken off, and resume.go resumes broken streams
-// at another target.
+// target. routes.go finds routes; plain.go and model.go choose targets and retry attempts, which
+// budget.go bounds. drain.go, backoff.go and limited.go hold requests back from targets that drain,
+// request backoff or limit their rate, and relayed.go those that this VM sends for others. relay.go
+// returns responses, framing.go delimits them and detects those that were broken off, and resume.go
+// resumes broken streams at another target.
 //
 // Responses state only what is certain: 503 and 429 mean that the request has not run and never
 // will; 502 and 504 mean that it may have run. A response that breaks off ends with its connection.
@@ -15,7 +15,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -309,41 +308,6 @@
 	x.g.mu.Unlock()
 }
 
-// SetRetry changes the configuration of the retry budgets.
-func (g *Gateway) SetRetry(c retry.Config) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.cfg.Retry = c
-	for _, b := range g.budgets {
-		b.Configure(c)
-	}
-}
-
-func (g *Gateway) budget(service string) *retry.Budget {
-	vms := g.cfg.VMs()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b := g.budgets[service]
-	if b == nil {
-		b = retry.New(g.cfg.Retry, vms)
-		g.budgets[service] = b
-	}
-	b.SetVMs(vms)
-	return b
-}
-
-// tryAcquireRetry takes one retry from the budget and reports whether there was one.
-func (x *exchange) tryAcquireRetry() bool {
-	x.g.mu.Lock()
-	defer x.g.mu.Unlock()
-	if x.budget.TryAcquire(rand.Float64()) {
-		return true
-	}
-	x.g.cfg.Metrics.BudgetEmpty.Add(1)
-	x.g.cfg.Log.RetryDenied(x.req.ID, x.service.Name, x.budget.Remaining())
-	return false
-}
-
 // Prune releases idle connections and the state of idle targets. It must be called periodically.
 func (g *Gateway) Prune() {
 	now := g.cfg.Now()
