Read a connection's kernel state in one place; ask for relays without drawing them

The transport drew a random sample of relays only to learn whether there is any, and copied the next sample once more. The isolation of a VM was compared as a number that is meant for metrics.

Change: conn.tcpInfo, reachability.hasRelays and isIsolated; the metric is derived from the last. Behaviour and tests stay.

--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -65,7 +65,7 @@
 // viaRelay reports whether requests to a target are to be sent through another VM. It returns false
 // when no other VM can relay.
 func (r *reachability) viaRelay(target string) bool {
-	if r.candidates.Load().isEmpty() {
+	if !r.hasRelays() {
 		return false
 	}
 	r.mu.Lock()
@@ -153,16 +153,24 @@
 	return int64(r.table.BrokenPaths())
 }
 
-// isolated returns 1 if this VM is cut off from all targets, otherwise 0.
-func (r *reachability) isolated() int64 {
+// isIsolated reports whether this VM is cut off from all targets.
+func (r *reachability) isIsolated() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.table.Isolated() {
+	return r.table.Isolated()
+}
+
+// isolated is isIsolated for metrics: 1 or 0.
+func (r *reachability) isolated() int64 {
+	if r.isIsolated() {
 		return 1
 	}
 	return 0
 }
 
+// hasRelays reports whether other VMs can relay requests.
+func (r *reachability) hasRelays() bool { return !r.candidates.Load().isEmpty() }
+
 // relays returns up to maxRelays VMs that can relay requests, best first. It returns none if no
 // other VM can. Until this VM knows that it is isolated, a VM of another zone comes first: those of
 // its own zone may have lost their paths with it, and not have announced it yet.
@@ -170,7 +178,7 @@
 	c := r.candidates.Load()
 	preferred := randomSample(slices.Clone(c.preferred), maxRelays)
 	others := randomSample(slices.Clone(c.others), maxRelays)
-	if r.isolated() == 0 && len(others) > 0 {
+	if !r.isIsolated() && len(others) > 0 {
 		preferred, others = append(others[:1:1], preferred...), others[1:]
 	}
 	relays := append(preferred, others...)
--- a/internal/edge/relayclient.go
+++ b/internal/edge/relayclient.go
@@ -110,7 +110,7 @@
 
 // candidates returns the relays to try, those that recently failed last.
 func (c *relayClient) candidates() []coord.VMID {
-	vms := slices.Clone(c.node.reachability.relays())
+	vms := c.node.reachability.relays()
 	now := c.node.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/edge/relayserver.go
+++ b/internal/edge/relayserver.go
@@ -85,7 +85,7 @@
 
 // serve sends a request to its target and copies the response to w.
 func (s *relayServer) serve(ctx context.Context, f *schema.Forward, w forward.Sink) forward.Result {
-	if f.Relayed == nil || s.node.reachability.isolated() != 0 || !s.begin() {
+	if f.Relayed == nil || s.node.reachability.isIsolated() || !s.begin() {
 		return notSentResult(forward.CodeRelayUnavailable, nil)
 	}
 	defer s.running.Done()
--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -33,7 +33,7 @@
 	switch {
 	case err == nil:
 		return resp, nil
-	case errors.Is(err, hop.ErrUnreachable) && ctx.Err() == nil && len(t.node.reachability.relays()) > 0:
+	case errors.Is(err, hop.ErrUnreachable) && ctx.Err() == nil && t.node.reachability.hasRelays():
 		return t.relays.do(ctx, r)
 	case isPathFailure(ctx, err):
 		t.node.reachability.recordDirectFailure(r.Key)
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -184,16 +184,25 @@
 
 // retransmits reports whether sent bytes are being retransmitted without an acknowledgement.
 func (c *conn) retransmits() bool {
+	info, _ := c.tcpInfo()
+	return info != nil && info.Unacked > 0 && info.Retransmits > 0
+}
+
+// tcpInfo returns the kernel's state of the connection, or nil if the kernel does not tell. open is false
+// if this process has closed the connection.
+func (c *conn) tcpInfo() (info *unix.TCPInfo, open bool) {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return nil, false
 	}
-	var info *unix.TCPInfo
-	var sockErr error
+	var infoErr error
 	err = raw.Control(func(fd uintptr) {
-		info, sockErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	return err == nil && sockErr == nil && info.Unacked > 0 && info.Retransmits > 0
+	if infoErr != nil {
+		info = nil
+	}
+	return info, err == nil
 }
 
 func (p *Pool) releaseSlot(key string) {
@@ -257,16 +266,8 @@
 // isClosedBothWays reports whether nothing can be sent or received any more. After a close by the target
 // alone, bytes can still be sent. False also means that the state is unknown.
 func (c *conn) isClosedBothWays() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := true
-	err = raw.Control(func(fd uintptr) {
-		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = infoErr == nil && info.State == unix.BPF_TCP_CLOSE
-	})
-	return err != nil || closed
+	info, open := c.tcpInfo()
+	return !open || info != nil && info.State == unix.BPF_TCP_CLOSE
 }
 
 // CloseIdle closes the idle connections that have expired at now. It must be called
