Count error responses against targets, not against the path of a VM

What callers saw: none reported; found by reading what the ending of a request proves.

Cause: a complete 5xx answer ended with the same ending as a broken connection. coord/witness took it as a failure that a broken path of the VM would explain as well: a VM that got errors of two targets, at one of which another VM succeeded, was unreliable, and the errors of both targets no longer counted. An answer proves the path, whatever its status.

Change: its own ending (error_response, ENDING_ERROR_RESPONSE). It counts as a failure in the health of an engine and in the statistics of a plain target, as before, and shows that the VM reaches targets. Two ways were compared: as a success of the witness, which also refutes the failures of other VMs at that target, or as reached only. The second: a target that answers one VM with errors and resets another is the likelier cause of both.

Evidence: TestErrorResponsesAreTheTargetsFault (coord/scheduler and coord/servicequeue) and TestErrorResponseShowsAPath failed with the new ending handled like the old one (t1 still used; t1 preferred to t2), and pass. Five rows of tests of the gateway expect the new ending where a complete answer has status 500: stricter, one ending became two.

Conclusion: only failures without an answer are compared between VMs.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -29,7 +29,7 @@
 	OK Ending = iota
 	// Busy: not run, because the target had no capacity.
 	Busy
-	// Failed: the target failed the request.
+	// Failed: the target failed the request, and its response was not usable.
 	Failed
 	// TimedOut: no response within the time allowed for the request.
 	TimedOut
@@ -44,6 +44,8 @@
 	Unverified
 	// NoConnection: not run, because the VM may open no further connection to the target.
 	NoConnection
+	// ErrorResponse: the target failed the request and said so in a complete response.
+	ErrorResponse
 )
 
 const (
@@ -84,7 +86,7 @@
 
 // String returns the ending's name for logs.
 func (e Ending) String() string {
-	return [...]string{"ok", "busy", "failed", "hung", "unreachable", "abandoned", "broke", "unverified", "no_connection"}[e]
+	return [...]string{"ok", "busy", "failed", "hung", "unreachable", "abandoned", "broke", "unverified", "no_connection", "error_response"}[e]
 }
 
 // Balancer holds one VM's statistics of targets.
@@ -159,7 +161,7 @@
 		// The target answers, but the next timeout ejects it again.
 		s.timeouts = min(s.timeouts, ejectAfterTimeouts-1)
 		s.observe(0, duration)
-	case Failed, Disconnected:
+	case Failed, ErrorResponse, Disconnected:
 		s.observe(1, s.latency)
 	case Busy, NoConnection:
 		s.ejectedUntil = now.Add(busyEjection)
--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -54,7 +54,7 @@
 	switch ending {
 	case EndedMisrouted, EndedBusy, EndedNoConnection:
 		s.handleNotRun(now, g, ending)
-	case EndedAbandoned, EndedFailed, EndedDisconnected:
+	case EndedAbandoned, EndedFailed, EndedErrorResponse, EndedDisconnected:
 		g.target.pinAborted(now, g.ref)
 		s.guard.Withdrawn(now, g.target.id)
 	}
--- a/coord/scheduler/health.go
+++ b/coord/scheduler/health.go
@@ -32,7 +32,7 @@
 		// The target answers, but the next failure ejects it again.
 		h.consecutiveFailures = min(h.consecutiveFailures, ejectAfterFailures-1)
 		h.probing = false
-	case EndedFailed, EndedDisconnected:
+	case EndedFailed, EndedErrorResponse, EndedDisconnected:
 		h.recordFailures(now, 1)
 	case EndedUnreachable:
 		h.recordFailures(now, ejectAfterFailures)
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -65,7 +65,7 @@
 	EndedBusy
 	// EndedMisrouted: not run; the target lacks the adapter.
 	EndedMisrouted
-	// EndedFailed: the target failed.
+	// EndedFailed: the target failed, and its response was not usable.
 	EndedFailed
 	// EndedUnreachable: no connection to the target could be established.
 	EndedUnreachable
@@ -80,11 +80,13 @@
 	EndedUnverified
 	// EndedNoConnection: not run; the VM may open no further connection to the target.
 	EndedNoConnection
+	// EndedErrorResponse: the target failed and said so in a complete response.
+	EndedErrorResponse
 )
 
 // String returns the name that logs use.
 func (e Ending) String() string {
-	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned", "withdrawn", "broke", "unverified", "no_connection"}[e]
+	return [...]string{"ok", "busy", "misplaced", "failed", "unreachable", "abandoned", "withdrawn", "broke", "unverified", "no_connection", "error_response"}[e]
 }
 
 // ActionKind is the kind of an action.
--- a/coord/scheduler/witness.go
+++ b/coord/scheduler/witness.go
@@ -16,6 +16,8 @@
 	switch ending {
 	case EndedOK, EndedUnverified:
 		s.recordReached(now, key.VM, t)
+	case EndedErrorResponse:
+		s.judge.Reached(key.VM)
 	case EndedFailed, EndedDisconnected, EndedUnreachable:
 		if !s.judge.Failed(now, key.VM, t.id) {
 			s.withdrawFailures(key.VM)
--- a/coord/scheduler/witness_test.go
+++ b/coord/scheduler/witness_test.go
@@ -98,6 +98,32 @@
 	}
 }
 
+// TestErrorResponsesAreTheTargetsFault guards against requests to targets that answer them with errors,
+// because these are put down to the path of the VM that received them.
+func TestErrorResponsesAreTheTargetsFault(t *testing.T) {
+	h := newWitnessHarness(t, 4)
+	inFlight := h.mustGrantAt("vm", "t0")
+	h.end(h.mustGrantAt("other", "t0"), EndedErrorResponse)
+	h.end(h.mustGrantAt("other", "t1"), EndedErrorResponse)
+	h.end(inFlight, EndedOK)
+	for range ejectAfterFailures - 1 {
+		h.end(h.mustGrantAt("other", "t1"), EndedErrorResponse)
+	}
+	assert.DeepEqual(t, h.usableBy("vm"), []string{"t0", "t2", "t3"})
+}
+
+// TestErrorResponseShowsAPath guards against failures of a target that are put down to the path of a VM
+// which a target has answered.
+func TestErrorResponseShowsAPath(t *testing.T) {
+	h := newWitnessHarness(t, 4)
+	inFlight := h.mustGrantAt("vm", "t0")
+	h.end(h.mustGrantAt("other", "t0"), EndedDisconnected)
+	h.end(h.mustGrantAt("other", "t2"), EndedErrorResponse)
+	h.end(h.mustGrantAt("other", "t1"), EndedUnreachable)
+	h.end(inFlight, EndedOK)
+	assert.DeepEqual(t, h.usableBy("vm"), []string{"t0", "t2", "t3"})
+}
+
 // TestFirstEventShowsThatTheTargetIsReached guards against ejections that last as long as streams.
 func TestFirstEventShowsThatTheTargetIsReached(t *testing.T) {
 	h := newWitnessHarness(t, 3)
--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -159,7 +159,7 @@
 	q.recordEnding(now, key.VM, g.target, ending, duration)
 	q.recordGivenUp(now, g.target, ending)
 	switch {
-	case ending == balance.OK || ending == balance.Unverified || ending == balance.Failed && duration > 0:
+	case measuresService(ending) && duration > 0:
 		q.limit.observe(duration)
 	case ending == balance.Busy:
 		q.limit.recordRejection(g.inFlight, q.slots(g.target))
@@ -168,6 +168,15 @@
 	return q.schedule(now)
 }
 
+// measuresService reports whether the duration of a request that ended so is a service time.
+func measuresService(ending balance.Ending) bool {
+	switch ending {
+	case balance.OK, balance.Unverified, balance.ErrorResponse, balance.Failed:
+		return true
+	}
+	return false
+}
+
 // slots returns the slots of a target; 0: unknown.
 func (q *Queue) slots(id string) int {
 	for _, t := range q.targets {
--- a/coord/servicequeue/witness.go
+++ b/coord/servicequeue/witness.go
@@ -34,11 +34,14 @@
 	switch ending {
 	case balance.OK, balance.Unverified:
 		q.balancer.Done(now, target, ending, duration)
-		delete(q.testimony.effects, vm)
-		delete(q.testimony.unreliable, vm)
+		q.testimony.recordPath(vm)
 		for _, unreliable := range q.testimony.judge.Succeeded(now, vm, target) {
 			q.withdrawFailures(unreliable)
 		}
+	case balance.ErrorResponse:
+		q.balancer.Done(now, target, ending, duration)
+		q.testimony.recordPath(vm)
+		q.testimony.judge.Reached(vm)
 	case balance.Failed, balance.TimedOut, balance.Unreachable, balance.Disconnected:
 		q.recordFailure(now, vm, target, ending, duration)
 	default:
@@ -46,6 +49,13 @@
 	}
 }
 
+// recordPath records that a target answered a request of a VM: its failures so far were not caused by
+// its paths.
+func (t *testimony) recordPath(vm coord.VMID) {
+	delete(t.effects, vm)
+	delete(t.unreliable, vm)
+}
+
 func (q *Queue) recordFailure(now time.Time, vm coord.VMID, target string, ending balance.Ending, duration time.Duration) {
 	if !q.testimony.judge.Failed(now, vm, target) {
 		q.withdrawFailures(vm)
--- a/coord/servicequeue/witness_test.go
+++ b/coord/servicequeue/witness_test.go
@@ -45,6 +45,18 @@
 	return k
 }
 
+// pickedFor returns the target that a request of a VM is granted, without those excluded.
+func (h *harness) pickedFor(vm coord.VMID, excluded ...string) string {
+	h.next++
+	k := Key{VM: vm, Ticket: h.next}
+	for _, a := range h.queue.Submit(h.now, Request{Key: k, Exclude: excluded, SoftDeadline: h.now.Add(time.Second), Deadline: h.now.Add(5 * time.Second)}) {
+		if a.Key == k {
+			return a.Target
+		}
+	}
+	return ""
+}
+
 // end ends a request 10 ms later.
 func (h *harness) end(k Key, ending balance.Ending) {
 	h.now = h.now.Add(10 * time.Millisecond)
@@ -86,6 +98,18 @@
 	}
 }
 
+// TestErrorResponsesAreTheTargetsFault guards against targets that are preferred although they answer
+// with errors, because these are put down to the path of the VM that received them.
+func TestErrorResponsesAreTheTargetsFault(t *testing.T) {
+	h := newWideHarness()
+	inFlight := h.mustGrantAt(t, "vm", "t0")
+	h.end(h.mustGrantAt(t, "other", "t0"), balance.ErrorResponse)
+	h.end(h.mustGrantAt(t, "other", "t1"), balance.ErrorResponse)
+	h.end(inFlight, balance.OK)
+	h.end(h.mustGrantAt(t, "other", "t1"), balance.ErrorResponse)
+	assert.Equal(t, h.pickedFor("vm", "t0", "t3"), "t2")
+}
+
 // TestDeadTargetsAreEjectedByTheirFirstFailure guards against requests to dead targets because the
 // failures there are put down to their VMs.
 func TestDeadTargetsAreEjectedByTheirFirstFailure(t *testing.T) {
--- a/coord/witness/witness.go
+++ b/coord/witness/witness.go
@@ -121,8 +121,8 @@
 	return unreliable
 }
 
-// Reached records that a VM reached a target by other means than a request, which refutes no failure
-// of another VM's requests.
+// Reached records that a VM reached a target, by other means than a request or with an error as the
+// response. This refutes no failure of another VM's requests.
 func (j *Judge) Reached(vm coord.VMID) { j.forget(vm) }
 
 // FailingSince returns the time of the first of a VM's recent failures without a success since; zero if
--- a/internal/gateway/content_test.go
+++ b/internal/gateway/content_test.go
@@ -67,9 +67,9 @@
 	}{
 		{"a stream before its first event", "/stream/x", reset, []scheduler.Ending{scheduler.EndedDisconnected}, nil},
 		{"a stream after its first event", "/stream/x", cut, []scheduler.Ending{scheduler.EndedDisconnected}, nil},
-		{"a stream that fails", "/stream/x", failure, []scheduler.Ending{scheduler.EndedFailed}, nil},
+		{"a stream that fails", "/stream/x", failure, []scheduler.Ending{scheduler.EndedErrorResponse}, nil},
 		{"a plain request", "/once/x", reset, nil, []balance.Ending{balance.Disconnected}},
-		{"a plain request that fails", "/once/x", failure, nil, []balance.Ending{balance.Failed}},
+		{"a plain request that fails", "/once/x", failure, nil, []balance.Ending{balance.ErrorResponse}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			b := newBackend(t, "a")
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -566,7 +566,7 @@
 		{"connection aborted before the first event", abortConnection, false, 502, 0, []scheduler.Ending{scheduler.EndedDisconnected}},
 		{"busy", respondBusy, false, 200, 1, []scheduler.Ending{scheduler.EndedBusy, scheduler.EndedOK}},
 		{"lacks the adapter", respondMisrouted, false, 200, 1, []scheduler.Ending{scheduler.EndedMisrouted, scheduler.EndedOK}},
-		{"fails", respondError, false, 500, 0, []scheduler.Ending{scheduler.EndedFailed}},
+		{"fails", respondError, false, 500, 0, []scheduler.Ending{scheduler.EndedErrorResponse}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			a, b := newBackend(t, "a"), newBackend(t, "b")
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -253,7 +253,7 @@
 	case err != nil:
 		return x.failureEnding(err)
 	case resp.Status >= http.StatusInternalServerError:
-		return scheduler.EndedFailed
+		return scheduler.EndedErrorResponse
 	}
 	return successEnding(resp)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -216,7 +216,7 @@
 	case a.class == fleet.Misrouted:
 		return balance.Unreachable
 	case a.resp.Status >= http.StatusInternalServerError:
-		return balance.Failed
+		return balance.ErrorResponse
 	case a.resp.CloseDelimited:
 		return balance.Unverified
 	}
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -43,8 +43,8 @@
 		{"rejected, then served", "POST", "/once/x", respondNotRun, 2, 200, []balance.Ending{balance.Busy, balance.OK}},
 		{"rejected, then refused", "POST", "/once/x", respondNotRun, 1, 503, []balance.Ending{balance.Busy}},
 		{"refused at once", "POST", "/once/x", nil, 0, 503, nil},
-		{"failed, then served by another target", "GET", "/again/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 2, 200, []balance.Ending{balance.Failed, balance.OK}},
-		{"failed, no other target", "GET", "/again/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 1, 500, []balance.Ending{balance.Failed}},
+		{"failed, then served by another target", "GET", "/again/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 2, 200, []balance.Ending{balance.ErrorResponse, balance.OK}},
+		{"failed, no other target", "GET", "/again/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 1, 500, []balance.Ending{balance.ErrorResponse}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			a, b := newBackend(t, "a"), newBackend(t, "b")
