Delimit callers' responses in one place

Cause: the gateway and the entry of the serve role each kept a copy of begin, end and abort of a response that may end with its connection, and of the byte order mark.

Change: framing.Delimiter has them; eventstream.ByteOrderMark is the one constant. A response of the serve role to an HTTP/1.0 caller that has a length is no longer reset when it is broken off: its length shows that it is incomplete, as in the gateway.

Evidence: go test -race of internal/{entry,gateway,eventstream}, and of internal/dev for close-delimited answers, passed.

Conclusion: no other change of behaviour is meant.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -170,7 +170,7 @@
 // aborts the connection if part of a response has already been sent.
 func (c *call) finish(failure *schema.Failure, sink *responseSink) {
 	if failure == nil {
-		sink.end()
+		sink.delimiter.End()
 		return
 	}
 	if !sink.committed {
@@ -183,5 +183,5 @@
 		c.server.cfg.Metrics.AnswersMismatched.Add(1)
 	}
 	c.log.WithField("code", failure.Code).WithField("detail", failure.Message).Warn("answer_aborted")
-	sink.abort()
+	sink.delimiter.Abort()
 }
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -12,13 +12,12 @@
 // implements forward.Sink.
 type responseSink struct {
 	w          http.ResponseWriter
-	r          *http.Request
 	controller *http.ResponseController
 	committed  bool
 	// endVerified is set if the end of the target's response shows that it is complete.
 	endVerified bool
-	// closeDelimited is set if the caller's response ends with its connection.
-	closeDelimited bool
+	// delimiter delimits the caller's response.
+	delimiter framing.Delimiter
 	// stored is the copy of the response; nil if none is made.
 	stored *schema.StoredAnswer
 	// exceedsStoreLimit is set when the response is too large to be stored.
@@ -29,15 +28,14 @@
 const maxStoredAnswerBytes = 1 << 20
 
 func newSink(w http.ResponseWriter, r *http.Request, store bool) *responseSink {
-	s := &responseSink{w: w, r: r, controller: http.NewResponseController(w)}
+	s := &responseSink{w: w, delimiter: framing.NewDelimiter(w, r), controller: http.NewResponseController(w)}
 	if store {
 		s.stored = &schema.StoredAnswer{}
 	}
 	return s
 }
 
-// Head writes the head of the response. A response without a length or chunks at the target has none
-// for the caller either, so that it does not claim to be complete.
+// Head writes the head of the response.
 func (s *responseSink) Head(h forward.Head) error {
 	s.committed = true
 	s.endVerified = !h.CloseDelimited
@@ -48,33 +46,11 @@
 	for _, header := range h.Headers {
 		dst.Add(header.Name, header.Value)
 	}
-	if h.CloseDelimited {
-		framing.OmitFraming(dst)
-	}
-	s.closeDelimited = h.CloseDelimited || !s.r.ProtoAtLeast(1, 1)
-	if s.closeDelimited {
-		framing.ResetOnClose(s.r.Context(), true)
-	}
+	s.delimiter.Begin(h.CloseDelimited)
 	s.w.WriteHeader(h.Status)
 	return nil
 }
 
-// end allows the caller's connection to be closed, which completes a response without a length or
-// chunks.
-func (s *responseSink) end() {
-	if s.closeDelimited {
-		framing.ResetOnClose(s.r.Context(), false)
-	}
-}
-
-// abort ends the caller's connection so that the response does not look complete.
-func (s *responseSink) abort() {
-	if s.closeDelimited {
-		framing.Reset(s.w)
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // Data writes a part of the body and flushes it.
 func (s *responseSink) Data(part []byte) error {
 	s.storePart(part)
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -28,8 +28,8 @@
 	afterCR bool
 }
 
-// byteOrderMark may begin a stream.
-var byteOrderMark = []byte("\xef\xbb\xbf")
+// ByteOrderMark may begin a stream or another text in UTF-8.
+var ByteOrderMark = []byte("\xef\xbb\xbf")
 
 // InEvent reports whether the stream would end inside an event or a line if it ended here.
 func (s *Scanner) InEvent() bool { return s.inEvent || s.inLine || s.bomBytes > 0 }
@@ -63,13 +63,13 @@
 
 // scanByteOrderMark reports whether a byte belongs to a byte order mark.
 func (s *Scanner) scanByteOrderMark(c byte) bool {
-	if c != byteOrderMark[s.bomBytes] {
+	if c != ByteOrderMark[s.bomBytes] {
 		s.inLine = s.bomBytes > 0
 		s.bomBytes = -1
 		return false
 	}
 	s.bomBytes++
-	if s.bomBytes == len(byteOrderMark) {
+	if s.bomBytes == len(ByteOrderMark) {
 		s.bomBytes = -1
 	}
 	return true
@@ -84,7 +84,7 @@
 // LastID returns the last id that complete events set.
 func LastID(events []byte) (id string, ok bool) {
 	isLineEnd := func(r rune) bool { return r == '\n' || r == '\r' }
-	for _, line := range bytes.FieldsFunc(bytes.TrimPrefix(events, byteOrderMark), isLineEnd) {
+	for _, line := range bytes.FieldsFunc(bytes.TrimPrefix(events, ByteOrderMark), isLineEnd) {
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id, ok = string(bytes.TrimSpace(value)), true
 		}
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/internal/eventstream"
-	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
@@ -35,35 +34,10 @@
 // claim that it is complete.
 var errEndUnverified = errors.New("the end of the answer does not show that it is complete")
 
-// beginBody sets the headers that delimit the caller's response. One without a length or chunks at the
-// target has none for the caller either: it must not claim more than the target did.
+// beginBody sets the headers of the caller's response.
 func (x *exchange) beginBody(resp *hop.Response) {
 	x.copyHeader(resp)
-	if resp.CloseDelimited {
-		framing.OmitFraming(x.w.Header())
-	}
-	hasLength := x.w.Header().Get("Content-Length") != ""
-	x.closeDelimited = resp.CloseDelimited || !hasLength && !x.r.ProtoAtLeast(1, 1)
-	if x.closeDelimited {
-		framing.ResetOnClose(x.r.Context(), true)
-	}
-}
-
-// endBody allows the caller's connection to be closed, which completes a response without a length or
-// chunks.
-func (x *exchange) endBody() {
-	if x.closeDelimited {
-		framing.ResetOnClose(x.r.Context(), false)
-	}
-}
-
-// abort ends the caller's connection so that the response does not look complete. A response that ends
-// with its connection is reset.
-func (x *exchange) abort() {
-	if x.closeDelimited {
-		framing.Reset(x.w)
-	}
-	panic(http.ErrAbortHandler)
+	x.delimiter.Begin(resp.CloseDelimited)
 }
 
 // checkEnd returns an error if the end of a target's response shows that it was broken off, or shows
@@ -72,7 +46,7 @@
 	if eventstream.IsDeclared(resp.Header) && x.stream.scanner.InEvent() {
 		return brokenOffError(resp)
 	}
-	if resp.CloseDelimited && !x.closeDelimited {
+	if resp.CloseDelimited && !x.delimiter.CloseDelimited() {
 		return errEndUnverified
 	}
 	return nil
@@ -91,7 +65,7 @@
 // isCutJSON reports whether bytes are missing at the end of a sequence of JSON values. Bytes that are no
 // JSON show nothing.
 func isCutJSON(body []byte) bool {
-	decoder := json.NewDecoder(bytes.NewReader(bytes.TrimPrefix(body, byteOrderMark)))
+	decoder := json.NewDecoder(bytes.NewReader(bytes.TrimPrefix(body, eventstream.ByteOrderMark)))
 	for values := 0; ; values++ {
 		var value json.RawMessage
 		err := decoder.Decode(&value)
@@ -106,8 +80,6 @@
 	}
 }
 
-var byteOrderMark = []byte("\xef\xbb\xbf")
-
 func isJSON(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json"))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,8 +5,8 @@
 // target. routes.go finds routes; plain.go and model.go choose targets and retry attempts, which
 // budget.go bounds. drain.go, backoff.go and limited.go hold requests back from targets that drain,
 // request backoff or limit their rate, and relayed.go those that this VM sends for others. relay.go
-// returns responses, framing.go delimits them and detects those that were broken off, and resume.go
-// resumes broken streams at another target.
+// returns responses, framing.go detects those that were broken off, and resume.go resumes broken
+// streams at another target.
 //
 // Responses state only what is certain: 503 and 429 mean that the request has not run and never
 // will; 502 and 504 mean that it may have run. A response that breaks off ends with its connection.
@@ -27,6 +27,7 @@
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
@@ -161,8 +162,8 @@
 	runs    int
 	exclude []string
 	stream  stream
-	// closeDelimited is set if the caller's response ends with its connection.
-	closeDelimited bool
+	// delimiter delimits the caller's response.
+	delimiter framing.Delimiter
 	// decision is the one on which the current attempt is based.
 	decision Decision
 	// logEntry is the final log entry of the request.
@@ -177,7 +178,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	g.cfg.CheckSuspension()
-	x := &exchange{g: g, w: w, r: r, startedAt: g.cfg.Now()}
+	x := &exchange{g: g, w: w, r: r, delimiter: framing.NewDelimiter(w, r), startedAt: g.cfg.Now()}
 	x.logEntry.FeedAge, x.logEntry.ConfirmedAge = g.cfg.Directory.Age(), g.cfg.Directory.ConfirmedAge()
 	dir := g.cfg.Directory.Directory() // must follow ConfirmedAge, whose bound holds for later lookups only
 	if dir.Config == nil {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -30,7 +30,7 @@
 		if x.callerLeft() {
 			x.g.cfg.Admission.Done(decision, scheduler.EndedAbandoned)
 			x.recordOutcome("abandoned", 0, "caller_left", nil)
-			x.abort()
+			x.delimiter.Abort()
 		}
 		if decision.Target == "" {
 			x.giveUp(decision, decision.Reason)
@@ -117,7 +117,7 @@
 	case x.callerLeft():
 		x.g.cfg.Admission.Done(decision, scheduler.EndedAbandoned)
 		x.recordOutcome("abandoned", 0, "caller_left", err)
-		x.abort()
+		x.delimiter.Abort()
 	case errors.IsAny(err, hop.ErrWithdrawn, hop.ErrNoPath):
 		x.recordNotRun(decision, scheduler.EndedWithdrawn, 0, err)
 		return true
@@ -136,7 +136,7 @@
 	x.g.cfg.Admission.Done(decision, x.failureEnding(err))
 	if x.stream.header != nil {
 		x.recordOutcome("cut", http.StatusOK, "stream_cut", err)
-		x.abort()
+		x.delimiter.Abort()
 	}
 	x.fail("target_failed", err)
 	return false
@@ -204,11 +204,11 @@
 	case x.callerLeft() || errors.Is(err, errCallerLeft):
 		x.g.cfg.Admission.Done(decision, scheduler.EndedAbandoned)
 		x.recordOutcome("abandoned", resp.Status, "caller_left", err)
-		x.abort()
+		x.delimiter.Abort()
 	default:
 		x.g.cfg.Admission.Done(decision, x.failureEnding(err))
 		x.recordOutcome("cut", resp.Status, "stream_cut", err)
-		x.abort()
+		x.delimiter.Abort()
 	}
 	return false
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -248,7 +248,7 @@
 			x.recordPlainAttempt(a)
 		}
 		x.recordOutcome("abandoned", 0, "caller_left", x.r.Context().Err())
-		x.abort()
+		x.delimiter.Abort()
 	case a == nil && refusal.Reason != "":
 		x.refuseByDecision(refusal, refusal.Reason)
 	case a == nil:
@@ -284,9 +284,9 @@
 		x.recordOutcome("ok", resp.Status, "", nil)
 	case x.callerLeft() || errors.Is(err, errCallerLeft):
 		x.recordOutcome("abandoned", resp.Status, "caller_left", err)
-		x.abort()
+		x.delimiter.Abort()
 	default:
 		x.recordOutcome("cut", resp.Status, "answer_cut", err)
-		x.abort()
+		x.delimiter.Abort()
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -146,7 +146,7 @@
 	if err == nil && resp.CloseDelimited {
 		err = x.flush() // the head must be sent before net/http can add a length
 	}
-	x.endBody()
+	x.delimiter.End()
 	if err != nil && bodyAllowed(resp.Status) {
 		x.recordOutcome("abandoned", resp.Status, "caller_left", err)
 		return
@@ -189,7 +189,7 @@
 	if err := x.copyBody(resp, prefix, x.stream.scan); err != nil {
 		return err
 	}
-	x.endBody()
+	x.delimiter.End()
 	return nil
 }
 
@@ -204,7 +204,7 @@
 	if err := x.copyBody(resp, prefix, x.stream.completeEvents); err != nil {
 		return err
 	}
-	x.endBody()
+	x.delimiter.End()
 	return nil
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -84,7 +84,7 @@
 	switch {
 	case x.stream.header != nil:
 		x.recordOutcome("cut", http.StatusOK, reason, nil)
-		x.abort()
+		x.delimiter.Abort()
 	case x.runs > 0:
 		x.fail(reason, nil)
 	default:
