node: Report ready only once the router has the first bundle

A starting VM stored the catalog of its first bundle, by which Ready decides, before the limits, the audit event and the refresh that gives it to the router, by which requests are decided. A load balancer that checked in between sent requests that were refused with not_ready. An explanation for an operator panicked there.

Ruled out: a caller that picked the VM before it went down. Nothing else sends this code, and VMs never forward it. The balancer of the test, which waits for Ready, was right and stays as it is.

Change: Ready and the operator interface look at the router's bundle.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 
 	frontEndListener, peerListener, opsListener net.Listener
 
+	// catalog is the newest bundle's. Requests see it once refresh has passed it to the router.
 	catalog atomic.Pointer[catalog.Catalog]
 	// refreshMu serializes refreshes, so that an older view never replaces a newer one.
 	refreshMu sync.Mutex
@@ -216,8 +217,9 @@
 	return n.frontEndListener.Addr().String(), n.peerListener.Addr().String(), n.opsListener.Addr().String()
 }
 
-// Ready reports whether the load balancer may send requests.
-func (n *Node) Ready() bool { return !n.draining.Load() && n.catalog.Load() != nil }
+// Ready reports whether the load balancer may send requests: the router has a bundle, and the VM does
+// not drain.
+func (n *Node) Ready() bool { return !n.draining.Load() && n.router.Catalog() != nil }
 
 // executor returns the executor that runs attempts at a VM: the local owner, or a remote VM.
 func (n *Node) executor(vm coord.VMID) forward.Executor {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -208,6 +208,6 @@
 func (n *Node) opsSource() ops.Source {
 	return ops.Source{
 		Status: n.Status, Audit: n.audit.Events, Metrics: n.metrics.Map,
-		Catalog: n.catalog.Load, Explain: n.router.Explain,
+		Catalog: n.router.Catalog, Explain: n.router.Explain,
 	}
 }
