dev: Wait until a suspended process has stopped

Cause: TestUnresponsiveOwner failed at times on a busy machine: answered a few ms after SIGSTOP was sent. SIGSTOP only marks the process; until the thread that takes the signal gets a processor, the other threads go on. The test sent its request at once and expected that the owner was suspended already, so the test was wrong, not the product.

Ruled out: that another VM answered, or that the owner refused first. In the trace of a failing run the engine got the request 2.1 ms after the signal under the fencing token and the adapter name of the process itself, no attempt had failed before, and 100 ms later two of its nine threads were still waiting for a processor (TTRRTTTTT), without a stop reported to the parent.

Change: suspend waits until the kernel reports to the parent that all threads have stopped (wait4 with WUNTRACED). TestPausedOwner uses it too. The assertions and bounds are unchanged, and the request meets an owner that is suspended for sure, which was left to chance before.

--- a/internal/dev/paused_test.go
+++ b/internal/dev/paused_test.go
@@ -77,6 +77,19 @@
 	return p
 }
 
+// suspend stops the process and waits until all its threads have stopped. SIGSTOP only asks for that:
+// until the thread that takes the signal gets a processor, the others go on, and may answer requests.
+func (p *daemonProcess) suspend(t *testing.T) {
+	t.Helper()
+	pid := p.cmd.Process.Pid
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+	eventually(t, "the process to be suspended", func() bool {
+		var status syscall.WaitStatus
+		changed, err := syscall.Wait4(pid, &status, syscall.WUNTRACED|syscall.WNOHANG, nil)
+		return err == nil && changed == pid && status.Stopped()
+	})
+}
+
 // serving reports whether the process serves a target and no other VM may still use the
 // target under an older fencing token.
 func (p *daemonProcess) serving(target string) bool {
@@ -147,7 +160,7 @@
 				})
 			}
 			eventually(t, "requests to run", func() bool { return len(c.Engines[target].Runs()) >= 1+cap(results) })
-			assert.NilError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+			p.suspend(t)
 			start := time.Now()
 			eventually(t, "another VM to serve the engine", func() bool { return c.engineOwners(nil)[target] != "" })
 			t.Logf("served by another VM after %s", time.Since(start))
@@ -190,7 +203,7 @@
 	eventually(t, "the process to own the engine of its zone", func() bool { return p.serving(target) })
 	model := c.modelsRoutedTo(target)[0]
 	assert.NilError(t, c.chat(t.Context(), 0, model, "before", false))
-	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+	p.suspend(t)
 	start := time.Now()
 	r, err := Post(t.Context(), c.VMs[0].FrontendURL()+chatPath, ChatBody(model, "into the silence", false), nil)
 	assert.NilError(t, err)
