Hold contents with one crashing prompt part together

Cause: requests of several kinds may have the last part of their prompt in common, which belongs to the request itself. Each content was judged by itself, so one such part ended up to three targets under each kind of request.

Change: a digest names the request's own prompt part. Contents with one part are blocked together once three targets crashed under at least two of them and nothing with that part succeeded recently; while there is evidence, one request with the part runs at a time. Table entries are removed in one place.

Contents of plain services have no prompt part.

--- a/coord/quarantine/bound.go
+++ b/coord/quarantine/bound.go
@@ -15,10 +15,25 @@
 			return t.contents[a].compareImportance(t.contents[b])
 		})
 		for _, old := range byImportance[:len(byImportance)/2] {
-			delete(t.contents, old)
+			t.removeContent(old)
 		}
 	}
 	t.contents[d] = c
+	if part := d.part(); part != (Part{}) {
+		if t.byPart[part] == nil {
+			t.byPart[part] = map[Digest]bool{}
+		}
+		t.byPart[part][d] = true
+	}
+}
+
+func (t *Table) removeContent(d Digest) {
+	delete(t.contents, d)
+	part := d.part()
+	delete(t.byPart[part], d)
+	if len(t.byPart[part]) == 0 {
+		delete(t.byPart, part)
+	}
 }
 
 // compareImportance orders contents by the importance of keeping them, least important first.
--- a/coord/quarantine/findings.go
+++ b/coord/quarantine/findings.go
@@ -18,7 +18,10 @@
 
 func (t *Table) finding(now time.Time, d Digest) Finding {
 	c := t.contents[d]
-	return Finding{Digest: d, Targets: c.crashedTargets, Since: c.firstEvidence, BlockedFor: max(c.blockedUntil.Sub(now), 0)}
+	return Finding{
+		Digest: d, Targets: c.crashedTargets, Since: c.firstEvidence,
+		BlockedFor: max(c.blockedUntil.Sub(now), t.partBlockedFor(now, d.part()), 0),
+	}
 }
 
 // Merge adds a finding of another VM. Content that is blocked there is blocked here for at least the
--- a/coord/quarantine/judge.go
+++ b/coord/quarantine/judge.go
@@ -46,6 +46,7 @@
 		before := t.evidence(r.digest)
 		if t.evaluateDisconnect(now, r, soleCandidate, explainedBySuspect) {
 			found = append(found, t.finding(now, r.digest))
+			found = append(found, t.findingsBesides(now, r.digest)...)
 		}
 		crashed.witnesses = append(crashed.witnesses, r)
 		if after := t.evidence(r.digest); after.targets > before.targets {
@@ -68,7 +69,7 @@
 	}
 	for d, c := range t.contents {
 		if now.Sub(c.lastEvidence) > suspectTTL && now.After(c.blockedUntil.Add(suspectTTL)) {
-			delete(t.contents, d)
+			t.removeContent(d)
 		}
 	}
 }
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -18,6 +18,8 @@
 //     blockDuration. Two targets suffice if all other content that the second crash disconnected
 //     is known good. After the block, one request may run as a trial; another crash blocks the
 //     content for repeatBlockDuration.
+//   - Content with a common prompt part of its own (Part) is blocked together if three targets crashed
+//     under at least two such contents, and none with that part recently succeeded.
 //
 // A harmless request beside a crashing one becomes suspect as well. It is affected only if the same
 // content is requested twice at once, or if it is disconnected a second time and requested a third
@@ -35,8 +37,9 @@
 	"github.com/junctionfold/junctionfold/coord/witness"
 )
 
-// Digest identifies the content of a request; the zero value means no content.
-type Digest [16]byte
+// Digest identifies the content of a request; the zero value means no content. Its first 16 bytes
+// differ for any two contents, the rest identifies the request's own prompt part (see Part).
+type Digest [16 + len(Part{})]byte
 
 // Key identifies a request.
 type Key = coord.RequestKey
@@ -128,10 +131,13 @@
 // Table holds the requests in flight and the evidence of one VM.
 type Table struct {
 	contents         map[Digest]*content
-	knownGood        recentDigests
+	byPart           map[Part]map[Digest]bool // contents with evidence
+	knownGood        recentSet[Digest]
+	knownGoodParts   recentSet[Part]
 	inFlight         map[Key]request
 	inFlightByTarget map[string]int
 	inFlightByDigest map[Digest]int
+	inFlightByPart   map[Part]int
 	incidents        map[string]*incident
 	// lastExpiry is the time of the last pass of expire.
 	lastExpiry time.Time
@@ -144,14 +150,19 @@
 // New returns an empty Table.
 func New() *Table {
 	return &Table{
-		contents: map[Digest]*content{}, knownGood: recentDigests{current: map[Digest]bool{}},
-		inFlight: map[Key]request{}, inFlightByTarget: map[string]int{}, inFlightByDigest: map[Digest]int{}, incidents: map[string]*incident{},
+		contents: map[Digest]*content{}, byPart: map[Part]map[Digest]bool{},
+		knownGood: newRecentSet[Digest](), knownGoodParts: newRecentSet[Part](),
+		inFlight: map[Key]request{}, inFlightByTarget: map[string]int{}, inFlightByDigest: map[Digest]int{},
+		inFlightByPart: map[Part]int{}, incidents: map[string]*incident{},
 		judge: witness.New(),
 	}
 }
 
 // Check reports whether a request may run now. If not, it returns the reason and the retry delay.
 func (t *Table) Check(now time.Time, key Key, d Digest) (reason string, retry time.Duration) {
+	if reason, retry = t.checkPart(now, d.part()); reason != "" {
+		return reason, retry
+	}
 	c := t.suspectOrBlocked(d)
 	if c == nil {
 		return "", 0
@@ -207,6 +218,9 @@
 // CheckWithoutLeader is Check for a VM that receives no decisions from a leader. It cannot know of
 // other requests with suspect content, so none may run.
 func (t *Table) CheckWithoutLeader(now time.Time, d Digest) (reason string, retry time.Duration) {
+	if reason, retry = t.checkPart(now, d.part()); reason != "" {
+		return reason, retry
+	}
 	c := t.suspectOrBlocked(d)
 	switch {
 	case c == nil:
@@ -225,6 +239,9 @@
 	t.inFlight[key] = request{vm: key.VM, digest: d, target: target, sentAt: now, deadline: deadline}
 	t.inFlightByTarget[target]++
 	t.inFlightByDigest[d]++
+	if part := d.part(); part != (Part{}) {
+		t.inFlightByPart[part]++
+	}
 }
 
 // RequestEnded records the end of a request, and whether it succeeded or was disconnected. Any
@@ -241,7 +258,8 @@
 	case succeeded:
 		t.withdrawCrashes(now, t.judge.Succeeded(now, r.vm, r.target))
 		t.knownGood.add(r.digest)
-		delete(t.contents, r.digest)
+		t.knownGoodParts.add(r.digest.part())
+		t.removeContent(r.digest)
 	case disconnected:
 		if !t.judge.Failed(now, r.vm, r.target) {
 			t.withdrawCrashes(now, []coord.VMID{r.vm})
@@ -274,6 +292,10 @@
 	if t.inFlightByDigest[r.digest]--; t.inFlightByDigest[r.digest] <= 0 {
 		delete(t.inFlightByDigest, r.digest)
 	}
+	part := r.digest.part()
+	if t.inFlightByPart[part]--; t.inFlightByPart[part] <= 0 {
+		delete(t.inFlightByPart, part)
+	}
 }
 
 // releaseTrial allows another request to run in place of the trial with the given key.
--- a/coord/quarantine/recent.go
+++ b/coord/quarantine/recent.go
@@ -1,19 +1,21 @@
 package quarantine
 
-// recentDigests is a set of the most recent digests. It holds at most maxKnownGood of them, and
+// recentSet is a set of the most recently added keys. It holds at most maxKnownGood of them, and
 // never drops the latest maxKnownGood/2.
-type recentDigests struct{ current, previous map[Digest]bool }
+type recentSet[K comparable] struct{ current, previous map[K]bool }
 
-func (r *recentDigests) add(d Digest) {
+func newRecentSet[K comparable]() recentSet[K] { return recentSet[K]{current: map[K]bool{}} }
+
+func (r *recentSet[K]) add(k K) {
 	if len(r.current) >= maxKnownGood/2 {
-		r.current, r.previous = make(map[Digest]bool, maxKnownGood/2), r.current
+		r.current, r.previous = make(map[K]bool, maxKnownGood/2), r.current
 	}
-	r.current[d] = true
+	r.current[k] = true
 }
 
-func (r *recentDigests) has(d Digest) bool { return r.current[d] || r.previous[d] }
+func (r *recentSet[K]) has(k K) bool { return r.current[k] || r.previous[k] }
 
-func (r *recentDigests) remove(d Digest) {
-	delete(r.current, d)
-	delete(r.previous, d)
+func (r *recentSet[K]) remove(k K) {
+	delete(r.current, k)
+	delete(r.previous, k)
 }
--- a/coord/quarantine/witness.go
+++ b/coord/quarantine/witness.go
@@ -116,7 +116,7 @@
 // removeProvisionalSuspect removes a content without evidence.
 func (t *Table) removeProvisionalSuspect(d Digest) {
 	if c := t.contents[d]; c != nil && len(c.crashedTargets) == 0 {
-		delete(t.contents, d)
+		t.removeContent(d)
 	}
 }
 
--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -29,7 +29,17 @@
 	_, _ = h.Write(x.body)     // as above
 	var sum [sha256.Size]byte
 	copy(d[:], h.Sum(sum[:0]))
-	return d
+	return d.WithPart(x.ownPart())
+}
+
+// ownPart identifies the last part of the prompt, which belongs to the request or to its session.
+func (x *exchange) ownPart() (p quarantine.Part) {
+	if len(x.req.Parts) == 0 {
+		return p
+	}
+	sum := sha256.Sum256([]byte(x.req.Adapter.Model + "\x00" + x.req.Parts[len(x.req.Parts)-1].ID))
+	copy(p[:], sum[:])
+	return p
 }
 
 // writeLengthPrefixed writes a text after its length, so that adjacent parts cannot be confused.
--- a/internal/gateway/content_test.go
+++ b/internal/gateway/content_test.go
@@ -9,6 +9,7 @@
 	"github.com/junctionfold/junctionfold/coord/balance"
 	"github.com/junctionfold/junctionfold/coord/quarantine"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/internal/fleet"
 )
 
 // TestContentDigest checks that all attempts of one request have the same digest and that other
@@ -84,6 +85,31 @@
 	}
 }
 
+// TestOwnPart checks that requests of several kinds with the same own prompt part are recognized, and
+// that shared parts, which come before it, do not count.
+func TestOwnPart(t *testing.T) {
+	content := func(path, model string, parts ...string) (d quarantine.Digest, p quarantine.Part) {
+		x := &exchange{r: &http.Request{Method: "POST", Host: "h.example"}, requestTarget: path}
+		x.req.Adapter.Model = model
+		for i, id := range parts {
+			x.req.Parts = append(x.req.Parts, fleet.PromptPart{ID: id, Tokens: 10 * (i + 1)})
+		}
+		return x.contentDigest(), x.ownPart()
+	}
+	first, p := content("/a", "m", "5c", "91")
+	second, same := content("/b", "m", "91")
+	assert.Equal(t, p, same)
+	assert.Assert(t, p != quarantine.Part{})
+	assert.Assert(t, first != second)
+	assert.Equal(t, first.WithPart(p), first)
+	for name, other := range map[string][]string{"another part": {"m", "5c", "92"}, "another model": {"n", "5c", "91"}} {
+		_, differs := content("/a", other[0], other[1:]...)
+		assert.Assert(t, differs != p, name)
+	}
+	_, none := content("/a", "m")
+	assert.Equal(t, none, quarantine.Part{})
+}
+
 // BenchmarkContent computes the digest of a request with a body of 10 KB.
 func BenchmarkContent(b *testing.B) {
 	x := &exchange{r: &http.Request{Method: "POST", Host: "h.example"}, requestTarget: "/a/b", body: make([]byte, 10<<10)}
