Withdraw the crash of a target that the store still lists

Cause: one reset request at a target that runs little else counts as its crash.

Change: evidence counts at once, as before. Each VM withdraws it, from its own findings and those it received, when its copy of the store lists the target's incarnation 6.5 s or more later (an entry that is not renewed is gone after three heartbeats), and the copy was kept current all that time: no outage, suspension or restored store. A block ends if the targets left are fewer than it took; the content stays suspect under those. New event content_released.

--- /dev/null
+++ b/coord/quarantine/confirm.go
@@ -0,0 +1,86 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+)
+
+// maxCrashAge is how long a crash is kept, so that a withdrawal restores what was known of its contents
+// before: a minute for a store that is down, and the time until the entry of a crashed target is gone. A
+// later withdrawal only removes the target from the evidence.
+const maxCrashAge = 70 * time.Second
+
+// CrashedTargets returns the targets that count as crashed under any content.
+func (t *Table) CrashedTargets() []string {
+	crashed := map[string]bool{}
+	for _, c := range t.contents {
+		for _, target := range c.crashedTargets {
+			crashed[target] = true
+		}
+	}
+	return slices.Collect(maps.Keys(crashed))
+}
+
+// TargetRan records that a target was still running at ranAt. What counted as its crash before that
+// was none and is withdrawn. It returns the contents that are no longer blocked.
+func (t *Table) TargetRan(now, ranAt time.Time, target string) (released []Digest) {
+	for d, c := range t.contents {
+		if at, crashed := c.crashedAt[target]; !crashed || !at.Before(ranAt) {
+			continue
+		}
+		wasBlocked := c.blockedUntil.After(now)
+		t.withdrawEvidence(d, c, target)
+		if wasBlocked && !c.blockedUntil.After(now) {
+			released = append(released, d)
+		}
+	}
+	return released
+}
+
+// withdrawEvidence removes a target that did not crash from the evidence against a content. There is no
+// change to undo if the evidence came from another VM.
+func (t *Table) withdrawEvidence(d Digest, c *content, target string) {
+	if ch, found := t.takeChange(d, target); found {
+		t.undoChange(target, ch)
+		return
+	}
+	c.withdraw(target)
+	t.removeProvisionalSuspect(d)
+}
+
+// takeChange returns the last change that a crash of a target made to a content, and removes it.
+func (t *Table) takeChange(d Digest, target string) (ch change, found bool) {
+	for _, crashed := range slices.Backward(t.crashes) {
+		if crashed.target != target {
+			continue
+		}
+		if ch, found = crashed.changes[d]; found {
+			delete(crashed.changes, d)
+			return ch, true
+		}
+	}
+	return change{}, false
+}
+
+// addCrash records that a target crashed under the content.
+func (c *content) addCrash(now time.Time, target string) {
+	if !slices.Contains(c.crashedTargets, target) {
+		c.crashedTargets = append(c.crashedTargets, target)
+	}
+	if c.crashedAt == nil {
+		c.crashedAt = map[string]time.Time{}
+	}
+	c.crashedAt[target] = coord.Later(c.crashedAt[target], now)
+}
+
+// withdraw removes a target that did not crash. The block ends if the others are not enough for it.
+func (c *content) withdraw(target string) {
+	c.crashedTargets = slices.DeleteFunc(slices.Clone(c.crashedTargets), func(id string) bool { return id == target })
+	delete(c.crashedAt, target)
+	if len(c.crashedTargets) < c.blockedAfter {
+		c.blockedUntil, c.blockedAfter = time.Time{}, 0
+	}
+}
--- a/coord/quarantine/findings.go
+++ b/coord/quarantine/findings.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
@@ -37,6 +38,7 @@
 	case c == nil:
 	case f.BlockedFor > 0:
 		c.blockedUntil = coord.Later(blockedUntil, now.Add(f.BlockedFor))
+		c.blockedAfter = min(cmp.Or(c.blockedAfter, len(f.Targets)), len(f.Targets))
 	case blockedUntil.IsZero() && len(c.crashedTargets) >= blockAfterCrashes:
 		c.blockedUntil = now
 	default:
--- a/coord/quarantine/judge.go
+++ b/coord/quarantine/judge.go
@@ -41,7 +41,7 @@
 	}
 	soleCandidate := t.countCandidates(inc) == 1
 	explainedBySuspect := t.hasKnownSuspect(inc)
-	crashed := crash{at: now, target: target}
+	crashed := crash{at: now, target: target, changes: map[Digest]change{}}
 	for _, r := range inc.disconnected {
 		before := t.evidence(r.digest)
 		if t.evaluateDisconnect(now, r, soleCandidate, explainedBySuspect) {
@@ -49,7 +49,7 @@
 		}
 		crashed.witnesses = append(crashed.witnesses, r)
 		if after := t.evidence(r.digest); after.targets > before.targets {
-			crashed.changes = append(crashed.changes, change{digest: r.digest, before: before, after: after})
+			crashed.changes[r.digest] = change{digest: r.digest, before: before, after: after}
 		}
 	}
 	t.crashes = append(t.crashes, crashed)
@@ -106,11 +106,14 @@
 	case explainedBySuspect:
 		return false
 	case c == nil:
-		t.addContent(r.digest, &content{firstEvidence: now, lastEvidence: now, crashedTargets: []string{r.target}, succeededBefore: true, trusted: true})
+		c = &content{firstEvidence: now, lastEvidence: now, succeededBefore: true, trusted: true}
+		c.addCrash(now, r.target)
+		t.addContent(r.digest, c)
 		return false
 	case c.trusted && !r.sentAt.After(c.lastEvidence):
 		return false // many targets crashed at the same time, which is no evidence against what they ran
 	case slices.Contains(c.crashedTargets, r.target):
+		c.addCrash(now, r.target)
 		return false // a single target that drops its requests repeatedly
 	}
 	t.knownGood.remove(r.digest)
@@ -125,10 +128,11 @@
 		c = &content{firstEvidence: now}
 		t.addContent(d, c)
 	}
-	if slices.Contains(c.crashedTargets, target) {
+	known := slices.Contains(c.crashedTargets, target)
+	c.addCrash(now, target)
+	if known {
 		return false
 	}
-	c.crashedTargets = append(c.crashedTargets, target)
 	c.lastEvidence = now
 	c.trusted = false
 	switch {
@@ -136,6 +140,7 @@
 		c.blockedUntil = now.Add(repeatBlockDuration)
 	case len(c.crashedTargets) >= blockAfterCrashes, len(c.crashedTargets) == blockAfterCrashes-1 && soleCandidate:
 		c.blockedUntil = now.Add(c.firstBlockDuration())
+		c.blockedAfter = len(c.crashedTargets)
 	}
 	return true
 }
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -10,6 +10,7 @@
 //   - A target counts as crashed if at least half of the requests in flight there were disconnected
 //     within crashSettleTime. Fewer broken responses count as lost connections. So do those of a VM
 //     that lost its paths to several targets, which go on for others (witness.go).
+//     A crash counts at once, and is withdrawn when the target turns out to be running (confirm.go).
 //   - Content that recently succeeded is known good, whatever it ran beside, until targets have
 //     crashed under two of its requests, one after the other, without a success in between.
 //   - Content under which one target crashed is suspect. Only one such request runs at a time in
@@ -94,10 +95,14 @@
 type content struct {
 	// crashedTargets are the targets that crashed under it.
 	crashedTargets []string
-	firstEvidence  time.Time
-	lastEvidence   time.Time
+	// crashedAt holds when each of them last did so. One that was running after that did not (confirm.go).
+	crashedAt     map[string]time.Time
+	firstEvidence time.Time
+	lastEvidence  time.Time
 	// blockedUntil is zero for content that has never been blocked.
 	blockedUntil time.Time
+	// blockedAfter is the number of crashed targets after which it was first blocked.
+	blockedAfter int
 	// succeededBefore is true if the content succeeded earlier, trusted if one crash is not enough
 	// to suspect it.
 	succeededBefore, trusted bool
--- a/coord/quarantine/witness.go
+++ b/coord/quarantine/witness.go
@@ -14,7 +14,7 @@
 	target string
 	// witnesses are the requests that were disconnected.
 	witnesses []request
-	changes   []change
+	changes   map[Digest]change
 }
 
 // change is what a crash changed in the evidence against one content.
@@ -79,7 +79,7 @@
 		return
 	}
 	for i := len(t.crashes) - 1; i >= 0; i-- {
-		if t.isWitnessed(now, &t.crashes[i]) {
+		if now.Sub(t.crashes[i].at) > witness.Memory || t.isWitnessed(now, &t.crashes[i]) {
 			continue
 		}
 		t.undo(t.crashes[i])
@@ -96,21 +96,31 @@
 
 // undo removes a crash from the evidence against contents.
 func (t *Table) undo(crashed crash) {
-	for _, ch := range slices.Backward(crashed.changes) {
-		if ch.before.knownGood {
-			t.knownGood.add(ch.digest)
-		}
-		c := t.contents[ch.digest]
-		if c == nil {
-			continue
-		}
-		c.crashedTargets = slices.DeleteFunc(slices.Clone(c.crashedTargets), func(id string) bool { return id == crashed.target })
+	for _, ch := range crashed.changes {
+		t.undoChange(crashed.target, ch)
+	}
+}
+
+// undoChange removes a target that did not crash from the evidence against a content. Content under
+// which targets crashed since is neither known good nor trusted again.
+func (t *Table) undoChange(target string, ch change) {
+	c := t.contents[ch.digest]
+	if c != nil {
 		if c.blockedUntil.Equal(ch.after.blockedUntil) {
 			c.blockedUntil = ch.before.blockedUntil
 		}
-		c.trusted = c.trusted || ch.before.trusted
+		c.withdraw(target)
 		t.removeProvisionalSuspect(ch.digest)
 	}
+	if c != nil && len(c.crashedTargets) > ch.before.targets {
+		return
+	}
+	if c != nil {
+		c.trusted = c.trusted || ch.before.trusted
+	}
+	if ch.before.knownGood {
+		t.knownGood.add(ch.digest)
+	}
 }
 
 // removeProvisionalSuspect removes a content without evidence.
@@ -123,5 +133,5 @@
 // expireCrashes removes crashes that can no longer be withdrawn.
 func (t *Table) expireCrashes(now time.Time) {
 	t.judge.Expire(now)
-	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return now.Sub(c.at) > witness.Memory })
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return now.Sub(c.at) > maxCrashAge })
 }
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -21,6 +21,8 @@
 	table *quarantine.Table
 	// refused counts the requests that this VM refused because of their content.
 	refused int64
+	// listingCheckedAt is when crashed targets were last looked up in the store's listing.
+	listingCheckedAt time.Time
 }
 
 func newContentQuarantine(n *Node) *contentQuarantine {
@@ -83,9 +85,39 @@
 // maxFindingsPerMessage bounds the findings in one message. Each takes about 40 bytes.
 const maxFindingsPerMessage = 512
 
+// listingCheckInterval is the time between two looks whether crashed targets go on.
+const listingCheckInterval = 200 * time.Millisecond
+
+// releaseUnconfirmed withdraws crashes of targets that go on, as the store's listing shows. Each VM
+// does so for its own findings and for those it received.
+func (q *contentQuarantine) releaseUnconfirmed() {
+	now := q.node.now()
+	q.mu.Lock()
+	if now.Sub(q.listingCheckedAt) < listingCheckInterval {
+		q.mu.Unlock()
+		return
+	}
+	q.listingCheckedAt = now
+	crashed := q.table.CrashedTargets()
+	q.mu.Unlock()
+	if len(crashed) == 0 {
+		return
+	}
+	running, ranAt := q.node.feed.Running(crashed)
+	for _, target := range running {
+		q.mu.Lock()
+		released := q.table.TargetRan(now, ranAt, target)
+		q.mu.Unlock()
+		for _, d := range released {
+			q.node.log.ContentReleased(hex.EncodeToString(d[:]), target)
+		}
+	}
+}
+
 // tick evaluates requests whose connections broke. It sends new findings to the VMs that may lead
 // next, and blocked contents to all VMs.
 func (q *contentQuarantine) tick() {
+	q.releaseUnconfirmed()
 	q.mu.Lock()
 	found := q.table.Tick(q.node.now())
 	q.mu.Unlock()
--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -144,6 +144,12 @@
 	l.warn("content_suspected", log.Fields{"content": content, "targets": strings.Join(targets, ","), "held_ms": blockedFor.Milliseconds()})
 }
 
+// ContentReleased records that this content is no longer blocked: target, which counted as crashed under
+// it, goes on.
+func (l *Log) ContentReleased(content, target string) {
+	l.info("content_released", log.Fields{"content": content, "target": target})
+}
+
 // QueueRefused records, on the VM that runs the queue of a plain service, that the queue refused
 // a request. The statistics give the waiting and running requests, the concurrency limit of all
 // targets together, and the mean duration of a call.
--- a/internal/feed/copy.go
+++ b/internal/feed/copy.go
@@ -21,6 +21,9 @@
 	delta = Update{From: f.cache.lastChange, To: u.To, ReadCount: u.ReadCount}
 	previous := f.cache.revision
 	result := f.cache.apply(now, u)
+	if f.loadedAt.IsZero() && f.cache.loaded() {
+		f.loadedAt = now
+	}
 	delta.Items = result.changed
 	if result.newEpoch {
 		f.cfg.Log.StoreEpochBegan(previous, u.To, len(u.Items), len(result.changed))
@@ -81,11 +84,16 @@
 		f.resumedAt = now
 	}
 	f.lastRunAt = now
-	if !f.cache.freshAt.IsZero() && f.timeWithoutStore(now) > max(minStoreOutage, PropagationBound(f.cfg.ApplyWithin, f.cfg.DrainWithin)) {
+	if !f.cache.freshAt.IsZero() && f.timeWithoutStore(now) > f.outageThreshold() {
 		f.dir.startStoreReturnGrace(now)
 	}
 }
 
+// outageThreshold is the longest time without news of the store that is no outage.
+func (f *Feed) outageThreshold() time.Duration {
+	return max(minStoreOutage, PropagationBound(f.cfg.ApplyWithin, f.cfg.DrainWithin))
+}
+
 // timeWithoutStore returns how long this VM has received no fresh news of the store while it was
 // running. f.mu is held.
 func (f *Feed) timeWithoutStore(now time.Time) time.Duration {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -122,6 +122,8 @@
 	// lastRunAt is when this VM last recorded that it runs, resumedAt when it ran again after a
 	// suspension.
 	lastRunAt, resumedAt time.Time
+	// loadedAt is when the copy was complete for the first time.
+	loadedAt time.Time
 
 	// rejectedItems counts the items that could not be decoded, or only in part.
 	rejectedItems atomic.Int64
