Look at a content once more when its request is placed

Cause: whether a content may run, and where other suspects run, was looked at before its request waited for a place or an adapter. After the wait it was sent all the same: two suspects that waited for one engine were placed there together, so that a harmless content was blocked by the crash of the other; three requests of one suspect ran at once; and a content that was blocked meanwhile went to another target.

Change: the leader checks a placed request under the lock under which it records it as sent. One that may not run any more gives its place back and is refused with the reason.

--- a/internal/edge/decide.go
+++ b/internal/edge/decide.go
@@ -39,7 +39,11 @@
 		n.quarantine.requestEnded(from, a.Ticket, schema.Ending_ENDING_WITHDRAWN)
 		return v
 	}
-	n.quarantine.requestStarted(from, a.Ticket, a.Content, v.Target, time.Duration(a.LeftMs)*time.Millisecond)
+	if refusal := n.quarantine.startPlaced(from, a, v.Target); refusal != nil {
+		n.done(from, &schema.Done{Ticket: a.Ticket, Service: a.Service, Plain: a.Plain, Ending: schema.Ending_ENDING_WITHDRAWN})
+		refusal.WaitedMs = v.WaitedMs
+		return refusal
+	}
 	return v
 }
 
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,15 +42,44 @@
 	d := digestOf(a.Content)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	reason, retryAfter := q.table.Check(q.node.now(), quarantine.Key{VM: from, Ticket: a.Ticket}, d)
-	if reason != "" {
-		q.refused++
-		return refusalMessage(reason, retryAfter)
+	if refusal := q.refusal(from, a.Ticket, d); refusal != nil {
+		return refusal
 	}
 	a.Exclude = append(a.Exclude, q.table.TargetsToAvoid(d)...)
 	return nil
 }
 
+// refusal returns a refusal if a request's content may not run now. q.mu is held.
+func (q *contentQuarantine) refusal(from coord.VMID, ticket uint64, d quarantine.Digest) *schema.Verdict {
+	reason, retryAfter := q.table.Check(q.node.now(), quarantine.Key{VM: from, Ticket: ticket}, d)
+	if reason == "" {
+		return nil
+	}
+	q.refused++
+	return refusalMessage(reason, retryAfter)
+}
+
+// startPlaced records that a request is sent to a target. It returns a refusal instead if the request
+// may not run there any more: while it waited, its content was blocked, or another suspect came first.
+func (q *contentQuarantine) startPlaced(from coord.VMID, a *schema.Admit, target string) *schema.Verdict {
+	now, d := q.node.now(), digestOf(a.Content)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if refusal := q.refusal(from, a.Ticket, d); refusal != nil {
+		return refusal
+	}
+	if slices.Contains(q.table.TargetsToAvoid(d), target) {
+		q.refused++
+		return refusalMessage(quarantine.ReasonSuspect, besideSuspectRetryDelay)
+	}
+	q.table.RequestStarted(now, quarantine.Key{VM: from, Ticket: a.Ticket}, d, target, now.Add(time.Duration(a.LeftMs)*time.Millisecond))
+	return nil
+}
+
+// besideSuspectRetryDelay is the retry delay of a request that would run beside another suspect. Either
+// the other one has crashed the target by then, or it goes on.
+const besideSuspectRetryDelay = 500 * time.Millisecond
+
 // checkWithoutLeader is check for a VM that gets no decisions from the leader.
 func (q *contentQuarantine) checkWithoutLeader(content quarantine.Digest) (reason string, retryAfter time.Duration) {
 	q.mu.Lock()
