--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	table *quarantine.Table
 	// refused counts the requests that this VM refused because of their content.
 	refused int64
+	// listingCheckedAt is when crashed targets were last looked up in the store's listing.
+	listingCheckedAt time.Time
 }
 
 func newContentQuarantine(n *Node) *contentQuarantine {
@@ -39,15 +42,44 @@
 	d := digestOf(a.Content)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	reason, retryAfter := q.table.Check(q.node.now(), quarantine.Key{VM: from, Ticket: a.Ticket}, d)
-	if reason != "" {
-		q.refused++
-		return refusalMessage(reason, retryAfter)
+	if refusal := q.refusal(from, a.Ticket, d); refusal != nil {
+		return refusal
 	}
 	a.Exclude = append(a.Exclude, q.table.TargetsToAvoid(d)...)
 	return nil
 }
 
+// refusal returns a refusal if a request's content may not run now. q.mu is held.
+func (q *contentQuarantine) refusal(from coord.VMID, ticket uint64, d quarantine.Digest) *schema.Verdict {
+	reason, retryAfter := q.table.Check(q.node.now(), quarantine.Key{VM: from, Ticket: ticket}, d)
+	if reason == "" {
+		return nil
+	}
+	q.refused++
+	return refusalMessage(reason, retryAfter)
+}
+
+// startPlaced records that a request is sent to a target. It returns a refusal instead if the request
+// may not run there any more: while it waited, its content was blocked, or another suspect came first.
+func (q *contentQuarantine) startPlaced(from coord.VMID, a *schema.Admit, target string) *schema.Verdict {
+	now, d := q.node.now(), digestOf(a.Content)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if refusal := q.refusal(from, a.Ticket, d); refusal != nil {
+		return refusal
+	}
+	if slices.Contains(q.table.TargetsToAvoid(d), target) {
+		q.refused++
+		return refusalMessage(quarantine.ReasonSuspect, besideSuspectRetryDelay)
+	}
+	q.table.RequestStarted(now, quarantine.Key{VM: from, Ticket: a.Ticket}, d, target, now.Add(time.Duration(a.LeftMs)*time.Millisecond))
+	return nil
+}
+
+// besideSuspectRetryDelay is the retry delay of a request that would run beside another suspect. Either
+// the other one has crashed the target by then, or it goes on.
+const besideSuspectRetryDelay = 500 * time.Millisecond
+
 // checkWithoutLeader is check for a VM that gets no decisions from the leader.
 func (q *contentQuarantine) checkWithoutLeader(content quarantine.Digest) (reason string, retryAfter time.Duration) {
 	q.mu.Lock()
@@ -83,9 +115,39 @@
 // maxFindingsPerMessage bounds the findings in one message. Each takes about 40 bytes.
 const maxFindingsPerMessage = 512
 
+// listingCheckInterval is the time between two looks whether crashed targets go on.
+const listingCheckInterval = 200 * time.Millisecond
+
+// releaseUnconfirmed withdraws crashes of targets that go on, as the store's listing shows. Each VM
+// does so for its own findings and for those it received.
+func (q *contentQuarantine) releaseUnconfirmed() {
+	now := q.node.now()
+	q.mu.Lock()
+	if now.Sub(q.listingCheckedAt) < listingCheckInterval {
+		q.mu.Unlock()
+		return
+	}
+	q.listingCheckedAt = now
+	crashed := q.table.CrashedTargets()
+	q.mu.Unlock()
+	if len(crashed) == 0 {
+		return
+	}
+	running, ranAt := q.node.feed.Running(crashed)
+	for _, target := range running {
+		q.mu.Lock()
+		released := q.table.TargetRan(now, ranAt, target)
+		q.mu.Unlock()
+		for _, d := range released {
+			q.node.log.ContentReleased(hex.EncodeToString(d[:]), target)
+		}
+	}
+}
+
 // tick evaluates requests whose connections broke. It sends new findings to the VMs that may lead
 // next, and blocked contents to all VMs.
 func (q *contentQuarantine) tick() {
+	q.releaseUnconfirmed()
 	q.mu.Lock()
 	found := q.table.Tick(q.node.now())
 	q.mu.Unlock()
