Take the silence of all targets for a lost path, and only an answer for its end

Cause: a new connection counted as proof of a path, and only failures as evidence against one. On a link that makes and acknowledges connections and delivers nothing, nothing fails and all dials succeed: such a VM never became isolated, and its callers waited.

Change: hop.Pool records which requests wait and when a target last sent anything. Where a request is unanswered and all targets are silent for a second, requests go through relays until a target is heard (coord/reach, silence.go). One path that a relay proves sound makes the VM ask engines for their reports, which a sound one answers at once. Isolation needs two such paths and a question unanswered, or one and two engines that do not answer; two engines that answer end it. Dials are the proof of all other kinds of cut, as before. A VM in a silence does not relay, and what fails on its own way meanwhile says nothing about the target (hop.ErrSilence): without that, the new leader refused all model requests with no_target. An order or report that was sent and not answered is a silence too; the adapter marks what was not connected and what was answered.

Conclusion: not known where part of the targets is silent, where old connections live on, or without engines.

--- a/coord/reach/fleet_model_test.go
+++ b/coord/reach/fleet_model_test.go
@@ -34,6 +34,9 @@
 	isCut bool
 	// announces is what the other VMs know.
 	announces bool
+	// heardAt is when a target last answered a request that was not relayed.
+	heardAt time.Time
+	waiting waiting
 	// sent and served count the requests that were sent after countFrom.
 	sent, served int
 	countFrom    time.Time
@@ -45,12 +48,14 @@
 		f.targets = append(f.targets, fmt.Sprintf("t%03d", i))
 	}
 	for i := range vms {
-		v := &fleetVM{table: New(seed + uint64(i))}
+		v := &fleetVM{table: New(seed + uint64(i)), waiting: waiting{}}
 		v.table.SetTargets(f.targets)
+		v.table.SetEngines(f.targets[:(targets+1)/2])
 		f.vms = append(f.vms, v)
 		f.after(time.Duration(f.rng.Int64N(int64(gap))), func() { f.request(v) })
 		f.after(0, func() { f.probe(v) })
 		f.after(0, func() { f.announce(v) })
+		f.after(0, func() { f.checkSilence(v) })
 	}
 	return f
 }
@@ -87,11 +92,46 @@
 		f.after(20*time.Millisecond, func() { f.probe(v) })
 		return
 	}
+	if v.table.AsksQuestions() {
+		f.ask(v, target)
+		return
+	}
 	f.dial(v, target, dialTimeout, func(bool) { f.probe(v) })
 }
 
+// ask asks a target a question on a new connection.
+func (f *cutFleet) ask(v *fleetVM, target string) {
+	delay, answered := time.Millisecond, !v.isCut
+	if !answered {
+		delay = questionTimeout
+	}
+	f.after(delay, func() {
+		v.table.RecordQuestion(f.now, target, answered)
+		f.probe(v)
+	})
+}
+
+func (f *cutFleet) checkSilence(v *fleetVM) {
+	f.after(silenceInterval, func() { f.checkSilence(v) })
+	v.waiting.record(f.now, v.heardAt, v.table)
+}
+
+// isSilent reports whether a VM's connections are made and not answered.
+func (f *cutFleet) isSilent(v *fleetVM) bool { return v.isCut && f.mode == answersNothing }
+
+// sendOnOpenConnection sends a request on a connection that is open. served is called if it is answered.
+func (f *cutFleet) sendOnOpenConnection(v *fleetVM, target string, served func()) {
+	if f.isSilent(v) {
+		v.waiting.add(f.now, target, answerlessTime)
+		return
+	}
+	v.heardAt = f.now
+	v.table.RecordHeard(f.now)
+	served()
+}
+
 func (f *cutFleet) dial(v *fleetVM, target string, timeout time.Duration, done func(ok bool)) {
-	delay, ok := time.Millisecond, !v.isCut
+	delay, ok := time.Millisecond, !v.isCut || f.isSilent(v)
 	if v.isCut && f.mode == hang {
 		delay = timeout
 	}
@@ -118,7 +158,7 @@
 	default:
 		f.dial(v, target, dialTimeout, func(ok bool) {
 			if ok {
-				served()
+				f.sendOnOpenConnection(v, target, served)
 			} else {
 				f.relay(v, target, relays, 0, served)
 			}
@@ -128,8 +168,8 @@
 
 func (f *cutFleet) sendOnIdleConnection(v *fleetVM, target string, served func()) {
 	switch {
-	case !v.isCut || f.mode == refuseDials:
-		served()
+	case !v.isCut || f.mode == refuseDials || f.isSilent(v):
+		f.sendOnOpenConnection(v, target, served)
 	case f.mode == hang:
 		f.after(ackTimeout, func() { v.table.RecordFailure(f.now, target) })
 	default:
@@ -157,7 +197,7 @@
 		return
 	}
 	u := relays[0]
-	if u.table.Isolated() {
+	if !u.table.CanRelay() {
 		f.relay(v, target, relays[1:], unreachable, served)
 		return
 	}
@@ -166,8 +206,10 @@
 			f.relay(v, target, relays[1:], unreachable+1, served)
 			return
 		}
-		v.table.RecordRelayed(f.now, target, true)
-		served()
+		f.sendOnOpenConnection(u, target, func() {
+			v.table.RecordRelayed(f.now, target, true)
+			served()
+		})
 	})
 }
 
--- a/coord/reach/model_test.go
+++ b/coord/reach/model_test.go
@@ -18,15 +18,19 @@
 	reset
 	// refuseDials keeps existing connections alive.
 	refuseDials
+	// answersNothing makes and acknowledges connections, and delivers nothing.
+	answersNothing
 	cutModes
 )
 
 const (
-	dialTimeout    = 700 * time.Millisecond
-	ackTimeout     = time.Second
-	relayTime      = 10 * time.Millisecond
-	requestGap     = 10 * time.Millisecond
-	idleConnChance = 2 // in 3
+	dialTimeout = 700 * time.Millisecond
+	ackTimeout  = time.Second
+	relayTime   = 10 * time.Millisecond
+	requestGap  = 10 * time.Millisecond
+	// questionTimeout is how long an answer to a question is awaited.
+	questionTimeout = 500 * time.Millisecond
+	idleConnChance  = 2 // in 3
 )
 
 // world simulates one VM, its targets and sound relays in virtual time.
@@ -40,6 +44,9 @@
 	isCut   bool
 	down    map[string]bool
 	silent  map[string]time.Time
+	// heardAt is when a target last answered a request that was not relayed.
+	heardAt time.Time
+	waiting waiting
 
 	isolatedFor time.Duration
 	lastTick    time.Time
@@ -48,13 +55,15 @@
 }
 
 func newWorld(seed uint64, targets int) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 2)), now: start, lastTick: start, table: New(seed), down: map[string]bool{}, silent: map[string]time.Time{}}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 2)), now: start, lastTick: start, table: New(seed), down: map[string]bool{}, silent: map[string]time.Time{}, waiting: waiting{}}
 	for i := range targets {
 		w.targets = append(w.targets, fmt.Sprintf("t%03d", i))
 	}
 	w.table.SetTargets(w.targets)
+	w.table.SetEngines(w.targets[:(targets+1)/2])
 	w.after(0, w.request)
 	w.after(0, w.probe)
+	w.after(0, w.checkSilence)
 	return w
 }
 
@@ -95,13 +104,68 @@
 		w.sendOnIdleConnection(target)
 	default:
 		w.dial(target, func(ok bool) {
-			if !ok {
+			if ok {
+				w.sendOnOpenConnection(target)
+			} else {
 				w.relay(target)
 			}
 		})
 	}
 }
 
+// sendOnOpenConnection sends a request on a connection that is open.
+func (w *world) sendOnOpenConnection(target string) {
+	delay, up := w.responds(target)
+	switch {
+	case !up:
+	case w.isCut && w.mode == answersNothing:
+		w.unserved++
+		w.waiting.add(w.now, target, answerlessTime)
+	default:
+		w.waiting.add(w.now, target, delay)
+		w.after(delay, func() { w.hear(w.now) })
+	}
+}
+
+// hear records that a target has answered.
+func (w *world) hear(at time.Time) {
+	w.heardAt = at
+	w.table.RecordHeard(at)
+}
+
+func (w *world) checkSilence() {
+	w.after(silenceInterval, w.checkSilence)
+	w.waiting.record(w.now, w.heardAt, w.table)
+}
+
+// answerlessTime is how long a request waits that is never answered.
+const answerlessTime = 5 * time.Second
+
+// silenceInterval is the time between two records of silence.
+const silenceInterval = 20 * time.Millisecond
+
+// waiting holds by target when the oldest unanswered request was sent and when it ends.
+type waiting map[string]struct{ sentAt, end time.Time }
+
+func (w waiting) add(now time.Time, target string, lasts time.Duration) {
+	if old := w[target]; now.Before(old.end) || lasts == 0 {
+		return
+	}
+	w[target] = struct{ sentAt, end time.Time }{now, now.Add(lasts)}
+}
+
+// record records the silence of a VM that was last sent anything at heardAt.
+func (w waiting) record(now, heardAt time.Time, t *Table) {
+	if now.Sub(heardAt) < SilenceTime {
+		return
+	}
+	for target, r := range w {
+		if now.Sub(r.sentAt) >= SilenceTime && now.Before(r.end) {
+			t.RecordSilence(now, target)
+		}
+	}
+}
+
 func (w *world) relay(target string) {
 	delay, up := w.responds(target)
 	w.after(relayTime+delay, func() {
@@ -119,6 +183,8 @@
 		w.after(0, func() { w.failed(target) })
 	case w.isCut && w.mode == hang, delay > ackTimeout:
 		w.after(ackTimeout, func() { w.failed(target) })
+	default:
+		w.sendOnOpenConnection(target)
 	}
 }
 
@@ -130,7 +196,7 @@
 // dial makes a new connection.
 func (w *world) dial(target string, done func(ok bool)) {
 	delay, up := w.responds(target)
-	ok := up && !w.isCut && delay < dialTimeout
+	ok := up && delay < dialTimeout && (!w.isCut || w.mode == answersNothing)
 	switch {
 	case ok:
 	case w.isCut && w.mode == hang, delay > 0:
@@ -150,9 +216,29 @@
 		w.after(20*time.Millisecond, w.probe)
 		return
 	}
+	if w.table.AsksQuestions() {
+		w.ask(target)
+		return
+	}
 	w.dial(target, func(bool) { w.after(0, w.probe) })
 }
 
+// ask asks a target a question on a new connection.
+func (w *world) ask(target string) {
+	delay, up := w.responds(target)
+	answered := up && !w.isCut && delay < questionTimeout
+	if !answered {
+		delay = questionTimeout
+	}
+	w.after(delay, func() {
+		w.table.RecordQuestion(w.now, target, answered)
+		if answered {
+			w.hear(w.now)
+		}
+		w.after(0, w.probe)
+	})
+}
+
 type event struct {
 	at  time.Time
 	run func()
--- a/coord/reach/probe.go
+++ b/coord/reach/probe.go
@@ -19,7 +19,7 @@
 }
 
 // NextProbe returns the target to probe at now. ok is false if no probe is due. The result of the
-// probe must be passed to RecordDial before the next call.
+// probe must be passed to RecordDial, or to RecordQuestion if AsksQuestions, before the next call.
 func (t *Table) NextProbe(now time.Time) (target string, ok bool) {
 	t.forgetOldFailures(now)
 	if now.Before(t.prober.due) {
@@ -40,7 +40,7 @@
 // selectProbe returns the next target to probe. As long as nothing shows that this VM can reach any
 // target, those without a failure come first: one of them tells whether it can.
 func (t *Table) selectProbe() (target string, ok bool) {
-	if t.isolated {
+	if t.isolated || t.AsksQuestions() {
 		return t.nextTarget(func(*path) bool { return true })
 	}
 	if t.evidence() > 0 {
@@ -57,10 +57,11 @@
 // nextTarget returns the first target in turn after the last one probed whose path matches; the
 // path is nil for a target without a failure.
 func (t *Table) nextTarget(matches func(*path) bool) (target string, ok bool) {
-	n := len(t.targets)
-	first := t.firstInTurn()
+	targets := t.probedTargets()
+	n := len(targets)
+	first := firstInTurn(targets, t.prober)
 	for i := range n {
-		id := t.targets[(first+i)%n]
+		id := targets[(first+i)%n]
 		if matches(t.paths[id]) {
 			return id, true
 		}
@@ -81,12 +82,20 @@
 	return "", false
 }
 
+// probedTargets returns the targets that are probed, sorted.
+func (t *Table) probedTargets() []string {
+	if t.AsksQuestions() {
+		return t.silence.engines
+	}
+	return t.targets
+}
+
 // firstInTurn returns the index of the target after the last one probed.
-func (t *Table) firstInTurn() int {
-	if t.prober.last == "" {
-		return int(t.prober.seed % uint64(max(len(t.targets), 1)))
+func firstInTurn(targets []string, p prober) int {
+	if p.last == "" {
+		return int(p.seed % uint64(max(len(targets), 1)))
 	}
-	i, known := slices.BinarySearch(t.targets, t.prober.last)
+	i, known := slices.BinarySearch(targets, p.last)
 	if known {
 		i++
 	}
--- a/coord/reach/reach.go
+++ b/coord/reach/reach.go
@@ -10,7 +10,12 @@
 // Only a new connection proves a path sound: existing ones may outlive the network's ability to
 // make new ones. While a path is broken, targets are probed by connections without a request.
 //
-// reach.go records the evidence, probe.go selects the targets to probe.
+// A network may also make and acknowledge connections, and deliver nothing. What shows this is
+// silence: requests are unanswered, and no target sends this VM anything. A new connection then proves
+// nothing. Engines are probed by a question that they answer at once, and only an answer ends the
+// silence.
+//
+// reach.go records the evidence, silence.go that of silence, probe.go selects the targets to probe.
 //
 // Table has no clock and does no I/O; the time is an argument of each call. It is not safe for
 // concurrent use.
@@ -23,7 +28,8 @@
 )
 
 const (
-	// suspectTime is how long requests to a target go through a relay after a failure.
+	// suspectTime is how long requests to a target go through a relay after a failure that was not a
+	// silence. After a silence, they do until any target sends something.
 	suspectTime = time.Second
 	// evidenceTime is how long after a failure the result of a relay is compared with it. A
 	// relayed request may wait for its response.
@@ -47,6 +53,8 @@
 	broken bool
 	// isEvidence is set when the path broke after the last successful connection to any target.
 	isEvidence bool
+	// silent is set when the failure was a silence, which a new connection does not end.
+	silent bool
 }
 
 // Table is one VM's knowledge of its paths to targets.
@@ -57,6 +65,7 @@
 	// dialFailed is set when a new connection failed elsewhere after a path broke, and none has
 	// succeeded since.
 	dialFailed bool
+	silence    silence
 	isolated   bool
 	// beganAt and endedAt are the times at which the last isolation began and ended.
 	beganAt, endedAt time.Time
@@ -64,9 +73,9 @@
 	reached string
 	// reachedAt is when a new connection last succeeded.
 	reachedAt time.Time
-	// failedDials counts the failed connections since then.
-	failedDials int
-	prober      prober
+	// failedProbes counts the failed connections, or questions, since the first target was reached.
+	failedProbes int
+	prober       prober
 }
 
 // New returns a Table without targets. seed determines the target that is probed first, so that
@@ -107,7 +116,7 @@
 		return true
 	}
 	p := t.paths[target]
-	return p != nil && (p.broken || now.Sub(p.failedAt) < suspectTime)
+	return p != nil && (p.broken || p.silent || now.Sub(p.failedAt) < suspectTime)
 }
 
 // Isolated reports whether this VM is cut off from all targets.
@@ -126,7 +135,7 @@
 		return true
 	}
 	for id, p := range t.paths {
-		if id != target && now.Sub(p.failedAt) < evidenceTime && !p.failedAt.Before(t.reachedAt) {
+		if id != target && now.Sub(p.failedAt) < evidenceTime && (p.silent || !p.failedAt.Before(t.reachedAt)) {
 			return true
 		}
 	}
@@ -201,10 +210,7 @@
 		return t.recordReached(now, target)
 	}
 	if t.isolated {
-		t.failedDials++
-		if target == t.reached {
-			t.reached = ""
-		}
+		t.recordFailedProbe(target)
 		return Change{}
 	}
 	if t.isComparison(target) {
@@ -214,6 +220,14 @@
 	return t.beginIsolation(now, Change{})
 }
 
+// recordFailedProbe records that a target was not reached while this VM is isolated.
+func (t *Table) recordFailedProbe(target string) {
+	t.failedProbes++
+	if target == t.reached {
+		t.reached = ""
+	}
+}
+
 // isComparison reports whether a failed connection to a target tells more than the broken paths do:
 // it is to another target, or there is none.
 func (t *Table) isComparison(target string) bool {
@@ -231,12 +245,14 @@
 // beginIsolation begins an isolation if there is enough evidence.
 func (t *Table) beginIsolation(now time.Time, c Change) Change {
 	evidence, broken := t.evidence(), t.BrokenPaths()
-	enough := evidence >= isolationPaths || evidence > 0 && broken == len(t.targets)
-	if !t.dialFailed || !enough {
+	isSilent := t.hasSilence(func(p *path) bool { return p.isEvidence })
+	enough := evidence >= isolationPaths || evidence > 0 && broken == len(t.targets) || isSilent && evidence >= t.silencePaths()
+	compared := t.dialFailed || isSilent && len(t.silence.unanswered) > 0
+	if !compared || !enough {
 		return c
 	}
-	t.isolated, t.beganAt = true, now
-	t.reached, t.failedDials = "", 0
+	t.isolated, t.beganAt, t.silence.isolates = true, now, isSilent
+	t.reached, t.failedProbes = "", 0
 	c.IsolationBegan, c.BrokenPaths = true, broken
 	return c
 }
@@ -245,18 +261,25 @@
 func (t *Table) recordReached(now time.Time, target string) Change {
 	var c Change
 	t.reachedAt = now
-	if p := t.paths[target]; p != nil && p.broken {
-		c.Restored = target
-		t.prober.due = now
+	if p := t.paths[target]; p != nil && !p.silent {
+		if p.broken {
+			c.Restored = target
+			t.prober.due = now
+		}
+		delete(t.paths, target)
 	}
-	delete(t.paths, target)
 	for _, p := range t.paths {
-		p.isEvidence = false
+		p.isEvidence = p.isEvidence && p.silent
 	}
 	t.dialFailed = false
-	if !t.isolated {
+	if !t.isolated || t.AsksQuestions() {
 		return c
 	}
+	return t.recordReachedIsolated(now, target, c)
+}
+
+// recordReachedIsolated applies that a target was reached while this VM is isolated.
+func (t *Table) recordReachedIsolated(now time.Time, target string, c Change) Change {
 	t.prober.due = now
 	if !t.endsIsolation(target) {
 		return c
@@ -267,18 +290,19 @@
 	return c
 }
 
-// endsIsolation reports whether a connection to a target ends the isolation: it is the second one,
-// and another target was reached before or no other can be.
+// endsIsolation reports whether a connection to a target, or its answer, ends the isolation: it is the
+// second one, and another target was reached before or no other can be.
 func (t *Table) endsIsolation(target string) bool {
-	if len(t.targets) == 1 {
+	probed := len(t.probedTargets())
+	if probed == 1 {
 		return true
 	}
 	switch {
 	case t.reached == "":
-		t.reached, t.failedDials = target, 0
+		t.reached, t.failedProbes = target, 0
 		return false
 	case t.reached == target:
-		return t.failedDials >= len(t.targets)-1
+		return t.failedProbes >= probed-1
 	}
 	return true
 }
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -27,7 +27,7 @@
 			Version: a.Version, Holder: n.settings.Vm.Id, FencingToken: token, ExpectedOrders: a.ExpectedOrders,
 		})
 	}
-	n.reachability.recordEngineCall(t.ID, err)
+	n.reachability.recordEngineCall(t.ID, startedAt, err)
 	n.handleNotice(t.ID, answer.Notice, nil)
 	result := answer.Result
 	n.logOrder(t, a, token, result, err, n.now().Sub(startedAt))
@@ -79,8 +79,9 @@
 // readReport reads a target's report and passes it to the scheduler. The report of a later
 // incarnation shows that the requested one is gone; the report of an earlier one shows nothing.
 func (ss *schedulers) readReport(sc *serviceScheduler, t *fleet.Target) {
+	startedAt := ss.node.now()
 	report, err := ss.node.platform.Engines.Report(context.Background(), t.ID, t.Address)
-	ss.node.reachability.recordEngineCall(t.ID, err)
+	ss.node.reachability.recordEngineCall(t.ID, startedAt, err)
 	ss.node.handleNotice(t.ID, report.Notice, nil)
 	otherIncarnation := err == nil && t.Started != 0 && report.Started != 0 && report.Started != t.Started
 	if otherIncarnation {
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -15,6 +15,7 @@
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/gateway"
+	"github.com/junctionfold/junctionfold/internal/hop"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -42,7 +43,7 @@
 	n := &Node{
 		settings: &schema.EdgeSettings{Vm: &schema.EdgeVM{Id: "a"}}, log: events.Discard(),
 		platform: Platform{Engines: engines},
-		metrics:  gateway.NewMetrics(), leadership: machine, lastRosterTick: now,
+		metrics:  gateway.NewMetrics(), leadership: machine, lastRosterTick: now, pool: hop.New(nil),
 	}
 	source := &suspendable{}
 	n.clock = source.clock(&now)
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -16,6 +16,7 @@
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/hop"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -52,14 +53,28 @@
 // apply replaces the targets by those of a directory that accept requests.
 func (r *reachability) apply(d *feed.Directory) {
 	ids := make([]string, 0, len(d.Targets))
+	var engines []string
 	for id, t := range d.Targets {
-		if t.State == fleet.TargetReady {
-			ids = append(ids, id)
+		if t.State != fleet.TargetReady {
+			continue
+		}
+		ids = append(ids, id)
+		if isEngine(d, t) {
+			engines = append(engines, id)
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.SetTargets(ids)
+	r.table.SetEngines(engines)
+}
+
+func isEngine(d *feed.Directory, t *fleet.Target) bool {
+	if d.Config == nil {
+		return false
+	}
+	s := d.Config.Services[t.Service]
+	return s != nil && s.Engine != nil
 }
 
 // viaRelay reports whether requests to a target are to be sent through another VM. It returns false
@@ -114,14 +129,63 @@
 	}
 }
 
-// recordEngineCall records the result of an order or a report request. Only failures of the
-// connection count; err is nil on success.
-func (r *reachability) recordEngineCall(target string, err error) {
-	if isPathFailure(context.Background(), err) || errors.IsAny(err, context.DeadlineExceeded, syscall.ECONNREFUSED) {
+// recordEngineCall records the result of an order or a report request that was sent at startedAt. Only
+// failures of the connection count; err is nil on success.
+func (r *reachability) recordEngineCall(target string, startedAt time.Time, err error) {
+	switch {
+	case isAnswered(err):
+		r.node.pool.RecordHeard()
+	case isUnanswered(err) && r.node.pool.HeardAt().Before(startedAt):
+		r.recordSilence(target)
+	case isPathFailure(context.Background(), err), errors.IsAny(err, context.DeadlineExceeded, syscall.ECONNREFUSED):
 		r.recordDirectFailure(target)
 	}
 }
 
+// isAnswered reports whether the engine answered an order or a report request that returned err.
+func isAnswered(err error) bool { return err == nil || errors.Is(err, fleet.ErrAnswered) }
+
+// isUnanswered reports whether a call to an engine that returned err was sent and is unanswered.
+func isUnanswered(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, fleet.ErrUnconnected)
+}
+
+// recordSilence records that targets have not answered requests, and that no target has sent this VM
+// anything in the meantime.
+func (r *reachability) recordSilence(targets ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, target := range targets {
+		r.table.RecordSilence(r.node.now(), target)
+	}
+}
+
+// markSilence marks the error of a request to a target as hop.ErrSilence if the path there is silent. An
+// error that guarantees that nothing was sent is returned as it is.
+func (r *reachability) markSilence(target string, err error) error {
+	if hop.NotSent(err) {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.table.IsSilent(target) {
+		return err
+	}
+	return errors.Mark(err, hop.ErrSilence)
+}
+
+// checkSilence records the silence of all targets, or its end.
+func (r *reachability) checkSilence() {
+	pool := r.node.pool
+	r.mu.Lock()
+	restored := r.table.RecordHeard(pool.HeardAt())
+	r.mu.Unlock()
+	for _, target := range restored {
+		r.node.log.PathRestored(target)
+	}
+	r.recordSilence(pool.Silent(r.node.now(), reach.SilenceTime)...)
+}
+
 // handle logs a change. The beginning of an isolation is announced at once.
 func (r *reachability) handle(c reach.Change) {
 	if c.Broken != "" {
@@ -160,6 +224,13 @@
 	return r.table.Isolated()
 }
 
+// canRelay reports whether this VM can send requests of others.
+func (r *reachability) canRelay() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.CanRelay()
+}
+
 // isolated is isIsolated for metrics: 1 or 0.
 func (r *reachability) isolated() int64 {
 	if r.isIsolated() {
--- a/internal/edge/reachprobe.go
+++ b/internal/edge/reachprobe.go
@@ -7,6 +7,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// questionTimeout bounds an engine's answer to a question. Engines answer within milliseconds.
+const questionTimeout = 500 * time.Millisecond
+
 // probeLoop probes targets, one at a time, while there are broken paths, until the context ends.
 func (r *reachability) probeLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -17,6 +20,7 @@
 			return
 		case <-ticker.C:
 		}
+		r.checkSilence()
 		r.probe(ctx)
 	}
 }
@@ -25,11 +29,38 @@
 func (r *reachability) probe(ctx context.Context) {
 	r.mu.Lock()
 	id, due := r.table.NextProbe(r.node.now())
+	asks := r.table.AsksQuestions()
 	r.mu.Unlock()
-	if !due {
+	switch {
+	case !due:
+	case asks:
+		r.ask(ctx, id)
+	default:
+		r.connect(ctx, id)
+	}
+}
+
+// ask asks an engine for its report, and records whether it answered.
+func (r *reachability) ask(ctx context.Context, id string) {
+	target := r.node.feed.Directory().Targets[id]
+	if target == nil {
+		return // removed meanwhile
+	}
+	askCtx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	report, err := r.node.platform.Engines.Report(askCtx, id, target.Address)
+	r.node.handleNotice(id, report.Notice, nil)
+	if isAnswered(err) {
+		r.node.pool.RecordHeard()
+	}
+	if ctx.Err() != nil {
 		return
 	}
-	r.connect(ctx, id)
+	r.checkSilence()
+	r.mu.Lock()
+	change := r.table.RecordQuestion(r.node.now(), id, isAnswered(err))
+	r.mu.Unlock()
+	r.handle(change)
 }
 
 // connect makes a connection to a target, without a request, and records the result.
--- a/internal/edge/relayserver.go
+++ b/internal/edge/relayserver.go
@@ -85,7 +85,7 @@
 
 // serve sends a request to its target and copies the response to w.
 func (s *relayServer) serve(ctx context.Context, f *schema.Forward, w forward.Sink) forward.Result {
-	if f.Relayed == nil || s.node.reachability.isIsolated() || !s.begin() {
+	if f.Relayed == nil || !s.node.reachability.canRelay() || !s.begin() {
 		return notSentResult(forward.CodeRelayUnavailable, nil)
 	}
 	defer s.running.Done()
@@ -106,7 +106,8 @@
 // failure returns the result of an attempt at a target that failed with an error of package hop. A
 // failure that this VM's own paths may have caused says nothing about the target.
 func (s *relayServer) failure(ctx context.Context, target string, err error) forward.Result {
-	if isPathFailure(ctx, err) && !s.node.reachability.isAtFault(ctx, target) {
+	isSilence := errors.Is(s.node.reachability.markSilence(target, err), hop.ErrSilence)
+	if isSilence || isPathFailure(ctx, err) && !s.node.reachability.isAtFault(ctx, target) {
 		return failedResult(forward.CodeAnswerTruncated, err)
 	}
 	return relayFailure(ctx, err)
--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -32,13 +32,14 @@
 	resp, err := t.direct.Do(ctx, r)
 	switch {
 	case err == nil:
+		resp.OnError = func(err error) error { return t.node.reachability.markSilence(r.Key, err) }
 		return resp, nil
 	case errors.Is(err, hop.ErrUnreachable) && ctx.Err() == nil && t.node.reachability.hasRelays():
 		return t.relays.do(ctx, r)
 	case isPathFailure(ctx, err):
 		t.node.reachability.recordDirectFailure(r.Key)
 	}
-	return nil, err
+	return nil, t.node.reachability.markSilence(r.Key, err)
 }
 
 // CloseIdle implements gateway.Transport.
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "context"
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Order instructs an engine to load or unload a model or an adapter.
 type Order struct {
@@ -66,6 +70,14 @@
 	Notice Notice
 }
 
+// Marks of errors of Engines.
+var (
+	// ErrAnswered means that the engine has answered.
+	ErrAnswered = errors.New("the engine answered")
+	// ErrUnconnected means that no connection to the engine could be made.
+	ErrUnconnected = errors.New("no connection to the engine")
+)
+
 // Engines sends orders to engines and reads their reports.
 type Engines interface {
 	Order(ctx context.Context, o Order) (OrderAnswer, error)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -153,7 +153,7 @@
 // failureEnding distinguishes a disconnect by the target from its other failures, and from those of
 // relays and paths.
 func (x *exchange) failureEnding(err error) scheduler.Ending {
-	if errors.IsAny(err, hop.ErrRelayLost, hop.ErrUnacknowledged) {
+	if errors.IsAny(err, hop.ErrRelayLost, hop.ErrUnacknowledged, hop.ErrSilence) {
 		return scheduler.EndedAbandoned
 	}
 	if x.isDisconnect(err) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -199,7 +199,7 @@
 	switch {
 	case x.callerLeft() || errors.Is(a.err, errCallerLeft):
 		return balance.Abandoned
-	case errors.IsAny(a.err, hop.ErrWithdrawn, hop.ErrNoPath, hop.ErrRelayLost, hop.ErrUnacknowledged):
+	case errors.IsAny(a.err, hop.ErrWithdrawn, hop.ErrNoPath, hop.ErrRelayLost, hop.ErrUnacknowledged, hop.ErrSilence):
 		return balance.Abandoned
 	case errors.Is(a.err, hop.ErrNoConnection):
 		return balance.NoConnection
--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -23,6 +23,8 @@
 	// connection (RFC 9112, section 6.3). The target may have closed it before the body was
 	// complete.
 	CloseDelimited bool
+	// OnError, if set, returns the error that Read returns in place of err, which is not io.EOF.
+	OnError func(err error) error
 
 	pool            *Pool
 	conn            *conn
@@ -95,6 +97,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "answer of %s", req.Key)
 		}
+		r.pool.RecordHeard()
 		if resp.StatusCode < http.StatusOK {
 			continue // informational
 		}
@@ -134,11 +137,16 @@
 // a CloseDelimited body was closed.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if n > 0 && r.conn != nil {
+		r.pool.RecordHeard()
+	}
 	if err == io.EOF && r.CloseDelimited {
 		err = r.connEndError()
 	}
 	if err == io.EOF {
 		r.bodyEnded = true
+	} else if err != nil && r.OnError != nil {
+		err = r.OnError(err)
 	}
 	return n, err
 }
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -8,7 +8,8 @@
 // Connections are pooled per target, are closed before the target would close them, and
 // are limited to the caller's share of the connections that a target accepts.
 //
-// hop.go sends a request, pool.go pools the connections, answer.go reads the response.
+// hop.go sends a request, pool.go pools the connections, answer.go reads the response, silence.go
+// records which requests wait for one.
 package hop
 
 import (
@@ -41,6 +42,9 @@
 	// ErrUnacknowledged marks the error of a request whose context ended while its bytes were being
 	// retransmitted without an acknowledgement.
 	ErrUnacknowledged = errors.New("the target did not acknowledge the request")
+	// ErrSilence marks the error of a request that was unanswered while nothing arrived from any target
+	// at this VM, although other VMs reached them. Nothing is known about the target.
+	ErrSilence = errors.New("nothing arrives from any target")
 )
 
 // NotSent reports whether an error of Do guarantees that nothing was sent.
@@ -151,10 +155,12 @@
 		c.unacknowledged.Store(c.retransmits())
 		p.reset(c)
 	})
+	p.beginWait(resp, r.Key)
 	err = resp.send(r)
 	if err == nil {
 		err = resp.readHead(r)
 	}
+	p.endWait(resp)
 	if err != nil {
 		resp.Close()
 		if c.unacknowledged.Load() {
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -26,6 +26,11 @@
 type Pool struct {
 	mu      sync.Mutex
 	targets map[string]*targetConns
+	// waits holds the requests without a response.
+	waits     map[*Response]wait
+	createdAt time.Time
+	// heardAfter is the time from createdAt until a target last sent anything, in ns.
+	heardAfter atomic.Int64
 	// OnDial, if set, is called before each connection attempt.
 	OnDial func()
 	// OnDialed, if set, is called with the key of the target and the result of each connection
@@ -61,7 +66,7 @@
 
 // New returns an empty Pool.
 func New(onDial func()) *Pool {
-	return &Pool{targets: map[string]*targetConns{}, OnDial: onDial, Dial: dialTCP, Now: time.Now, afterFunc: time.AfterFunc}
+	return &Pool{targets: map[string]*targetConns{}, waits: map[*Response]wait{}, createdAt: time.Now(), OnDial: onDial, Dial: dialTCP, Now: time.Now, afterFunc: time.AfterFunc}
 }
 
 // acquire returns an idle connection, or a new one.
