target: Count a stream as running until its body ends

An attempt was over with the end marker of its stream. The owner then closed the connection, which cancels the request at the engine, and took the adapter for free at once, although an engine may go on for coord.AbortedRequestTime after that. An unload that followed met the request still running.

Ruled out: a gap when the owner changes. In the trace of a run that failed by itself, the request ran under the fencing token of the owner that sent the unload; its end marker had been written 6 ms before, and its connection was closed already.

Change: after the end marker, which the caller gets at once as before, the body is read to its end, at most for coord.AbortedRequestTime. If it has not ended by then, or the caller leaves first, the request counts as aborted, so that its adapter stays in use as long as the engine may run it. The connection of an ended stream can be used again.

Conclusion: a fault of the product in its promise that no adapter in use is evicted; mended.

--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -153,10 +153,11 @@
 		t.requestFinished(p)
 		return refuse(forward.CodeNotOwner, 0, "the target went to another owner")
 	}
+	sent := &attempt.Attempt{}
 	r := engine.Run(ctx, target.Run{
-		Forward: f, Name: act.Name, Model: p.ref.Model(), FencingToken: p.fencingToken, Attempt: &attempt.Attempt{},
+		Forward: f, Name: act.Name, Model: p.ref.Model(), FencingToken: p.fencingToken, Attempt: sent,
 	}, sink)
-	if r.Failure != nil && r.Failure.Outcome == schema.Outcome_OUTCOME_UNKNOWN {
+	if mayStillRun(sent, r) {
 		t.requestAborted(p)
 	} else {
 		t.requestEnded(p)
@@ -167,6 +168,13 @@
 	return r
 }
 
+// mayStillRun reports whether the target may still work on a request: its connection was closed before
+// the answer had ended. That may be after the last event of a stream, with which the caller is served.
+func mayStillRun(sent *attempt.Attempt, r forward.Result) bool {
+	failedUnknown := r.Failure != nil && r.Failure.Outcome == schema.Outcome_OUTCOME_UNKNOWN
+	return failedUnknown || sent.Outcome() == attempt.Unknown
+}
+
 // requestEnded releases a request that the target no longer works on.
 func (t *ownedTarget) requestEnded(p *pendingRequest) {
 	t.mu.Lock()
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -48,12 +48,19 @@
 	eventsRelayed int
 	headSent      bool
 	streamEnded   bool
+	// bodyEnded is set once the body of a stream has ended after its end marker.
+	bodyEnded bool
+	// cancel closes the connection to the engine.
+	cancel context.CancelFunc
 }
 
 // Run sends the request and writes the answer to the sink. The answer is relayed only if it names
-// the adapter that was requested.
+// the adapter that was requested. If the outcome of the attempt is attempt.Unknown afterwards, the
+// engine may still use the adapter, also if there is no failure.
 func (e *Engine) Run(ctx context.Context, r Run, sink forward.Sink) forward.Result {
-	run := &runner{Run: r, engine: e, sink: sink}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	run := &runner{Run: r, engine: e, sink: sink, cancel: cancel}
 	resp, err := run.send(ctx)
 	if err != nil {
 		return run.failureResult(ctx, err)
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tidwall/gjson"
 
+	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/internal/forward"
 )
 
@@ -22,7 +25,7 @@
 	}
 	switch {
 	case err == nil:
-		r.Attempt.Finished()
+		r.recordStreamEnd()
 		return forward.Result{}
 	case errors.Is(err, errWrongAdapter):
 		return r.wrongAdapterResult(err.Error())
@@ -33,6 +36,16 @@
 	return r.failureResult(ctx, err)
 }
 
+// recordStreamEnd records the end of a stream whose end marker was relayed. If its body did not end,
+// the engine may still work on the request.
+func (r *runner) recordStreamEnd() {
+	if r.bodyEnded {
+		r.Attempt.Finished()
+		return
+	}
+	r.Attempt.ConnectionLost()
+}
+
 func (r *runner) canResume(ctx context.Context, err error) bool {
 	return err != nil && ctx.Err() == nil && !errors.IsAny(err, errWrongAdapter, errSinkClosed)
 }
@@ -66,6 +79,10 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 4 << 20
 
+// streamEndTimeout bounds the wait for the end of a stream's body after its end marker, which the
+// caller has by then. It is as long as an engine may take to end a request whose connection is closed.
+const streamEndTimeout = coord.AbortedRequestTime
+
 // copyEvents relays events. It returns nil only after the end marker.
 func (r *runner) copyEvents(resp *http.Response) error {
 	lines := bufio.NewReader(resp.Body)
@@ -82,9 +99,19 @@
 			return errors.Newf("event of more than %d bytes", maxEventBytes)
 		}
 	}
+	r.awaitBodyEnd(lines)
 	return nil
 }
 
+// awaitBodyEnd reads what follows the end marker. An engine uses the adapter until the body ends, and
+// a connection can be used again only then.
+func (r *runner) awaitBodyEnd(body io.Reader) {
+	timer := time.AfterFunc(streamEndTimeout, r.cancel)
+	defer timer.Stop()
+	_, err := io.Copy(io.Discard, body)
+	r.bodyEnded = err == nil
+}
+
 // readLine returns the next line with its line ending. A line that fits the reader's buffer is not
 // copied.
 func readLine(lines *bufio.Reader) ([]byte, error) {
