--- a/coord/quarantine/part.go
+++ b/coord/quarantine/part.go
@@ -14,7 +14,7 @@
 // minContentsOfPart is the number of contents with a common prompt part that must have crashed targets
 // for the part to be blocked. With one, a single crashing request would block the harmless ones of its
 // session. With two, at most one target more crashes: under the second content, after three under the
-// first (in 5 of 58 parts in TestRandomFleetsWithCrashingParts).
+// first.
 const minContentsOfPart = 2
 
 // WithPart returns the digest of a content whose own prompt part is p.
