quarantine: Undo the changes of a crash in reverse order

Cause: the changes that one crash made to contents were kept in a map, so that they were undone in any order.

Evidence: tests of coord/quarantine and internal/edge pass; no test failed before.

--- a/coord/quarantine/confirm.go
+++ b/coord/quarantine/confirm.go
@@ -53,14 +53,15 @@
 
 // takeChange returns the last change that a crash of a target made to a content, and removes it.
 func (t *Table) takeChange(d Digest, target string) (ch change, found bool) {
-	for _, crashed := range slices.Backward(t.crashes) {
-		if crashed.target != target {
+	for i := len(t.crashes) - 1; i >= 0; i-- {
+		crashed := &t.crashes[i]
+		k := slices.IndexFunc(crashed.changes, func(ch change) bool { return ch.digest == d })
+		if crashed.target != target || k < 0 {
 			continue
 		}
-		if ch, found = crashed.changes[d]; found {
-			delete(crashed.changes, d)
-			return ch, true
-		}
+		ch = crashed.changes[k]
+		crashed.changes = slices.Delete(crashed.changes, k, k+1)
+		return ch, true
 	}
 	return change{}, false
 }
--- a/coord/quarantine/judge.go
+++ b/coord/quarantine/judge.go
@@ -41,7 +41,7 @@
 	}
 	soleCandidate := t.countCandidates(inc) == 1
 	explainedBySuspect := t.hasKnownSuspect(inc)
-	crashed := crash{at: now, target: target, changes: map[Digest]change{}}
+	crashed := crash{at: now, target: target}
 	for _, r := range inc.disconnected {
 		before := t.evidence(r.digest)
 		if t.evaluateDisconnect(now, r, soleCandidate, explainedBySuspect) {
@@ -50,7 +50,7 @@
 		}
 		crashed.witnesses = append(crashed.witnesses, r)
 		if after := t.evidence(r.digest); after.targets > before.targets {
-			crashed.changes[r.digest] = change{digest: r.digest, before: before, after: after}
+			crashed.changes = append(crashed.changes, change{digest: r.digest, before: before, after: after})
 		}
 	}
 	t.crashes = append(t.crashes, crashed)
--- a/coord/quarantine/part_test.go
+++ b/coord/quarantine/part_test.go
@@ -100,7 +100,7 @@
 		d := digest(k).WithPart(part)
 		before := table.evidence(d)
 		table.recordCrash(at(0), d, target, false)
-		table.crashes = append(table.crashes, crash{at: at(0), target: target, changes: map[Digest]change{d: {d, before, table.evidence(d)}}})
+		table.crashes = append(table.crashes, crash{at: at(0), target: target, changes: []change{{d, before, table.evidence(d)}}})
 	}
 	assert.Assert(t, !startWithPart(table, at(10), 1, 3, part, "d"))
 	table.withdrawCrashes(at(20), []coord.VMID{"vm"})
--- a/coord/quarantine/witness.go
+++ b/coord/quarantine/witness.go
@@ -14,7 +14,7 @@
 	target string
 	// witnesses are the requests that were disconnected.
 	witnesses []request
-	changes   map[Digest]change
+	changes   []change
 }
 
 // change is what a crash changed in the evidence against one content.
@@ -96,7 +96,7 @@
 
 // undo removes a crash from the evidence against contents.
 func (t *Table) undo(crashed crash) {
-	for _, ch := range crashed.changes {
+	for _, ch := range slices.Backward(crashed.changes) {
 		t.undoChange(crashed.target, ch)
 	}
 }
