--- a/internal/edge/decide.go
+++ b/internal/edge/decide.go
@@ -11,7 +11,8 @@
 )
 
 // admit decides on a request of another VM or of this one. The team's quota is checked before the
-// request waits or an adapter is loaded for it.
+// request waits or an adapter is loaded for it. Its content is looked at again when it is placed, since
+// targets may have crashed while it waited.
 func (n *Node) admit(ctx context.Context, from coord.VMID, a *schema.Admit) *schema.Verdict {
 	n.checkSuspension()
 	if !n.isLeader() {
