Give each target of a test of relays its own key

All its targets had one key, by which the relay pools connections, and close each connection after one response. The relay now and then sent a request on the connection to the target of the row before, whose end had not arrived yet.

Trace: 1 of 300 runs with two processors failed ("chunks", unexpected EOF), and 1 of 1,200 that print both addresses: the connection that was reset led to 127.0.0.1:45969, the target of the row listened on 127.0.0.1:35699 and had got the direct request only. In a fleet a key names one process with one address.

Change: a key for each row. Assertions and replies are unchanged.

Evidence: 0 of 1,600 runs failed with -race and two processors.

Conclusion: the test was wrong, not the relay.

--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -193,6 +193,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			target := newRawTarget(t, respondText(row.reply))
 			r := f.request(target.address)
+			r.Key = "t#" + row.name // the relay pools connections by key, and this target closes its own
 			r.Method = row.method
 			direct, directErr := hop.New(nil).Do(t.Context(), r)
 			assert.NilError(t, directErr)
