reach: Question a silence at once

A silence was questioned only after a relay had reached the silent target. A sound VM whose only request worked for long at a busy target was therefore silent from 1 s on until the response, without anybody to contradict: it refused to relay for others (CanRelay), sent its requests to that target by relays, and in quiet fleets with one long request a VM nobody relayed. Engines answer a question within milliseconds, so that an unconfirmed silence is now questioned as well; an answer ends it. An isolation still needs a relay that reached a silent target.

TestSilenceOfABusyTargetIsQuestionedAtOnce and TestUnansweredQuestionsAloneDoNotIsolate failed before: no probe was due. With the change they pass, as do the models of coord/reach, with -race as well.

--- a/coord/reach/silence.go
+++ b/coord/reach/silence.go
@@ -92,7 +92,8 @@
 
 func isAny(*path) bool { return true }
 
-// AsksQuestions reports whether targets are to be probed by questions, and not by connections.
+// AsksQuestions reports whether targets are to be probed by questions, and not by connections. A silence
+// is questioned at once, since it may be that of a single target that works on the only request.
 func (t *Table) AsksQuestions() bool {
 	if len(t.silence.engines) == 0 {
 		return false
@@ -100,7 +101,7 @@
 	if t.isolated {
 		return t.silence.isolates
 	}
-	return t.hasSilence(func(p *path) bool { return p.broken })
+	return t.hasSilence(isAny)
 }
 
 // RecordQuestion records whether a target answered a question. While this VM is not isolated, it is
--- a/coord/reach/silence_test.go
+++ b/coord/reach/silence_test.go
@@ -135,3 +135,30 @@
 	table.RecordHeard(at(1))
 	assert.Assert(t, table.CanRelay())
 }
+
+// TestSilenceOfABusyTargetIsQuestionedAtOnce guards against a sound VM that does not relay for as long as
+// one slow target keeps its only request waiting.
+func TestSilenceOfABusyTargetIsQuestionedAtOnce(t *testing.T) {
+	table := newSilenceTable("e", "f")
+	table.RecordSilence(start, "e")
+	engine, due := table.NextProbe(start)
+	assert.Assert(t, due && table.AsksQuestions(), "nothing would end the silence before the response")
+	table.RecordHeard(at(5))
+	change := table.RecordQuestion(at(5), engine, true)
+	assert.Assert(t, !change.IsolationBegan && table.CanRelay() && !table.ViaRelay(at(5), "e"))
+	_, due = table.NextProbe(at(600))
+	assert.Assert(t, !due, "no further question while no silence is recorded")
+}
+
+// TestUnansweredQuestionsAloneDoNotIsolate guards against a VM that takes slow engines for lost paths
+// while no other VM has reached a silent target.
+func TestUnansweredQuestionsAloneDoNotIsolate(t *testing.T) {
+	table := newSilenceTable("e", "f")
+	for round := range 6 {
+		table.RecordSilence(at(500*round), "p")
+		engine, due := table.NextProbe(at(500 * round))
+		assert.Assert(t, due)
+		assert.Assert(t, !table.RecordQuestion(at(500*round+499), engine, false).IsolationBegan)
+	}
+	assert.Assert(t, !table.Isolated())
+}
