edge: Let an answer end a silence that was found beside it

A silence was recorded with the time after it had been found. An answer that arrived in between was older than the silence and did not end it: the VM stayed silent and did not relay until a further answer, on a busy machine possibly found long before it was recorded. The time is now read before the last answer's is. The result of a question is recorded with the time before the answers are looked at, likewise.

--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -132,11 +132,12 @@
 // recordEngineCall records the result of an order or a report request that was sent at startedAt. Only
 // failures of the connection count; err is nil on success.
 func (r *reachability) recordEngineCall(target string, startedAt time.Time, err error) {
+	now := r.node.now()
 	switch {
 	case isAnswered(err):
 		r.node.pool.RecordHeard()
 	case isUnanswered(err) && r.node.pool.HeardAt().Before(startedAt):
-		r.recordSilence(target)
+		r.recordSilence(now, target)
 	case isPathFailure(context.Background(), err), errors.IsAny(err, context.DeadlineExceeded, syscall.ECONNREFUSED):
 		r.recordDirectFailure(target)
 	}
@@ -151,12 +152,12 @@
 }
 
 // recordSilence records that targets have not answered requests, and that no target has sent this VM
-// anything in the meantime.
-func (r *reachability) recordSilence(targets ...string) {
+// anything in the meantime. now is from before that was found, since what arrives after it ends the silence.
+func (r *reachability) recordSilence(now time.Time, targets ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, target := range targets {
-		r.table.RecordSilence(r.node.now(), target)
+		r.table.RecordSilence(now, target)
 	}
 }
 
@@ -176,14 +177,14 @@
 
 // checkSilence records the silence of all targets, or its end.
 func (r *reachability) checkSilence() {
-	pool := r.node.pool
+	now, pool := r.node.now(), r.node.pool
 	r.mu.Lock()
 	restored := r.table.RecordHeard(pool.HeardAt())
 	r.mu.Unlock()
 	for _, target := range restored {
 		r.node.log.PathRestored(target)
 	}
-	r.recordSilence(pool.Silent(r.node.now(), reach.SilenceTime)...)
+	r.recordSilence(now, pool.Silent(now, reach.SilenceTime)...)
 }
 
 // handle logs a change. The beginning of an isolation is announced at once.
--- a/internal/edge/reachability_test.go
+++ b/internal/edge/reachability_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/leadership"
+	"github.com/junctionfold/junctionfold/coord/reach"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -197,3 +200,74 @@
 	assert.Assert(t, !n.reachability.viaRelay("t1"))
 	assert.Assert(t, n.reachability.announcesIsolation(*now), "for a second")
 }
+
+// silentNode returns VM a with an engine e and a request that e has not answered for long.
+func silentNode(t *testing.T) (n *Node, now *time.Time) {
+	t.Helper()
+	n, now = reachabilityNode(t, map[string]string{"e": "", "p": ""})
+	n.reachability.table.SetEngines([]string{"e"})
+	n.pool.Now = n.now
+	n.pool.RecordHeard()
+	accepted := make(chan net.Conn, 1)
+	n.pool.Dial = func(context.Context, *net.Dialer, string) (net.Conn, error) { return dialSilentTarget(t, accepted) }
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = n.pool.Do(ctx, &hop.Request{Key: "p", Method: http.MethodGet, Path: "/", Host: "p"})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	_, err := (<-accepted).Read(make([]byte, 1))
+	assert.NilError(t, err)
+	return n, now
+}
+
+// dialSilentTarget connects to a target that accepts one connection and sends nothing.
+func dialSilentTarget(t *testing.T, accepted chan<- net.Conn) (net.Conn, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		if c, err := listener.Accept(); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+			accepted <- c
+		}
+	}()
+	return net.Dial("tcp", listener.Addr().String())
+}
+
+// runFor lets the node check the silence for d, with a check every interval.
+func runFor(n *Node, now *time.Time, d, interval time.Duration) {
+	for end := now.Add(d); now.Before(end); {
+		*now = now.Add(interval)
+		n.reachability.checkSilence()
+	}
+}
+
+// TestAnswerDuringTheCheckOfASilenceEndsIt guards against a silence that is recorded with a later time than
+// an answer that arrives while it is found: only a further answer would end it.
+func TestAnswerDuringTheCheckOfASilenceEndsIt(t *testing.T) {
+	n, now := silentNode(t)
+	runFor(n, now, reach.SilenceTime-tickInterval, tickInterval)
+	var atCheck time.Time
+	calls := 0
+	n.now = func() time.Time {
+		calls++
+		if calls == 1 {
+			atCheck = now.Add(2 * tickInterval)
+			return atCheck
+		}
+		return atCheck.Add(2 * time.Millisecond)
+	}
+	n.reachability.checkSilence()
+	assert.Assert(t, !n.reachability.canRelay())
+	n.pool.Now = func() time.Time { return atCheck.Add(time.Millisecond) }
+	n.pool.RecordHeard()
+	n.reachability.checkSilence()
+	assert.Assert(t, n.reachability.canRelay())
+}
--- a/internal/edge/reachprobe.go
+++ b/internal/edge/reachprobe.go
@@ -56,9 +56,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	now := r.node.now()
 	r.checkSilence()
 	r.mu.Lock()
-	change := r.table.RecordQuestion(r.node.now(), id, isAnswered(err))
+	change := r.table.RecordQuestion(now, id, isAnswered(err))
 	r.mu.Unlock()
 	r.handle(change)
 }
