edge: Take no silence from a time in which this VM did not run

After a suspension, or a second of starvation on a busy machine, all requests under way had been unanswered for SilenceTime, and nothing had been heard: what targets had sent was not read yet. A sound VM thus counted its targets as silent, refused to relay and sent its own requests by relays, which on one busy machine all VMs do at the same time. A silence is now recorded only if this VM has looked for it without a gap of maxSilenceCheckGap for SilenceTime; its own probes, which wait for targets, are no gap.

TestVMThatDidNotRunTakesNothingForSilence failed before: the VM did not relay right after the gap. It passes now; TestProbesDoNotDelayASilence holds the other side, that probes that time out do not hide a silence.

--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -31,6 +31,9 @@
 	// comparisonTimeout bounds a connection attempt that tells a broken target from broken paths.
 	// Targets are a few milliseconds away.
 	comparisonTimeout = 200 * time.Millisecond
+	// maxSilenceCheckGap is the longest time between two checks of a silence after which this VM counts as
+	// having run all the time. Otherwise what targets sent may not have been read yet.
+	maxSilenceCheckGap = reach.SilenceTime / 2
 )
 
 // reachability records which targets this VM can reach itself, and names the VMs that can relay
@@ -42,6 +45,9 @@
 
 	mu    sync.Mutex
 	table *reach.Table
+	// silenceCheckedAt is when a silence was last looked for, or a probe ended after that. listeningSince is
+	// the time since which this VM has run without a gap. Only probeLoop uses them.
+	silenceCheckedAt, listeningSince time.Time
 }
 
 func newReachability(n *Node) *reachability {
@@ -184,7 +190,27 @@
 	for _, target := range restored {
 		r.node.log.PathRestored(target)
 	}
-	r.recordSilence(now, pool.Silent(now, reach.SilenceTime)...)
+	if r.hasListened(now) {
+		r.recordSilence(now, pool.Silent(now, reach.SilenceTime)...)
+	}
+}
+
+// hasListened reports whether this VM has run long enough to find a silence, without a gap as by a
+// suspension.
+func (r *reachability) hasListened(now time.Time) bool {
+	if now.Sub(r.silenceCheckedAt) > maxSilenceCheckGap {
+		r.listeningSince = now
+	}
+	r.silenceCheckedAt = now
+	return now.Sub(r.listeningSince) >= reach.SilenceTime
+}
+
+// excuseProbe makes the time that a probe took since the last check of a silence no gap.
+func (r *reachability) excuseProbe() {
+	now := r.node.now()
+	if now.Sub(r.silenceCheckedAt) <= maxProbeTime {
+		r.silenceCheckedAt = now
+	}
 }
 
 // handle logs a change. The beginning of an isolation is announced at once.
--- a/internal/edge/reachability_test.go
+++ b/internal/edge/reachability_test.go
@@ -249,6 +249,34 @@
 	}
 }
 
+// TestVMThatDidNotRunTakesNothingForSilence guards against a sound VM that stops relaying after it was
+// suspended or starved: what arrived in the meantime is not read yet.
+func TestVMThatDidNotRunTakesNothingForSilence(t *testing.T) {
+	n, now := silentNode(t)
+	runFor(n, now, reach.SilenceTime/2, tickInterval)
+	*now = now.Add(2 * reach.SilenceTime)
+	n.reachability.checkSilence()
+	assert.Assert(t, n.reachability.canRelay())
+	runFor(n, now, reach.SilenceTime-tickInterval, tickInterval)
+	assert.Assert(t, n.reachability.canRelay())
+	runFor(n, now, 2*tickInterval, tickInterval)
+	assert.Assert(t, !n.reachability.canRelay(), "it has listened for long enough")
+}
+
+// TestProbesDoNotDelayASilence guards against a VM that takes its own probes, which wait for targets, for
+// times in which it did not run.
+func TestProbesDoNotDelayASilence(t *testing.T) {
+	n, now := silentNode(t)
+	for range 2 {
+		n.reachability.checkSilence()
+		*now = now.Add(questionTimeout + tickInterval)
+		n.reachability.excuseProbe()
+	}
+	assert.Assert(t, n.reachability.canRelay())
+	n.reachability.checkSilence()
+	assert.Assert(t, !n.reachability.canRelay())
+}
+
 // TestAnswerDuringTheCheckOfASilenceEndsIt guards against a silence that is recorded with a later time than
 // an answer that arrives while it is found: only a further answer would end it.
 func TestAnswerDuringTheCheckOfASilenceEndsIt(t *testing.T) {
--- a/internal/edge/reachprobe.go
+++ b/internal/edge/reachprobe.go
@@ -10,6 +10,9 @@
 // questionTimeout bounds an engine's answer to a question. Engines answer within milliseconds.
 const questionTimeout = 500 * time.Millisecond
 
+// maxProbeTime is the longest time that a probe takes unless this VM does not run.
+const maxProbeTime = time.Second
+
 // probeLoop probes targets, one at a time, while there are broken paths, until the context ends.
 func (r *reachability) probeLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -22,6 +25,7 @@
 		}
 		r.checkSilence()
 		r.probe(ctx)
+		r.excuseProbe()
 	}
 }
 
@@ -50,6 +54,7 @@
 	defer cancel()
 	report, err := r.node.platform.Engines.Report(askCtx, id, target.Address)
 	r.node.handleNotice(id, report.Notice, nil)
+	r.excuseProbe()
 	if isAnswered(err) {
 		r.node.pool.RecordHeard()
 	}
