--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -31,6 +31,9 @@
 	// comparisonTimeout bounds a connection attempt that tells a broken target from broken paths.
 	// Targets are a few milliseconds away.
 	comparisonTimeout = 200 * time.Millisecond
+	// maxSilenceCheckGap is the longest time between two checks of a silence after which this VM counts as
+	// having run all the time. Otherwise what targets sent may not have been read yet.
+	maxSilenceCheckGap = reach.SilenceTime / 2
 )
 
 // reachability records which targets this VM can reach itself, and names the VMs that can relay
@@ -42,6 +45,9 @@
 
 	mu    sync.Mutex
 	table *reach.Table
+	// silenceCheckedAt is when a silence was last looked for, or a probe ended after that. listeningSince is
+	// the time since which this VM has run without a gap. Only probeLoop uses them.
+	silenceCheckedAt, listeningSince time.Time
 }
 
 func newReachability(n *Node) *reachability {
@@ -132,11 +138,12 @@
 // recordEngineCall records the result of an order or a report request that was sent at startedAt. Only
 // failures of the connection count; err is nil on success.
 func (r *reachability) recordEngineCall(target string, startedAt time.Time, err error) {
+	now := r.node.now()
 	switch {
 	case isAnswered(err):
 		r.node.pool.RecordHeard()
 	case isUnanswered(err) && r.node.pool.HeardAt().Before(startedAt):
-		r.recordSilence(target)
+		r.recordSilence(now, target)
 	case isPathFailure(context.Background(), err), errors.IsAny(err, context.DeadlineExceeded, syscall.ECONNREFUSED):
 		r.recordDirectFailure(target)
 	}
@@ -151,12 +158,12 @@
 }
 
 // recordSilence records that targets have not answered requests, and that no target has sent this VM
-// anything in the meantime.
-func (r *reachability) recordSilence(targets ...string) {
+// anything in the meantime. now is from before that was found, since what arrives after it ends the silence.
+func (r *reachability) recordSilence(now time.Time, targets ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, target := range targets {
-		r.table.RecordSilence(r.node.now(), target)
+		r.table.RecordSilence(now, target)
 	}
 }
 
@@ -176,14 +183,34 @@
 
 // checkSilence records the silence of all targets, or its end.
 func (r *reachability) checkSilence() {
-	pool := r.node.pool
+	now, pool := r.node.now(), r.node.pool
 	r.mu.Lock()
 	restored := r.table.RecordHeard(pool.HeardAt())
 	r.mu.Unlock()
 	for _, target := range restored {
 		r.node.log.PathRestored(target)
 	}
-	r.recordSilence(pool.Silent(r.node.now(), reach.SilenceTime)...)
+	if r.hasListened(now) {
+		r.recordSilence(now, pool.Silent(now, reach.SilenceTime)...)
+	}
+}
+
+// hasListened reports whether this VM has run long enough to find a silence, without a gap as by a
+// suspension.
+func (r *reachability) hasListened(now time.Time) bool {
+	if now.Sub(r.silenceCheckedAt) > maxSilenceCheckGap {
+		r.listeningSince = now
+	}
+	r.silenceCheckedAt = now
+	return now.Sub(r.listeningSince) >= reach.SilenceTime
+}
+
+// excuseProbe makes the time that a probe took since the last check of a silence no gap.
+func (r *reachability) excuseProbe() {
+	now := r.node.now()
+	if now.Sub(r.silenceCheckedAt) <= maxProbeTime {
+		r.silenceCheckedAt = now
+	}
 }
 
 // handle logs a change. The beginning of an isolation is announced at once.
