quarantine: End the block of a prompt part also where it was received

A finding says how long its content is blocked, be it for its own crashes or for those of its prompt part. A VM that received it blocked the content itself, until the content's own crashes were withdrawn: when another crash of the part turned out to be none, the sender released all contents with the part, and the receivers, the next leader among them, only that one. A later finding for the part also lowered the number of crashes that an own block needs. A block for fewer crashes than block a single content is now kept as one of the part; it ends once a withdrawal leaves too few crashes under the part, unless the content has crashed enough targets itself. A content with two crashes may be blocked either way and is still released by its own crashes only.

TestBlockOfPartEndsWhereItWasReceived failed before (both other contents stayed blocked at the receiver), and TestBlockOfPartKeepsThatOfAContent (blocked by two crashes of three). They pass now, with -race as well.

--- a/coord/quarantine/confirm.go
+++ b/coord/quarantine/confirm.go
@@ -27,19 +27,31 @@
 // TargetRan records that a target was still running at ranAt. What counted as its crash before that
 // was none and is withdrawn. It returns the contents that are no longer blocked.
 func (t *Table) TargetRan(now, ranAt time.Time, target string) (released []Digest) {
+	blocked := t.blockedContents(now)
 	for d, c := range t.contents {
-		if at, crashed := c.crashedAt[target]; !crashed || !at.Before(ranAt) {
-			continue
+		if at, crashed := c.crashedAt[target]; crashed && at.Before(ranAt) {
+			t.withdrawEvidence(d, c, target)
 		}
-		wasBlocked := c.blockedUntil.After(now)
-		t.withdrawEvidence(d, c, target)
-		if wasBlocked && !c.blockedUntil.After(now) {
+	}
+	for d, c := range blocked {
+		if t.contents[d] != c || !c.blockedUntil.After(now) {
 			released = append(released, d)
 		}
 	}
 	return released
 }
 
+// blockedContents returns the contents that are blocked on their own, or that other VMs blocked.
+func (t *Table) blockedContents(now time.Time) map[Digest]*content {
+	blocked := map[Digest]*content{}
+	for d, c := range t.contents {
+		if c.blockedUntil.After(now) {
+			blocked[d] = c
+		}
+	}
+	return blocked
+}
+
 // withdrawEvidence removes a target that did not crash from the evidence against a content. There is no
 // change to undo if the evidence came from another VM.
 func (t *Table) withdrawEvidence(d Digest, c *content, target string) {
@@ -49,6 +61,7 @@
 	}
 	c.withdraw(target)
 	t.removeProvisionalSuspect(d)
+	t.endBlocksOfPart(d.part())
 }
 
 // takeChange returns the last change that a crash of a target made to a content, and removes it.
--- a/coord/quarantine/findings.go
+++ b/coord/quarantine/findings.go
@@ -52,7 +52,7 @@
 	case c == nil:
 	case f.BlockedFor > 0:
 		c.blockedUntil = coord.Later(blockedUntil, now.Add(f.BlockedFor))
-		c.blockedAfter = min(cmp.Or(c.blockedAfter, len(f.Targets)), len(f.Targets))
+		c.recordReceivedBlock(len(f.Targets))
 	case blockedUntil.IsZero() && len(c.crashedTargets) >= blockAfterCrashes:
 		c.blockedUntil = now
 	default:
@@ -65,6 +65,17 @@
 	return &sum
 }
 
+// recordReceivedBlock records that another VM blocked the content after a number of its targets crashed. If
+// they are fewer than block a single content, it was because of its prompt part.
+func (c *content) recordReceivedBlock(targets int) {
+	if targets < blockAfterCrashes-1 {
+		c.blockedByPart = c.blockedByPart || c.blockedAfter == 0
+		return
+	}
+	c.blockedByPart = false
+	c.blockedAfter = min(cmp.Or(c.blockedAfter, targets), targets)
+}
+
 // Findings returns all suspect and blocked contents.
 func (t *Table) Findings(now time.Time) []Finding {
 	out := make([]Finding, 0, len(t.contents))
--- a/coord/quarantine/part.go
+++ b/coord/quarantine/part.go
@@ -117,3 +117,16 @@
 	}
 	return found
 }
+
+// endBlocksOfPart ends the blocks that other VMs made because of a prompt part, if a crash under it has been
+// withdrawn and the others are not enough. A content under which enough targets crashed stays blocked.
+func (t *Table) endBlocksOfPart(p Part) {
+	if t.partEvidence(p).blocks() {
+		return
+	}
+	for d := range t.byPart[p] {
+		if c := t.contents[d]; c.blockedByPart && len(c.crashedTargets) < blockAfterCrashes {
+			c.blockedUntil, c.blockedByPart = time.Time{}, false
+		}
+	}
+}
--- a/coord/quarantine/part_test.go
+++ b/coord/quarantine/part_test.go
@@ -108,6 +108,61 @@
 	assert.Equal(t, len(table.byPart), 0)
 }
 
+// TestBlockOfPartEndsWhereItWasReceived guards against contents that stay blocked at other VMs because of a
+// prompt part whose crashes were none.
+func TestBlockOfPartEndsWhereItWasReceived(t *testing.T) {
+	for name, c := range map[string]struct {
+		targets []string
+		goesOn  string
+		blocked bool
+	}{
+		"a needed crash is withdrawn":      {[]string{"a", "b", "c"}, "c", false},
+		"the other crashes are enough":     {[]string{"a", "b", "c", "d"}, "c", true},
+		"no crash of the part is affected": {[]string{"a", "b", "c"}, "x", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader, other := New(), New()
+			for k, target := range c.targets {
+				leader.recordCrash(at(k), digest(k).WithPart(part), target, false)
+			}
+			for _, f := range leader.Findings(at(10)) {
+				assert.Assert(t, f.BlockedFor > 0)
+				other.Merge(at(10), f)
+			}
+			for _, table := range []*Table{leader, other} {
+				table.TargetRan(at(8000), at(1000), c.goesOn)
+				for k, target := range c.targets {
+					reason, _ := table.Check(at(8000), key(k), digest(k).WithPart(part))
+					assert.Equal(t, reason == ReasonBlocked, c.blocked, "content that crashed %s", target)
+				}
+			}
+		})
+	}
+}
+
+// TestBlockOfPartKeepsThatOfAContent guards against a content that stays blocked by one crash because its
+// prompt part was blocked elsewhere.
+func TestBlockOfPartKeepsThatOfAContent(t *testing.T) {
+	table, d := New(), digest(0).WithPart(part)
+	table.Merge(at(0), Finding{Digest: d, Targets: []string{"a", "b", "c"}, BlockedFor: blockDuration})
+	table.Merge(at(0), Finding{Digest: d, Targets: []string{"a"}, BlockedFor: blockDuration})
+	assert.DeepEqual(t, table.TargetRan(at(8000), at(1000), "b"), []Digest{d})
+}
+
+// TestBlockOfPartEndsOnlyForContentsThatNeedIt guards against a content that is released with its prompt part
+// although it has crashed enough targets itself.
+func TestBlockOfPartEndsOnlyForContentsThatNeedIt(t *testing.T) {
+	table, crashing, beside := New(), digest(0).WithPart(part), digest(1).WithPart(part)
+	table.Merge(at(0), Finding{Digest: crashing, Targets: []string{"a"}, BlockedFor: blockDuration})
+	table.Merge(at(0), Finding{Digest: beside, Targets: []string{"x"}, BlockedFor: blockDuration})
+	table.recordCrash(at(10), crashing, "b", false)
+	table.recordCrash(at(20), crashing, "c", false)
+	assert.DeepEqual(t, table.TargetRan(at(8000), at(1000), "x"), []Digest{beside})
+	reason, _ := table.Check(at(8000), key(1), crashing)
+	assert.Equal(t, reason, ReasonBlocked)
+	assert.DeepEqual(t, table.TargetRan(at(8000), at(1000), "b"), []Digest{crashing})
+}
+
 // partFleet simulates targets that run requests with prompt parts. The content of parts below crashing
 // crashes targets, in several kinds of request. The other parts belong to sessions, whose requests have
 // different content each.
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -106,6 +106,8 @@
 	blockedUntil time.Time
 	// blockedAfter is the number of crashed targets after which it was first blocked.
 	blockedAfter int
+	// blockedByPart is set if another VM blocked it because of its prompt part.
+	blockedByPart bool
 	// succeededBefore is true if the content succeeded earlier, trusted if one crash is not enough
 	// to suspect it.
 	succeededBefore, trusted bool
--- a/coord/quarantine/witness.go
+++ b/coord/quarantine/witness.go
@@ -111,6 +111,7 @@
 		}
 		c.withdraw(target)
 		t.removeProvisionalSuspect(ch.digest)
+		t.endBlocksOfPart(ch.digest.part())
 	}
 	if c != nil && len(c.crashedTargets) > ch.before.targets {
 		return
