hop: Keep the latest time at which a target was heard

RecordHeard stored the time of whoever came last. A goroutine that was held up between reading the clock and storing the time put a later time back, from which a silence could be found. Only a later time is stored now.

TestHeardAtDoesNotGoBack failed before (1 s instead of 2 s) and passes now.

--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -29,7 +29,7 @@
 	// waits holds the requests without a response.
 	waits     map[*Response]wait
 	createdAt time.Time
-	// heardAfter is the time from createdAt until a target last sent anything, in ns.
+	// heardAfter is the time from createdAt until a target last sent anything, in ns; 0: nothing yet.
 	heardAfter atomic.Int64
 	// OnDial, if set, is called before each connection attempt.
 	OnDial func()
--- a/internal/hop/silence.go
+++ b/internal/hop/silence.go
@@ -3,7 +3,16 @@
 import "time"
 
 // RecordHeard records that a target has sent this VM something, on a connection of the pool or elsewhere.
-func (p *Pool) RecordHeard() { p.heardAfter.Store(int64(p.Now().Sub(p.createdAt))) }
+// Calls may come late and out of order.
+func (p *Pool) RecordHeard() {
+	after := int64(p.Now().Sub(p.createdAt))
+	for {
+		latest := p.heardAfter.Load()
+		if latest != 0 && after <= latest || p.heardAfter.CompareAndSwap(latest, after) {
+			return
+		}
+	}
+}
 
 // HeardAt returns when a target last sent this VM anything, or when the pool was created.
 func (p *Pool) HeardAt() time.Time { return p.createdAt.Add(time.Duration(p.heardAfter.Load())) }
--- a/internal/hop/silence_test.go
+++ b/internal/hop/silence_test.go
@@ -47,3 +47,15 @@
 	<-ended
 	assert.Equal(t, len(p.Silent(later.Add(time.Hour), time.Second)), 0, "no request waits")
 }
+
+// TestHeardAtDoesNotGoBack guards against a silence that is found because a goroutine that was held up
+// records what it read long before.
+func TestHeardAtDoesNotGoBack(t *testing.T) {
+	p := New(nil)
+	now := time.Now()
+	for _, at := range []time.Time{now.Add(2 * time.Second), now.Add(time.Second)} {
+		p.Now = func() time.Time { return at }
+		p.RecordHeard()
+	}
+	assert.Equal(t, p.HeardAt().Sub(now), 2*time.Second)
+}
