edge: Send each leader a report of running requests of its own

What happened: the race detector reported a data race in TestCallersOfVMsWithoutPathsToTargetsAreServed, once, beside 16 busy processes. A report to a new leader was still being encoded when the next leader followed.

Cause: the messages that a VM keeps of its running requests went into every report, and building a report set the time left until the deadline in them. A report could be sent with a later time, or with a torn one.

Change: a report has copies.

Evidence: TestReportOfRunningRequestsIsNotChangedByTheNext failed before (first report 4000 ms left instead of 5000).

--- a/internal/edge/running.go
+++ b/internal/edge/running.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/gateway"
@@ -56,8 +58,9 @@
 	defer r.mu.Unlock()
 	out, now := &schema.Running{Complete: true}, r.now()
 	for _, g := range r.grants {
-		g.grant.LeftMs = g.deadline.Sub(now).Milliseconds()
-		out.Grants = append(out.Grants, g.grant)
+		grant := proto.CloneOf(g.grant) // an earlier message may still be sent
+		grant.LeftMs = g.deadline.Sub(now).Milliseconds()
+		out.Grants = append(out.Grants, grant)
 	}
 	return out
 }
