--- a/coord/quarantine/part_test.go
+++ b/coord/quarantine/part_test.go
@@ -26,8 +26,7 @@
 }
 
 // TestContentsWithOneCrashingPartAreBlockedTogether guards against a prompt part that crashes three
-// targets under each kind of request in which callers submit it. In a simulated day nine engines
-// crashed under three kinds of request with one part.
+// targets under each kind of request in which callers submit it.
 func TestContentsWithOneCrashingPartAreBlockedTogether(t *testing.T) {
 	table := New()
 	for k, target := range []string{"a", "b", "c"} {
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -13,27 +13,17 @@
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/reach"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
-	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
-	"github.com/junctionfold/junctionfold/internal/hop"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
 const (
 	// maxRelays is the number of VMs that relays returns.
 	maxRelays = 3
-	// maxRelayCandidates bounds the sessions that a VM opens to relays, in its own zone and in others.
-	maxRelayCandidates = 8
-	// minZoneRelayRatio is the fraction of a zone's VMs that must be able to relay before requests
-	// are relayed within the zone: the relays do the work of all its VMs.
-	minZoneRelayRatio = 1.0 / 3
 	// comparisonTimeout bounds a connection attempt that tells a broken target from broken paths.
 	// Targets are a few milliseconds away.
 	comparisonTimeout = 200 * time.Millisecond
-	// maxSilenceCheckGap is the longest time between two checks of a silence after which this VM counts as
-	// having run all the time. Otherwise what targets sent may not have been read yet.
-	maxSilenceCheckGap = reach.SilenceTime / 2
 )
 
 // reachability records which targets this VM can reach itself, and names the VMs that can relay
@@ -149,70 +139,6 @@
 	}
 }
 
-// isAnswered reports whether the engine answered an order or a report request that returned err.
-func isAnswered(err error) bool { return err == nil || errors.Is(err, fleet.ErrAnswered) }
-
-// isUnanswered reports whether a call to an engine that returned err was sent and is unanswered.
-func isUnanswered(err error) bool {
-	return errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, fleet.ErrUnconnected)
-}
-
-// recordSilence records that targets have not answered requests, and that no target has sent this VM
-// anything in the meantime. now is from before that was found, since what arrives after it ends the silence.
-func (r *reachability) recordSilence(now time.Time, targets ...string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, target := range targets {
-		r.table.RecordSilence(now, target)
-	}
-}
-
-// markSilence marks the error of a request to a target as hop.ErrSilence if the path there is silent. An
-// error that guarantees that nothing was sent is returned as it is.
-func (r *reachability) markSilence(target string, err error) error {
-	if hop.NotSent(err) {
-		return err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.table.IsSilent(target) {
-		return err
-	}
-	return errors.Mark(err, hop.ErrSilence)
-}
-
-// checkSilence records the silence of all targets, or its end.
-func (r *reachability) checkSilence() {
-	now, pool := r.node.now(), r.node.pool
-	r.mu.Lock()
-	restored := r.table.RecordHeard(pool.HeardAt())
-	r.mu.Unlock()
-	for _, target := range restored {
-		r.node.log.PathRestored(target)
-	}
-	if r.hasListened(now) {
-		r.recordSilence(now, pool.Silent(now, reach.SilenceTime)...)
-	}
-}
-
-// hasListened reports whether this VM has run long enough to find a silence, without a gap as by a
-// suspension.
-func (r *reachability) hasListened(now time.Time) bool {
-	if now.Sub(r.silenceCheckedAt) > maxSilenceCheckGap {
-		r.listeningSince = now
-	}
-	r.silenceCheckedAt = now
-	return now.Sub(r.listeningSince) >= reach.SilenceTime
-}
-
-// excuseProbe makes the time that a probe took since the last check of a silence no gap.
-func (r *reachability) excuseProbe() {
-	now := r.node.now()
-	if now.Sub(r.silenceCheckedAt) <= maxProbeTime {
-		r.silenceCheckedAt = now
-	}
-}
-
 // handle logs a change. The beginning of an isolation is announced at once.
 func (r *reachability) handle(c reach.Change) {
 	if c.Broken != "" {
@@ -307,60 +233,6 @@
 	return r.table.Doubts(r.node.now(), target)
 }
 
-// relayCandidates holds the VMs that can relay requests.
-type relayCandidates struct{ preferred, others []coord.VMID }
-
-func (c *relayCandidates) isEmpty() bool { return len(c.preferred)+len(c.others) == 0 }
-
-// selectRelayCandidates divides the live VMs, other than this one, that are not isolated. Those of
-// this VM's zone are preferred if they are enough for the zone, since traffic between zones is
-// charged for.
-func selectRelayCandidates(self coord.VMID, zone string, live []roster.Entry) *relayCandidates {
-	var sameZone, others []coord.VMID
-	zoneSize := 0
-	for _, e := range live {
-		if e.Zone == zone {
-			zoneSize++
-		}
-		switch {
-		case e.ID == self || e.Isolated:
-		case e.Zone == zone:
-			sameZone = append(sameZone, e.ID)
-		default:
-			others = append(others, e.ID)
-		}
-	}
-	if float64(len(sameZone)) < minZoneRelayRatio*float64(zoneSize) {
-		return &relayCandidates{others: selectByHash(self, append(sameZone, others...))}
-	}
-	return &relayCandidates{preferred: selectByHash(self, sameZone), others: selectByHash(self, others)}
-}
-
-// selectByHash returns maxRelayCandidates VMs, or all if there are fewer. Each VM has its own, which
-// change only as VMs come and go.
-func selectByHash(self coord.VMID, vms []coord.VMID) []coord.VMID {
-	hashes := make([]uint64, len(vms))
-	for i, vm := range vms {
-		hashes[i] = rendezvous.Hash(string(vm))
-	}
-	best := make([]int, maxRelayCandidates)
-	var out []coord.VMID
-	for _, i := range best[:rendezvous.Top(hashes, rendezvous.Hash(string(self)), best)] {
-		out = append(out, vms[i])
-	}
-	return out
-}
-
-// updateRelays determines the VMs that can relay requests, and how many VMs share the connections
-// to targets.
-func (n *Node) updateRelays() {
-	n.mu.Lock()
-	live := n.roster.Live()
-	n.connectedVMs.Store(int64(n.roster.ConnectedCount()))
-	n.mu.Unlock()
-	n.reachability.candidates.Store(selectRelayCandidates(coord.VMID(n.settings.Vm.Id), n.settings.Vm.Zone, live))
-}
-
 // runHeartbeatRoundSoon makes the heartbeat loop run its next round at once.
 func (n *Node) runHeartbeatRoundSoon() {
 	select {
--- a/internal/node/ready_test.go
+++ b/internal/node/ready_test.go
@@ -47,10 +47,8 @@
 }
 
 // TestReadyVMServesWhileItAppliesItsFirstBundle guards against refusals by a VM that has just
-// started. It reported that it was ready as soon as it had a bundle, but refused requests with
-// not_ready, and panicked at explanations for operators, until its router had the bundle too. A load
-// balancer that checked in between sent it requests. The test checks the VM at each event that it
-// logs while it applies its first bundle, and after that.
+// started: it must not be ready, nor explain to operators, before its router has the bundle. The test
+// checks the VM at each event that it logs while it applies its first bundle, and after that.
 func TestReadyVMServesWhileItAppliesItsFirstBundle(t *testing.T) {
 	var n *Node
 	checks := 0
