Decode and log the software versions of targets and the streams that callers continue

Cause: the log could not tell the hypotheses on ORDER apart: neither which software version a target ran nor which requests continue a stream was decoded.

Change: the version in a target's announcement, and Resumes and Last-Event-Id of callers' requests, are decoded once in platform/ and logged (software, resumes, last_event). Nothing decides by them yet.

--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -35,6 +35,9 @@
 	// Took is the total duration, AdmitTime the time spent on decisions of the scheduler, and
 	// FirstEventTime the time from sending to the first event of the response.
 	Took, AdmitTime, FirstEventTime time.Duration
+	// Resumes is the attempt whose stream the caller continues, and LastEventID the last event that
+	// it received; empty: none.
+	Resumes, LastEventID string
 	// Framing is how the body of the last response is delimited: length, chunked or close; empty if
 	// there was no response.
 	Framing string
@@ -68,6 +71,9 @@
 	TargetState string
 	// Via is the VM that relayed the request; empty: none.
 	Via string
+	// SoftwareVersion is the version of the target's software at the time of sending; empty:
+	// unknown.
+	SoftwareVersion string
 	// RateLimit is the target's rate limit that applied to the placement, in requests per
 	// second; 0 means none.
 	RateLimit float64
@@ -78,6 +84,7 @@
 	f["verdict_lag_ms"], f["connect_ms"] = s.DecisionDelay.Milliseconds(), s.Connect.Milliseconds()
 	f["sender_revision"], f["sender_age_ms"] = s.SenderCopy.Revision, s.SenderCopy.Age.Milliseconds()
 	f["target_state"], f["rate_limit"], f["via"] = s.TargetState, s.RateLimit, s.Via
+	f["software"] = s.SoftwareVersion
 	return f
 }
 
@@ -93,7 +100,7 @@
 		"team": r.Team, "key": hex.EncodeToString(r.Key), "proven_ms": r.ConfirmedAge.Milliseconds(),
 		"sends": r.Attempts, "target": r.Target, "decided_by": r.DecidedBy, "adapter": r.Adapter,
 		"took_ms": r.Took.Milliseconds(), "admit_ms": r.AdmitTime.Milliseconds(), "first_ms": r.FirstEventTime.Milliseconds(),
-		"framing": r.Framing, "error": errorText(r.Err),
+		"resumes": r.Resumes, "last_event": r.LastEventID, "framing": r.Framing, "error": errorText(r.Err),
 	}))
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -149,13 +149,16 @@
 	// ID changes with each start of the target.
 	ID string
 	// Started is the target's start time in Unix ms; 0: not reported.
-	Started  int64
-	Service  string
-	Address  string
-	Zone     string
-	Slots    int
-	State    TargetState
-	Resident []ResidentModel
+	Started int64
+	Service string
+	Address string
+	Zone    string
+	// SoftwareVersion is the version of the target's software, not of its weights. Versions have no
+	// order. Empty: not reported, which equals no version, not even another unreported one.
+	SoftwareVersion string
+	Slots           int
+	State           TargetState
+	Resident        []ResidentModel
 }
 
 // ResidentModel is a base model that a target holds, with its adapters.
@@ -231,6 +234,11 @@
 	Parts []PromptPart
 	// Remaining is how long the caller waits; 0: not specified.
 	Remaining time.Duration
+	// Resumes is the id of the caller's attempt that received the first event of the stream that
+	// this request continues; empty: none is named.
+	Resumes string
+	// LastEventID is the last event of that stream that the caller has received; empty: none.
+	LastEventID string
 	// Key is the digest of the caller's key; nil if the request has no key, a malformed one, or
 	// more than one.
 	Key *KeyDigest
