Continue a broken stream only at the software version that began it

Cause: the target that continues a broken stream was chosen among all targets of the service. Codec.CanResume compared the version of the weights alone, and only after the next target had begun work and the retry budget was spent. The software version was not decoded, so no decision could narrow by it.

Change: once the caller is about to receive the first event, the exchange is bound to the software version of the target that sent it. The version goes with the request for a decision; the scheduler and the queue of plain services use only targets of that version, loads of the adapter are ordered there, and a request whose version has no target left is refused at once, also while it waits. A bound request does not make other requests for its adapter wait. Decisions say which version their target has, and the sender compares that with its own copy just before sending; so does a VM that relays. A version that is missing, or on which the copies disagree, equals none: the stream is not continued inside the answer.

Ways compared: excluding the targets of other versions by name needs no change of the scheduler, but a target that is announced while the request waits would not be excluded, and the list has up to 1,500 entries; a version compares in one step. Checking the answer's headers, as for weights, is after the run has begun.

Tests changed: targets of the gateway's fixture announce a software version, as those of the platform do, and a transport that loses a relay checks before it sends, as relays do.

--- a/coord/scheduler/limited.go
+++ b/coord/scheduler/limited.go
@@ -96,7 +96,14 @@
 }
 
 // avoidsTargets reports whether there are targets that the request may not use.
-func (r *Request) avoidsTargets() bool { return len(r.Exclude)+len(r.BackedOff) > 0 }
+func (r *Request) avoidsTargets() bool {
+	return len(r.Exclude)+len(r.BackedOff) > 0 || r.SoftwareVersion != ""
+}
+
+// runs reports whether t runs a version of the software that may process r.
+func (t *target) runs(r *Request) bool {
+	return r.SoftwareVersion == "" || r.SoftwareVersion == t.softwareVersion
+}
 
 // rateWaitDeadline returns the time until which a request may wait for a rate-limited target.
 func (r *Request) rateWaitDeadline() time.Time {
@@ -124,7 +131,7 @@
 
 // eligible reports whether r may be sent to t, regardless of t's rate limit.
 func (s *Scheduler) eligible(now time.Time, t *target, r *Request) bool {
-	return t.ready && t.health.allowsRequest(now) && s.mayProbe(now, t, r.VM) && !slices.Contains(r.BackedOff, t.id) && (!slices.Contains(r.Exclude, t.id) || t.hasLateLoad(now, r.Ref))
+	return t.ready && t.runs(r) && t.health.allowsRequest(now) && s.mayProbe(now, t, r.VM) && !slices.Contains(r.BackedOff, t.id) && (!slices.Contains(r.Exclude, t.id) || t.hasLateLoad(now, r.Ref))
 }
 
 // usable reports whether r may be sent to t now.
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -129,7 +129,8 @@
 // minTimeToFirstEvent returns the least possible time to the first event of a waiting request if it
 // were sent now. If no target holds the adapter, the whole prompt has to be prefilled.
 func (s *Scheduler) minTimeToFirstEvent(r *Request) time.Duration {
-	if r.Ref.IsBase() || slices.ContainsFunc(s.replicas[r.Ref], (*target).isReady) {
+	canRun := func(t *target) bool { return t.ready && t.runs(r) }
+	if r.Ref.IsBase() || slices.ContainsFunc(s.replicas[r.Ref], canRun) {
 		return s.speed.Overhead()
 	}
 	return s.speed.Overhead() + s.speed.PrefillTime(r.PromptTokens)
@@ -193,8 +194,6 @@
 	return max(sl.readyAt.Sub(now), 0), true
 }
 
-func (t *target) isReady() bool { return t.ready }
-
 func (s *Scheduler) isOutdated(ref coord.AdapterRef, sl *slot) bool {
 	return sl.version < s.versions[ref]
 }
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -294,10 +294,11 @@
 	remaining := s.waiting[:0]
 	blocked := map[coord.AdapterRef]bool{}
 	for _, r := range s.waiting {
-		// If one request for an adapter cannot be placed, the next one cannot be placed either.
-		if blocked[r.Ref] && s.rateWaiters == 0 && now.Before(r.FirstEventDeadline) && len(r.Exclude)+len(r.BackedOff) == 0 || !s.place(now, r) {
+		// If one request for an adapter that may use any target cannot be placed, the next one cannot be
+		// placed either.
+		if blocked[r.Ref] && s.rateWaiters == 0 && now.Before(r.FirstEventDeadline) && !r.avoidsTargets() || !s.place(now, r) {
 			remaining = append(remaining, r)
-			blocked[r.Ref] = true
+			blocked[r.Ref] = blocked[r.Ref] || !r.avoidsTargets()
 		}
 	}
 	clear(s.waiting[len(remaining):])
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -81,6 +81,8 @@
 	id     string
 	idHash uint64 // hash of id
 	ready  bool
+	// softwareVersion is the version of the target's software; empty: unknown.
+	softwareVersion string
 	// unlistedSince is when the target stopped being announced; zero while it is announced.
 	unlistedSince time.Time
 	// replaced reports that the target's process is gone and that another one has replaced it.
@@ -237,6 +239,7 @@
 		return
 	}
 	t.ready = l.Ready
+	t.softwareVersion = l.SoftwareVersion
 	for _, item := range l.Resident {
 		if item.Ref.IsBase() {
 			t.models[item.Ref.Model] = true
--- /dev/null
+++ b/coord/scheduler/software_test.go
@@ -0,0 +1,78 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// announceSoftware announces targets t0, t1 and so on with the given software versions.
+func (h *harness) announceSoftware(versions ...string) {
+	var listed []AnnouncedTarget
+	for i, v := range versions {
+		listed = append(listed, AnnouncedTarget{ID: fmt.Sprintf("t%d", i), Ready: true, SoftwareVersion: v, Resident: []ResidentItem{{Ref: base}}})
+	}
+	h.collect(h.s.SetTargets(h.now, listed))
+}
+
+// submitContinued submits a request that only targets of a software version may process.
+func (h *harness) submitContinued(name, version string) Key {
+	h.ticket++
+	k := Key{VM: "vm", Ticket: h.ticket}
+	h.collect(h.s.Submit(h.now, Request{
+		Key: k, Ref: ref(name), PromptTokens: 300, OutputTokens: 50, SoftwareVersion: version,
+		Objective: 800 * time.Millisecond, Deadline: h.now.Add(15 * time.Second),
+	}))
+	return k
+}
+
+// TestContinuedStreamIsPlacedAtOtherSoftwareVersion guards against continuations at the target that
+// holds the adapter but runs another software version: the adapter is loaded at one that runs it.
+func TestContinuedStreamIsPlacedAtOtherSoftwareVersion(t *testing.T) {
+	h := newHarness(t, config(4), []string{"x"}, nil, nil)
+	h.announceSoftware("v1", "v2", "")
+	h.submitContinued("x", "v2")
+	load := h.expectActions(ActLoad)[0]
+	assert.Equal(t, load.Target, "t1")
+	h.answerOrder(load, OrderAccepted)
+	h.advance(2 * initialColdLoadTime)
+	assert.Equal(t, h.expectActions(ActGrant)[0].Target, "t1")
+	h.submitContinued("x", "v1")
+	assert.Equal(t, h.expectActions(ActGrant)[0].Target, "t0")
+}
+
+// TestContinuedStreamBlocksNewRequests guards against requests that wait behind one for the same adapter
+// whose software version has no capacity.
+func TestContinuedStreamBlocksNewRequests(t *testing.T) {
+	h := newHarness(t, config(4), nil, nil)
+	h.announceSoftware("v1", "v2")
+	h.submitContinued("x", "v2") // its load takes longer
+	continued := h.submitContinued("x", "v1")
+	loads := h.expectActions(ActLoad, ActLoad)
+	assert.Equal(t, loads[1].Target, "t0")
+	fresh := h.submit("x")
+	h.answerOrder(loads[1], OrderAccepted)
+	h.advance(maxOrderLatency / 2)
+	h.answerOrder(loads[0], OrderAccepted)
+	h.advance(initialColdLoadTime + loadMargin - maxOrderLatency/2)
+	granted := map[Key]string{}
+	for _, a := range h.expectActions(ActGrant, ActGrant) {
+		granted[a.Key] = a.Target
+	}
+	assert.DeepEqual(t, granted, map[Key]string{continued: "t0", fresh: "t0"})
+}
+
+// TestContinuedStreamWaitsWithoutTargets guards against continuations that wait although no target of
+// their software version is left, or none was there.
+func TestContinuedStreamWaitsWithoutTargets(t *testing.T) {
+	h := newHarness(t, config(4), nil, nil)
+	h.announceSoftware("v1", "v2")
+	h.submitContinued("x", "v3")
+	h.expectActions(ActRefuse)
+	h.submitContinued("x", "v2")
+	h.expectActions(ActLoad)
+	h.announceSoftware("v1", "v3") // the same target with other software
+	h.expectActions(ActRefuse)
+}
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -39,6 +39,9 @@
 	Exclude []string
 	// BackedOff lists targets not to use in any case, because they requested a backoff.
 	BackedOff []string
+	// SoftwareVersion is the only version of the targets' software that may process the request;
+	// empty: any.
+	SoftwareVersion string
 	// Objective is the target time to the first event.
 	Objective time.Duration
 	// Deadline is the time after which a response is worthless.
@@ -150,6 +153,8 @@
 type AnnouncedTarget struct {
 	ID    string
 	Ready bool
+	// SoftwareVersion is the version of the target's software; empty: unknown.
+	SoftwareVersion string
 	// Resident lists the adapters and models in the announcement, which lags.
 	Resident []ResidentItem
 }
--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -34,6 +34,8 @@
 	ID, Zone string
 	// Slots is the number of requests that the target reports to process at once; 0: unknown.
 	Slots int
+	// SoftwareVersion is the version of the target's software; empty: unknown.
+	SoftwareVersion string
 }
 
 // Key identifies a request.
@@ -48,6 +50,9 @@
 	Priority int
 	// Exclude lists targets not to use.
 	Exclude []string
+	// SoftwareVersion is the only version of the targets' software that may process the request;
+	// empty: any.
+	SoftwareVersion string
 	// SoftDeadline is the time after which the response is late; zero: it is never late.
 	SoftDeadline time.Time
 	// Deadline is the time after which the response is useless.
--- a/coord/servicequeue/schedule.go
+++ b/coord/servicequeue/schedule.go
@@ -26,14 +26,14 @@
 			}
 			continue
 		}
-		// If a request without excluded targets finds no capacity, the following ones find none
+		// If a request that may use any target finds no capacity, the following ones find none
 		// either. Each attempt scans all targets, and hundreds of requests may wait
 		// (BenchmarkLongLine).
-		if !(noCapacity && len(r.Exclude) == 0) && q.grant(now, r) {
+		if !(noCapacity && !r.avoidsTargets()) && q.grant(now, r) {
 			trials.count(r.VM)
 			continue
 		}
-		noCapacity = noCapacity || len(r.Exclude) == 0
+		noCapacity = noCapacity || !r.avoidsTargets()
 		if !q.refuseIfTooLate(now, r, untilFirst+ratelimit.DurationFor(float64(ahead), perSecond), perSecond) {
 			remaining = append(remaining, r)
 			ahead++
@@ -98,18 +98,24 @@
 	return false
 }
 
-// hasEligibleTarget reports whether there is a target that the request does not exclude.
-func (q *Queue) hasEligibleTarget(r *Request) bool {
-	return slices.ContainsFunc(q.targets, func(t Target) bool { return !slices.Contains(r.Exclude, t.ID) })
+// avoidsTargets reports whether there may be targets that the request may not use.
+func (r *Request) avoidsTargets() bool { return len(r.Exclude) > 0 || r.SoftwareVersion != "" }
+
+// mayUse reports whether the request may be sent to a target.
+func (r *Request) mayUse(t Target) bool {
+	return !slices.Contains(r.Exclude, t.ID) && (r.SoftwareVersion == "" || r.SoftwareVersion == t.SoftwareVersion)
 }
 
+// hasEligibleTarget reports whether there is a target that the request may use.
+func (q *Queue) hasEligibleTarget(r *Request) bool { return slices.ContainsFunc(q.targets, r.mayUse) }
+
 // pick returns the best target with capacity and counts the request there, or returns "" if there
 // is none. A rate-limited target that is due for a probe comes first. Ejected targets are used only
 // if all eligible targets are ejected.
 func (q *Queue) pick(now time.Time, r *Request) string {
 	var available, withCapacity []balance.Target
 	for _, t := range q.targets {
-		if slices.Contains(r.Exclude, t.ID) {
+		if !r.mayUse(t) {
 			continue
 		}
 		candidate := balance.Target{ID: t.ID, SameZone: t.Zone == r.Zone}
@@ -128,7 +134,7 @@
 		return q.balancer.Pick(now, withCapacity, nil)
 	}
 	for _, t := range q.targets {
-		if !slices.Contains(r.Exclude, t.ID) && q.hasCapacity(now, t) {
+		if r.mayUse(t) && q.hasCapacity(now, t) {
 			withCapacity = append(withCapacity, balance.Target{ID: t.ID, SameZone: t.Zone == r.Zone})
 		}
 	}
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -179,7 +179,7 @@
 		Priority: int32(r.Route.Priority), AimMs: remainingObjectiveMs(r),
 		LeftMs:  n.until(r.Deadline).Milliseconds(),
 		Exclude: r.Exclude, Resting: r.BackedOff, Plain: r.Plain, Team: r.Team, Cost: r.Cost, Zone: n.settings.Vm.Zone,
-		Content: r.Content[:],
+		Content: r.Content[:], SoftwareVersion: r.SoftwareVersion,
 	}
 	if !r.FirstEventDeadline.IsZero() {
 		a.PatienceMs = n.until(r.FirstEventDeadline).Milliseconds()
@@ -203,7 +203,7 @@
 func decisionFromProto(r *gateway.AdmitRequest, ticket uint64, from coord.VMID, v *schema.Verdict) gateway.Decision {
 	return gateway.Decision{
 		Service: r.Service, Ticket: ticket, DecidedBy: string(from),
-		Target: v.Target, Address: v.Address, AdapterVersion: v.AdapterVersion, Priority: int(v.Priority),
+		Target: v.Target, Address: v.Address, SoftwareVersion: v.SoftwareVersion, AdapterVersion: v.AdapterVersion, Priority: int(v.Priority),
 		RetryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, Reason: v.Reason, OverQuota: v.OverQuota,
 		StoreCopy:      events.StoreCopy{Revision: fleet.Revision(v.FeedRevision), Age: time.Duration(v.FeedAgeMs) * time.Millisecond},
 		RateLimit:      ratelimit.Limit{PerSecond: v.LimitPerSecond, Stamp: v.LimitStamp},
@@ -256,7 +256,7 @@
 		StoreCopy: events.StoreCopy{Revision: n.feed.Revision(), Age: n.feed.Age()},
 	}
 	if t, version := n.knownReplica(r); t != nil {
-		d.Target, d.Address, d.AdapterVersion = t.ID, t.Address, version
+		d.Target, d.Address, d.SoftwareVersion, d.AdapterVersion = t.ID, t.Address, t.SoftwareVersion, version
 		return d
 	}
 	if !r.Request.Adapter.IsBase() {
@@ -273,13 +273,13 @@
 		return refusalDecision(r, "scheduler_silent", noDecisionRetryDelay)
 	}
 	d.Target = rendezvous.Winner(ids, rendezvous.Hash(r.Request.ID))
-	d.Address = dir.Targets[d.Target].Address
+	d.Address, d.SoftwareVersion = dir.Targets[d.Target].Address, dir.Targets[d.Target].SoftwareVersion
 	return d
 }
 
 func isUsable(t *fleet.Target, r *gateway.AdmitRequest) bool {
 	return t != nil && t.State == fleet.TargetReady && !slices.Contains(r.Exclude, t.ID) && !slices.Contains(r.BackedOff, t.ID) &&
-		!slices.Contains(r.RateLimited, t.ID)
+		!slices.Contains(r.RateLimited, t.ID) && (r.SoftwareVersion == "" || r.SoftwareVersion == t.SoftwareVersion)
 }
 
 func holdsModel(t *fleet.Target, model string) bool {
--- a/internal/edge/queues.go
+++ b/internal/edge/queues.go
@@ -60,7 +60,7 @@
 		for _, t := range d.TargetsOf(name) {
 			if t.State == fleet.TargetReady {
 				sq.targets[t.ID] = t
-				sq.queueTargets = append(sq.queueTargets, servicequeue.Target{ID: t.ID, Zone: t.Zone, Slots: t.Slots})
+				sq.queueTargets = append(sq.queueTargets, servicequeue.Target{ID: t.ID, Zone: t.Zone, Slots: t.Slots, SoftwareVersion: t.SoftwareVersion})
 			}
 		}
 		qs.deliver(sq, sq.queue.SetTargets(qs.node.now(), sq.queueTargets))
@@ -129,7 +129,7 @@
 	decision := sq.waiters.add(key)
 	r := servicequeue.Request{
 		Key: key, Zone: a.Zone, Priority: int(a.Priority), Exclude: slices.Concat(a.Exclude, a.Resting),
-		Deadline: now.Add(time.Duration(a.LeftMs) * time.Millisecond),
+		SoftwareVersion: a.SoftwareVersion, Deadline: now.Add(time.Duration(a.LeftMs) * time.Millisecond),
 	}
 	if a.PatienceMs != 0 {
 		r.SoftDeadline = now.Add(time.Duration(a.PatienceMs) * time.Millisecond)
--- a/internal/edge/relayserver.go
+++ b/internal/edge/relayserver.go
@@ -119,6 +119,7 @@
 	placement := hop.Placement{
 		DecidedAt: receivedAt.Add(-time.Duration(f.Relayed.DecisionAgeMs) * time.Millisecond),
 		Paced:     f.Relayed.Paced, Revision: f.Relayed.FeedRevision,
+		SoftwareVersion: f.Relayed.SoftwareVersion,
 	}
 	header := headersFromProto(f.Headers)
 	maxConns, known := n.gateway.MaxConnections(f.Target)
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -77,7 +77,7 @@
 	for _, t := range d.TargetsOf(name) {
 		sc.targets[t.ID] = t
 		announced = append(announced, scheduler.AnnouncedTarget{
-			ID: t.ID, Ready: t.State == fleet.TargetReady, Resident: residentItems(t.Resident),
+			ID: t.ID, Ready: t.State == fleet.TargetReady, SoftwareVersion: t.SoftwareVersion, Resident: residentItems(t.Resident),
 		})
 	}
 	work := ss.applyActions(sc, sc.scheduler.SetTargets(now, announced))
@@ -227,7 +227,7 @@
 	r := scheduler.Request{
 		Key: key, Ref: coord.AdapterRef{Model: a.Model, Adapter: a.Adapter},
 		PromptTokens: int(a.PromptTokens), OutputTokens: int(a.OutputTokens),
-		Priority: int(a.Priority), Exclude: a.Exclude, BackedOff: a.Resting,
+		Priority: int(a.Priority), Exclude: a.Exclude, BackedOff: a.Resting, SoftwareVersion: a.SoftwareVersion,
 		Objective:          time.Duration(a.AimMs) * time.Millisecond,
 		Deadline:           now.Add(time.Duration(a.LeftMs) * time.Millisecond),
 		FirstEventDeadline: now.Add(time.Duration(a.PatienceMs) * time.Millisecond),
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -53,6 +53,9 @@
 	// RateLimited lists the targets that limit the rate of their requests or are brittle. Only the
 	// leader may choose them.
 	RateLimited []string
+	// SoftwareVersion is the only version of the targets' software that may process the request;
+	// empty: any.
+	SoftwareVersion string
 }
 
 // Decision is a grant that names a target, or a refusal if Target is empty.
@@ -60,10 +63,12 @@
 	Service string
 	Ticket  uint64
 	// DecidedBy is the VM that made the decision.
-	DecidedBy      string
-	Target         string
-	Address        string
-	AdapterVersion int64
+	DecidedBy string
+	Target    string
+	Address   string
+	// SoftwareVersion is the version of the target's software in StoreCopy; empty: unknown.
+	SoftwareVersion string
+	AdapterVersion  int64
 	// Priority is the request's priority at the target; 0 is the most urgent.
 	Priority   int
 	RetryAfter time.Duration
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -59,7 +59,6 @@
 	info.Connect = connectTime
 	info.SenderCopy = x.storeCopy()
 	info.TargetState = x.g.targetState(target, info.SenderCopy.Revision, info.PlacementCopy.Revision)
-	info.SoftwareVersion = x.g.softwareVersion(target)
 	switch {
 	case x.remaining() <= 0:
 		return errDeadlinePassed
@@ -70,6 +69,9 @@
 	case x.g.cfg.DrainBounds.isStale(info.DecisionDelay, info.SenderCopy.Age):
 		return errStaleDecision
 	}
+	if err := x.checkSoftware(); err != nil {
+		return err
+	}
 	return x.checkRateLimit(target)
 }
 
@@ -93,15 +95,6 @@
 	return stateUnknown
 }
 
-// softwareVersion returns the version of a target's software by this VM's copy of the store; empty:
-// unknown.
-func (g *Gateway) softwareVersion(target string) string {
-	if t := g.cfg.Directory.Directory().Targets[target]; t != nil {
-		return t.SoftwareVersion
-	}
-	return ""
-}
-
 // storeCopy returns the revision and age of this VM's copy of the store.
 func (x *exchange) storeCopy() events.StoreCopy {
 	return events.StoreCopy{Revision: x.g.cfg.Directory.Revision(), Age: x.g.cfg.Directory.Age()}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,8 +5,8 @@
 // target. routes.go finds routes; plain.go and model.go choose targets and retry attempts, which
 // budget.go bounds. drain.go, backoff.go and limited.go hold requests back from targets that drain,
 // request backoff or limit their rate, and relayed.go those that this VM sends for others. relay.go
-// returns responses, framing.go detects those that were broken off, and resume.go resumes broken
-// streams at another target.
+// returns responses, framing.go detects those that were broken off, resume.go resumes broken streams at
+// another target, and software.go keeps each stream at the software version that began it.
 //
 // Responses state only what is certain: 503 and 429 mean that the request has not run and never
 // will; 502 and 504 mean that it may have run. A response that breaks off ends with its connection.
@@ -162,6 +162,10 @@
 	runs    int
 	exclude []string
 	stream  stream
+	// software is the only version of the targets' software that may process the request, because it
+	// began the stream; empty: any. begun reports that the caller has received an event of this answer.
+	software string
+	begun    bool
 	// delimiter delimits the caller's response.
 	delimiter framing.Delimiter
 	// decision is the one on which the current attempt is based.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -140,7 +140,7 @@
 }
 
 func (b *backend) target() *fleet.Target {
-	return &fleet.Target{ID: b.id, Service: "plain", Zone: "z-" + b.id, Address: strings.TrimPrefix(b.server.URL, "http://")}
+	return &fleet.Target{ID: b.id, Service: "plain", Zone: "z-" + b.id, SoftwareVersion: "v1", Address: strings.TrimPrefix(b.server.URL, "http://")}
 }
 
 // fixedAdmission grants the given targets in order, then refuses.
@@ -175,7 +175,7 @@
 	if len(a.networkDelays) > 0 {
 		networkDelay, a.networkDelays = a.networkDelays[0], a.networkDelays[1:]
 	}
-	return Decision{NetworkDelay: networkDelay, Service: r.Service, Ticket: 1, Target: t.ID, Address: t.Address, StoreCopy: a.storeCopy}
+	return Decision{NetworkDelay: networkDelay, Service: r.Service, Ticket: 1, Target: t.ID, Address: t.Address, SoftwareVersion: t.SoftwareVersion, StoreCopy: a.storeCopy}
 }
 
 func (a *fixedAdmission) Done(_ Decision, ending scheduler.Ending) {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -23,7 +23,7 @@
 		decision := x.g.cfg.Admission.Admit(x.ctx, &AdmitRequest{
 			Service: x.service.Name, Team: x.teamName(), Cost: x.cost(x.runs), Request: &x.req, Route: x.route,
 			Deadline: x.deadline, FirstEventDeadline: x.firstEventDeadline(admitStart), Age: x.requestAge, Content: x.digest, Exclude: x.exclude,
-			BackedOff: x.g.backedOffTargets(), RateLimited: x.g.cfg.RateLimits.Limited(x.service.Name),
+			BackedOff: x.g.backedOffTargets(), RateLimited: x.g.cfg.RateLimits.Limited(x.service.Name), SoftwareVersion: x.software,
 		})
 		x.logEntry.AdmitTime += x.g.cfg.Now().Sub(admitStart)
 		x.logEntry.DecidedBy = decision.DecidedBy
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -93,7 +93,7 @@
 	r := &AdmitRequest{
 		Service: x.service.Name, Plain: true, Team: x.teamName(), Cost: x.cost(runs), Request: &x.req, Route: x.route,
 		Deadline: x.deadline, Content: x.digest, Exclude: exclude, BackedOff: x.g.backedOffTargets(),
-		RateLimited: x.g.cfg.RateLimits.Limited(x.service.Name),
+		RateLimited: x.g.cfg.RateLimits.Limited(x.service.Name), SoftwareVersion: x.software,
 	}
 	if x.route.LatencyObjective > 0 {
 		r.FirstEventDeadline = x.startedAt.Add(x.route.LatencyObjective - x.requestAge)
@@ -115,7 +115,7 @@
 	dir := x.g.cfg.Directory.Directory()
 	var candidates []balance.Target
 	for _, t := range dir.TargetsOf(x.service.Name) {
-		if t.State == fleet.TargetReady {
+		if t.State == fleet.TargetReady && (x.software == "" || x.software == t.SoftwareVersion) {
 			candidates = append(candidates, balance.Target{ID: t.ID, SameZone: t.Zone == x.g.cfg.Zone})
 		}
 	}
@@ -126,7 +126,8 @@
 		decision.Reason, decision.RetryAfter = "no_target", noTargetRetryDelay
 		return
 	}
-	decision.Address = dir.Targets[decision.Target].Address
+	t := dir.Targets[decision.Target]
+	decision.Address, decision.SoftwareVersion = t.Address, t.SoftwareVersion
 }
 
 // recordPlainEnding reports the end of an attempt to the VM that chose the target and records it in
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -72,6 +72,7 @@
 func (x *exchange) placement() hop.Placement {
 	return hop.Placement{
 		DecidedAt: x.decision.DecidedAt, Paced: x.decision.RateLimit.Stamp != 0, Revision: uint64(x.decision.StoreCopy.Revision),
+		SoftwareVersion: x.decision.SoftwareVersion,
 	}
 }
 
@@ -139,6 +140,9 @@
 
 // writeBuffered writes a buffered response to the caller.
 func (x *exchange) writeBuffered(resp *hop.Response, body []byte) {
+	if len(body) > 0 && eventstream.IsDeclared(resp.Header) {
+		x.beginStream()
+	}
 	x.setLength(resp, len(body))
 	x.beginBody(resp)
 	x.w.WriteHeader(resp.Status)
@@ -238,6 +242,7 @@
 	if len(b) == 0 {
 		return nil
 	}
+	x.beginStream()
 	if _, err := x.w.Write(b); err != nil {
 		return errors.Mark(err, errCallerLeft)
 	}
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -15,10 +15,19 @@
 		return errBackedOff
 	case isDrainingOrGone(g.targetState(target, copied, fleet.Revision(p.Revision))):
 		return errDraining
+	case g.runsOtherSoftware(target, p.SoftwareVersion):
+		return errOtherSoftware
 	}
 	return g.checkRateLimit(target, p)
 }
 
+// runsOtherSoftware reports whether this VM's copy of the store has another software version for a
+// target than the copy on which it was chosen. If that one had none, the sender does not rely on it.
+func (g *Gateway) runsOtherSoftware(target, chosen string) bool {
+	t := g.cfg.Directory.Directory().Targets[target]
+	return t != nil && chosen != "" && t.SoftwareVersion != chosen
+}
+
 // MaxConnections returns how many connections this VM may open to a target; 0: no limit. known is
 // false if this VM does not know the target.
 func (g *Gateway) MaxConnections(target string) (limit int, known bool) {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -62,7 +62,7 @@
 
 // canResume reports whether another target may run the request after a failure.
 func (x *exchange) canResume(err error) bool {
-	return x.route.Resumable && x.runs < x.route.MaxAttempts && x.ctx.Err() == nil &&
+	return x.route.Resumable && x.runs < x.route.MaxAttempts && x.isContinuable() && x.ctx.Err() == nil &&
 		!errors.IsAny(err, errCallerLeft, errEventTooLong)
 }
 
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -102,6 +102,10 @@
 		}, 0},
 		{"no target is left", respondContinuation, func(x *fixture) { x.admission.targets = x.admission.targets[:1] }, 0},
 		{"other weights", otherWeights, func(*fixture) {}, 1},
+		{"other software", respondContinuation, func(x *fixture) { x.admission.targets[1].SoftwareVersion = "v2" }, 0},
+		{"unknown software", respondContinuation, func(x *fixture) { x.admission.targets[0].SoftwareVersion = "" }, 0},
+		{"other software in this VM's copy", respondContinuation, func(x *fixture) { x.directory.dir.Targets["b"].SoftwareVersion = "v2" }, 0},
+		{"software on which the copies disagree", respondContinuation, func(x *fixture) { x.directory.dir.Targets["a"].SoftwareVersion = "v2" }, 0},
 		{"the second target fails", respondError, func(*fixture) {}, 1},
 		{"the second stream is cut too", respondEvents("id: 2\nda", abortConnection), func(*fixture) {}, 1},
 	} {
--- a/internal/gateway/transport_test.go
+++ b/internal/gateway/transport_test.go
@@ -141,6 +141,9 @@
 		return t.Pool.Do(ctx, r)
 	}
 	t.used = true
+	if err := r.CheckBeforeSend(); err != nil {
+		return nil, err
+	}
 	header := http.Header{"Id": r.Header["Id"], "Content-Type": {"text/event-stream"}, "Weights": {"1"}}
 	return hop.NewResponse(hop.Answer{
 		Status: http.StatusOK, Header: header, Length: -1, Body: brokenBody{strings.NewReader(t.part), hop.ErrRelayLost},
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -126,6 +126,8 @@
 	Paced bool
 	// Revision is that of the copy of the store on which the target was chosen.
 	Revision uint64
+	// SoftwareVersion is the version of the target's software in that copy; empty: unknown.
+	SoftwareVersion string
 }
 
 // CheckBeforeSend calls BeforeSend and marks its error as ErrWithdrawn.
