Find the software version that began a stream when its caller takes it up

Callers saw: a stream that broke off and was taken up with a new request (Last-Event-Id, Resumes) went on at another software version of the service, or at another service of a split route.

Cause: the request was placed like a new one. Neither header was decoded, nothing recorded where an attempt began, and the id of the new attempt selects the service of a split route.

Change: coord/origin holds which service and software version began the stream of an attempt. The VM that answers records it when the first event is about to be sent, again each time that the stream goes on, and sends the record to other VMs: three in a small fleet, two of its own zone and one of each other zone in a large one, to which it has sessions anyway; at once, but not more often than every 100 ms. A VM that leaves hands its records over. A VM that gets a request with Resumes looks into its own records, then for proof that the service has had one version only for as long as the stream can have existed (a minute at least; a gap in the copy of the store of over 1.5 s begins the history anew), then asks the other VMs, of its zone in a large fleet, for records and for their proof. If nobody knows, or VMs contradict each other, it refuses at once. The request is bound to the service and the version, like the rest of a broken answer. A request with Last-Event-Id that names no attempt, as callers of earlier deployments send, goes on if this VM knows one version only, else it is refused.

Ways compared: - The leader alone (it gets a message on each first event anyway): no further message, but leader and VM are lost together, and a new leader learns only what runs. - VMs chosen by the hash of the attempt: the fewest questions, but each VM of a large fleet opens a session to every other, batches hold one record, and a change of the membership moves the holders. - Asking all VMs: no message before, but the VM that knew is usually the one that died. - Chosen: fixed holders, questions within the zone. About 11 bytes a record beside the envelope of a message, at most ten messages a second to each holder. - The targets' own reports of runs say nothing of streams that broke a moment ago.

Tests changed: the gateway's fixture has origins, and its codec decodes both headers.

Open: after the loss of all VMs nobody knows the streams of before, and they are refused until a service has had one version for a minute.

--- /dev/null
+++ b/coord/origin/origin_test.go
@@ -0,0 +1,115 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+
+func TestFindsOriginUntilItExpires(t *testing.T) {
+	table := NewTable()
+	v1 := Origin{"models", "v1"}
+	a := AttemptOf("r1")
+	table.Add(Record{a, v1, at(15)})
+	table.Add(Record{a, v1, at(10)}) // an older message
+	o, ok := table.Find(at(14), a)
+	assert.Assert(t, ok)
+	assert.Equal(t, o, v1)
+	_, ok = table.Find(at(15), a)
+	assert.Assert(t, !ok)
+	_, ok = table.Find(at(1), AttemptOf("r2"))
+	assert.Assert(t, !ok)
+	table.Expire(at(15))
+	assert.Equal(t, table.Len(), 0)
+}
+
+// TestContradictoryOriginsAreUsed guards against a guess between two versions.
+func TestContradictoryOriginsAreUsed(t *testing.T) {
+	for _, other := range []Origin{{"models", "v2"}, {"others", "v1"}} {
+		table := NewTable()
+		for _, o := range []Origin{{"models", "v1"}, other, {"models", "v1"}} {
+			table.Add(Record{AttemptOf("r1"), o, at(15)})
+		}
+		_, ok := table.Find(start, AttemptOf("r1"))
+		assert.Assert(t, !ok)
+		assert.Equal(t, len(table.Records(start)), 0)
+	}
+}
+
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable()
+	for i := range maxRecords + 10 {
+		table.Add(Record{AttemptOf(fmt.Sprint(i)), Origin{"models", "v1"}, at(15)})
+	}
+	assert.Equal(t, table.Len(), maxRecords)
+}
+
+// TestVersionListedNowProvesNothing guards against streams that go on at the only version that is
+// announced, although the one that began them has left since, or its targets were not seen.
+func TestVersionListedNowProvesNothing(t *testing.T) {
+	const window = time.Minute
+	claim := func(h *History, now time.Time) Claim {
+		s, observed := h.Span("models")
+		return Claim{observed, s.Version, now.Sub(s.Since)}
+	}
+	for _, row := range []struct {
+		name    string
+		observe func(h *History)
+		want    string
+	}{
+		{"one version over the window", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v1"}) }, "v1"},
+		{"no targets in between", func(h *History) {
+			h.Observe(at(0), "models", []string{"v1"})
+			h.Observe(at(30), "models", nil)
+			h.Observe(at(31), "models", []string{"v1"})
+		}, "v1"},
+		{"the VM started within the window", func(h *History) { h.Observe(at(41), "models", []string{"v1"}) }, ""},
+		{"another version has left", func(h *History) {
+			h.Observe(at(0), "models", []string{"v1", "v2"})
+			h.Observe(at(50), "models", []string{"v1"})
+		}, ""},
+		{"one version replaced another", func(h *History) {
+			h.Observe(at(0), "models", []string{"v2"})
+			h.Observe(at(50), "models", []string{"v1"})
+		}, ""},
+		{"two versions", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v2"}) }, ""},
+		{"an unknown version", func(h *History) { h.Observe(at(0), "models", []string{"v1", ""}) }, ""},
+		{"only unknown versions", func(h *History) { h.Observe(at(0), "models", []string{"", ""}) }, ""},
+		{"a gap in the observations", func(h *History) {
+			h.Observe(at(0), "models", []string{"v1"})
+			h.Restart(at(50))
+		}, ""},
+		{"no observation", func(*History) {}, ""},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			h := NewHistory()
+			row.observe(h)
+			assert.Equal(t, Prove(window, []Claim{claim(h, at(100))}), row.want)
+		})
+	}
+}
+
+// TestClaimsOfOtherVMs checks that a VM that has just started relies on one that has observed the service
+// for the whole window, unless any VM knows another version.
+func TestClaimsOfOtherVMs(t *testing.T) {
+	started, long := Claim{true, "v1", time.Second}, Claim{true, "v1", 2 * time.Minute}
+	for _, row := range []struct {
+		claims []Claim
+		want   string
+	}{
+		{[]Claim{started, long}, "v1"},
+		{[]Claim{long, {}, started}, "v1"},
+		{[]Claim{started, started}, ""},
+		{[]Claim{long, {true, "v2", time.Second}}, ""},
+		{[]Claim{long, {true, "", time.Second}}, ""},
+		{nil, ""},
+	} {
+		assert.Equal(t, Prove(time.Minute, row.claims), row.want, "%+v", row.claims)
+	}
+}
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -11,6 +11,7 @@
 	n.logConfig(old, d)
 	n.logTargets(old, d)
 	n.reachability.apply(d)
+	n.origins.observe(d)
 	n.quotas.apply(d)
 	n.queues.apply(d)
 	n.schedulers.apply(d)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,7 +13,8 @@
 // cannot reach, and reachprobe.go probes them. transport.go sends requests to targets, relayclient.go
 // through other VMs, and relayserver.go those of other VMs. join.go joins the fleet through the seeds.
 // suspension.go detects suspensions of this VM, and notices.go applies the notices that targets send
-// beside their answers.
+// beside their answers. origins.go finds which software version began a stream that a caller takes up, by
+// records that originholders.go distributes.
 package edge
 
 import (
@@ -133,8 +134,10 @@
 	rateLimits *targetLimits
 	// rejectionLimits holds the numbers of rejections with which targets announced that they crash.
 	rejectionLimits *targetLimits
-	reachability    *reachability
-	relayServer     *relayServer
+	// origins holds which software versions began streams.
+	origins      *origins
+	reachability *reachability
+	relayServer  *relayServer
 
 	// loggedDirectory is the last directory that was logged. The feed's callbacks are not
 	// concurrent.
@@ -217,6 +220,7 @@
 	n.quotas = newQuotas(n, s.Quota)
 	n.quarantine = newContentQuarantine(n)
 	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
+	n.origins = newOrigins(n)
 	n.reachability = newReachability(n)
 	n.relayServer = &relayServer{node: n}
 	n.mesh = peer.New(peer.Config{
@@ -239,7 +243,7 @@
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		VMs:   func() int { return int(n.vmCount.Load()) }, ConnectedVMs: func() int { return int(n.connectedVMs.Load()) },
 		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
-		OnNotice: n.handleNotice, RateLimits: (*limitedTargets)(n), CheckSuspension: n.checkSuspension, Log: l, Metrics: metrics, Now: n.now,
+		OnNotice: n.handleNotice, RateLimits: (*limitedTargets)(n), Origins: n.origins, CheckSuspension: n.checkSuspension, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
 	return n, n.listen()
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -24,6 +24,7 @@
 	n.metrics.Map.Set("rate_limits", expvar.Func(func() any { rates, _ := n.rateLimits.current(); return rates }))
 	n.metrics.Gauge("targets_brittle", func() int64 { return int64(len(n.rejectionLimits.Limited())) })
 	n.metrics.Map.Set("rejection_limits", expvar.Func(func() any { limits, _ := n.rejectionLimits.current(); return limits }))
+	n.metrics.Gauge("stream_records", n.origins.recordCount)
 	n.metrics.Gauge("plain_waiting", func() int64 { return int64(n.queues.stats().Waiting) })
 	n.metrics.Gauge("plain_running", func() int64 { return int64(n.queues.stats().Running) })
 	n.metrics.Gauge("plain_limit", func() int64 { return int64(n.queues.stats().Limit) })
--- /dev/null
+++ b/internal/edge/origins.go
@@ -0,0 +1,267 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/origin"
+	"github.com/junctionfold/junctionfold/internal/feed"
+	"github.com/junctionfold/junctionfold/internal/gateway"
+	"github.com/junctionfold/junctionfold/schema"
+)
+
+const (
+	// originBatchInterval is the least time between two messages with the origins of streams. The
+	// first one after a pause is sent at once.
+	originBatchInterval = 100 * time.Millisecond
+	// originQueryTimeout bounds the search for an origin at other VMs. Live VMs reply within a few
+	// milliseconds.
+	originQueryTimeout = 400 * time.Millisecond
+	// maxOriginGap is the age of the copy of the store above which a software version may have come
+	// and gone unobserved. Copies are usually younger than a second.
+	maxOriginGap = 1500 * time.Millisecond
+)
+
+// origins holds which software versions began the streams of this VM's callers and of others', and finds
+// those of the streams that callers take up here. It implements gateway.Origins. Lock order: no other
+// lock is acquired while origins.mu is held.
+type origins struct {
+	node *Node
+
+	mu      sync.Mutex
+	table   *origin.Table
+	history *origin.History
+	// unsent are the records that other VMs do not have yet. sendScheduled reports that a message with
+	// them is scheduled, and sentAt is when the last one was sent.
+	unsent        []origin.Record
+	sendScheduled bool
+	sentAt        time.Time
+}
+
+func newOrigins(n *Node) *origins {
+	return &origins{node: n, table: origin.NewTable(), history: origin.NewHistory()}
+}
+
+// observe records the software versions of all services in a changed directory.
+func (o *origins) observe(d *feed.Directory) {
+	versions := map[string][]string{}
+	for _, t := range d.Targets {
+		versions[t.Service] = append(versions[t.Service], t.SoftwareVersion)
+	}
+	now := o.node.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for service, v := range versions {
+		o.history.Observe(now, service, v)
+	}
+}
+
+// tick restarts the history while the copy of the store is too old to be complete.
+func (o *origins) tick() {
+	if o.node.feed.Age() <= maxOriginGap {
+		return
+	}
+	now := o.node.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.Restart(now)
+}
+
+// expire drops the records that have expired.
+func (o *origins) expire() {
+	now := o.node.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Expire(now)
+}
+
+// Record implements gateway.Origins. It stores the record and schedules a message with it.
+func (o *origins) Record(r origin.Record) {
+	now := o.node.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Add(r)
+	o.unsent = append(o.unsent, r)
+	if o.sendScheduled {
+		return
+	}
+	o.sendScheduled = true
+	time.AfterFunc(o.sentAt.Add(originBatchInterval).Sub(now), o.sendUnsent)
+}
+
+// sendUnsent sends the records that other VMs do not have yet.
+func (o *origins) sendUnsent() {
+	now := o.node.now()
+	o.mu.Lock()
+	records := o.unsent
+	o.unsent, o.sendScheduled, o.sentAt = nil, false, now
+	o.mu.Unlock()
+	o.send(now, records)
+}
+
+// handOver sends all records to other VMs, because this VM leaves.
+func (o *origins) handOver() {
+	now := o.node.now()
+	o.mu.Lock()
+	records := o.table.Records(now)
+	o.mu.Unlock()
+	if len(records) > 0 {
+		o.send(now, records)
+	}
+}
+
+func (o *origins) send(now time.Time, records []origin.Record) {
+	call := &schema.Call{Body: &schema.Call_StreamOrigins{StreamOrigins: originsToProto(now, records)}}
+	for _, vm := range o.node.originHolders() {
+		go o.node.notify(vm, call)
+	}
+}
+
+// merge stores the records of another VM.
+func (o *origins) merge(m *schema.StreamOrigins) {
+	now := o.node.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range originsFromProto(now, m) {
+		o.table.Add(r)
+	}
+}
+
+// Find implements gateway.Origins. It asks other VMs only if this one does not know the origin and cannot
+// prove it.
+func (o *origins) Find(ctx context.Context, q gateway.OriginQuery) (origin.Origin, gateway.OriginSource) {
+	request := &schema.OriginQuery{Attempt: uint64(origin.AttemptOf(q.Attempt)), Service: q.Service}
+	own := o.reply(request)
+	if found := originOf(own); found.IsKnown() {
+		return found, gateway.OriginOwn
+	}
+	claims := []origin.Claim{claimOf(own)}
+	if v := origin.Prove(q.Window, claims); v != "" {
+		return origin.Origin{Service: q.Service, SoftwareVersion: v}, gateway.OriginProved
+	}
+	for reply := range o.ask(ctx, request) {
+		if found := originOf(reply); found.IsKnown() {
+			return found, gateway.OriginTold
+		}
+		claims = append(claims, claimOf(reply))
+	}
+	if v := origin.Prove(q.Window, claims); v != "" {
+		return origin.Origin{Service: q.Service, SoftwareVersion: v}, gateway.OriginProved
+	}
+	return origin.Origin{}, gateway.OriginUnknown
+}
+
+// ask asks other VMs for an origin. It closes the returned channel after the last reply, or after
+// originQueryTimeout.
+func (o *origins) ask(ctx context.Context, q *schema.OriginQuery) <-chan *schema.OriginReply {
+	vms := o.node.originPeers()
+	replies := make(chan *schema.OriginReply, len(vms))
+	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
+	var asked sync.WaitGroup
+	for _, vm := range vms {
+		asked.Go(func() {
+			reply, err := o.node.mesh.Call(ctx, vm, &schema.Call{Body: &schema.Call_OriginQuery{OriginQuery: q}})
+			if err != nil {
+				o.node.log.PeerCallFailed("origin_query", string(vm), err)
+				return
+			}
+			replies <- reply.GetOrigin()
+		})
+	}
+	go func() {
+		asked.Wait()
+		cancel()
+		close(replies)
+	}()
+	return replies
+}
+
+// reply returns what this VM knows of an origin.
+func (o *origins) reply(q *schema.OriginQuery) *schema.OriginReply {
+	isCurrent := o.node.feed.Age() <= maxOriginGap
+	now := o.node.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := &schema.OriginReply{}
+	if found, ok := o.table.Find(now, origin.Attempt(q.Attempt)); ok {
+		out.Service, out.SoftwareVersion = found.Service, found.SoftwareVersion
+	}
+	if span, observed := o.history.Span(q.Service); observed && isCurrent {
+		out.Observed, out.OnlyVersion, out.OnlyForMs = true, span.Version, now.Sub(span.Since).Milliseconds()
+	}
+	return out
+}
+
+// OnlyVersion implements gateway.Origins.
+func (o *origins) OnlyVersion(service string) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	span, _ := o.history.Span(service)
+	return span.Version
+}
+
+// recordCount returns the number of records, for metrics.
+func (o *origins) recordCount() int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return int64(o.table.Len())
+}
+
+func originOf(m *schema.OriginReply) origin.Origin {
+	return origin.Origin{Service: m.GetService(), SoftwareVersion: m.GetSoftwareVersion()}
+}
+
+func claimOf(m *schema.OriginReply) origin.Claim {
+	return origin.Claim{
+		Observed: m.GetObserved(), Version: m.GetOnlyVersion(), For: time.Duration(m.GetOnlyForMs()) * time.Millisecond,
+	}
+}
+
+// originsToProto groups records by origin.
+func originsToProto(now time.Time, records []origin.Record) *schema.StreamOrigins {
+	out := &schema.StreamOrigins{}
+	groups := map[origin.Origin]*schema.OriginGroup{}
+	for _, r := range records {
+		g := groups[r.Origin]
+		if g == nil {
+			g = &schema.OriginGroup{Service: r.Origin.Service, SoftwareVersion: r.Origin.SoftwareVersion}
+			groups[r.Origin] = g
+			out.Groups = append(out.Groups, g)
+		}
+		g.Attempts = append(g.Attempts, uint64(r.Attempt))
+		g.LeftMs = append(g.LeftMs, uint32(max(r.ExpiresAt.Sub(now).Milliseconds(), 0)))
+	}
+	return out
+}
+
+// originsFromProto returns the records of a message.
+func originsFromProto(now time.Time, m *schema.StreamOrigins) []origin.Record {
+	var out []origin.Record
+	for _, g := range m.Groups {
+		began := origin.Origin{Service: g.Service, SoftwareVersion: g.SoftwareVersion}
+		for i, a := range g.Attempts {
+			if i < len(g.LeftMs) {
+				left := time.Duration(g.LeftMs[i]) * time.Millisecond
+				out = append(out, origin.Record{Attempt: origin.Attempt(a), Origin: began, ExpiresAt: now.Add(left)})
+			}
+		}
+	}
+	return out
+}
+
+// originPeers returns the VMs that are asked for the origin of a stream: those of this VM's zone in a
+// large fleet, as every VM's records are held in each zone, and else all.
+func (n *Node) originPeers() []coord.VMID {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	live := n.roster.Live()
+	var out []coord.VMID
+	for _, e := range live {
+		if string(e.ID) != n.settings.Vm.Id && (len(live) < largeFleetSize || n.isSameZone(e)) {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -66,6 +66,11 @@
 	case *schema.Call_Suspects:
 		n.quarantine.mergeFindings(body.Suspects)
 		return emptyReply()
+	case *schema.Call_StreamOrigins:
+		n.origins.merge(body.StreamOrigins)
+		return emptyReply()
+	case *schema.Call_OriginQuery:
+		return &schema.Reply{Body: &schema.Reply_Origin{Origin: n.origins.reply(body.OriginQuery)}}
 	case *schema.Call_Leaving:
 		n.handleLeavingTargets(body.Leaving)
 		return emptyReply()
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -112,6 +112,7 @@
 	n.mu.Unlock()
 	n.updateLeadership()
 	n.sendHeartbeatToAll()
+	n.origins.handOver()
 	time.Sleep(min(drainAcceptTime, n.until(end)))
 	ctx, cancel := context.WithTimeout(context.Background(), n.until(end))
 	defer cancel()
@@ -136,6 +137,7 @@
 		n.schedulers.tick()
 		n.queues.tick()
 		n.quarantine.tick()
+		n.origins.tick()
 		n.probeLeader()
 		now := n.now()
 		if now.Sub(prunedAt) < pruneInterval {
@@ -143,5 +145,6 @@
 		}
 		prunedAt = now
 		n.gateway.Prune()
+		n.origins.expire()
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,6 +90,19 @@
 	Public bool
 }
 
+// LeadsTo reports whether the route sends requests to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service })
+}
+
+// OnlyService returns the service that receives all requests of the route; empty: there are several.
+func (r *Route) OnlyService() string {
+	if len(r.Split) != 1 {
+		return ""
+	}
+	return r.Split[0].Service
+}
+
 // WeightedService is a service with its share of a route's requests.
 type WeightedService struct {
 	Service string
@@ -244,6 +258,9 @@
 	Key *KeyDigest
 }
 
+// ContinuesStream reports whether the request takes up a stream that broke off.
+func (r *Request) ContinuesStream() bool { return r.Resumes != "" || r.LastEventID != "" }
+
 // PromptPart is a part of a prompt that requests may share.
 type PromptPart = coord.PromptPart
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"github.com/junctionfold/junctionfold/coord/backoff"
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/origin"
 	"github.com/junctionfold/junctionfold/coord/quarantine"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/internal/events"
@@ -71,6 +72,8 @@
 	// OnNotice handles what a target reports about itself beside a response. decision is the one on
 	// which the answered request was sent; nil: unknown. It must not block.
 	OnNotice func(target string, notice fleet.Notice, decision *Decision)
+	// Origins finds the software versions that began streams.
+	Origins Origins
 	// RateLimits reports which targets only the leader may choose.
 	RateLimits RateLimits
 	// CheckSuspension checks whether this VM was suspended. From then on Now and all ages include
@@ -197,7 +200,11 @@
 	ctx, cancel := context.WithTimeout(r.Context(), x.remaining())
 	defer cancel()
 	x.ctx = ctx
-	x.selectService(dir)
+	began, ok := x.findOrigin()
+	if !ok {
+		return
+	}
+	x.selectService(dir, began)
 	x.digest = x.contentDigest()
 	if x.service.Engine != nil {
 		x.serveModel()
@@ -301,8 +308,14 @@
 	return n
 }
 
-func (x *exchange) selectService(dir *feed.Directory) {
-	name := pickService(x.route, x.req.ID)
+// selectService selects the service of the request: the one that began the stream that it takes up, or
+// else one of the route's.
+func (x *exchange) selectService(dir *feed.Directory, began origin.Origin) {
+	name := began.Service
+	if name == "" {
+		name = pickService(x.route, x.req.ID)
+	}
+	x.software = began.SoftwareVersion
 	x.service = dir.Config.Services[name]
 	if x.service == nil {
 		x.service = &fleet.Service{Name: name}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/origin"
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
@@ -33,7 +34,7 @@
 type testCodec struct{}
 
 func (testCodec) DecodeRequest(h http.Header) (fleet.Request, error) {
-	r := fleet.Request{ID: h.Get("Id"), Adapter: fleet.AdapterRef{Model: "m", Adapter: h.Get("Adapter")}}
+	r := fleet.Request{ID: h.Get("Id"), Resumes: h.Get("Resumes"), LastEventID: h.Get("After"), Adapter: fleet.AdapterRef{Model: "m", Adapter: h.Get("Adapter")}}
 	if r.ID == "" {
 		return r, errors.New("no id")
 	}
@@ -226,6 +227,7 @@
 	gateway   *Gateway
 	directory *fixedDirectory
 	admission *fixedAdmission
+	origins   *fixedOrigins
 	server    *httptest.Server
 }
 
@@ -262,10 +264,10 @@
 	for _, b := range backends {
 		dir.Targets[b.id] = b.target()
 	}
-	x := &fixture{directory: &fixedDirectory{dir: dir}, admission: &fixedAdmission{}}
+	x := &fixture{directory: &fixedDirectory{dir: dir}, admission: &fixedAdmission{}, origins: &fixedOrigins{found: map[string]origin.Origin{}}}
 	x.gateway = New(Config{
 		VM: "vm", Zone: "z-a", Codec: testCodec{}, Directory: x.directory, Admission: x.admission, Pool: hop.New(nil),
-		CheckSuspension: func() {}, RateLimits: fixedRateLimits{},
+		CheckSuspension: func() {}, RateLimits: fixedRateLimits{}, Origins: x.origins,
 		OnNotice: func(target string, notice fleet.Notice, _ *Decision) {
 			if notice.Backoff > 0 {
 				x.gateway.RecordBackoff(target, notice.Backoff)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	Relayed, RelayedForOthers *expvar.Map
 	// Resumed counts model requests that were to be resumed at another target.
 	Resumed *expvar.Int
+	// StreamOrigins counts requests that take a stream up, by how its origin was found.
+	StreamOrigins *expvar.Map
 	// BudgetEmpty counts retries that the budget did not allow.
 	BudgetEmpty *expvar.Int
 	// Dials counts new connections to targets.
@@ -43,7 +45,7 @@
 		Map: new(expvar.Map).Init(), Ended: new(expvar.Map).Init(), NotRun: new(expvar.Map).Init(),
 		Relayed: new(expvar.Map).Init(), RelayedForOthers: new(expvar.Map).Init(),
 		Withdrawn: new(expvar.Int), Resumed: new(expvar.Int), BudgetEmpty: new(expvar.Int), Dials: new(expvar.Int), StoreCalls: new(expvar.Map).Init(),
-		Orders: new(expvar.Map).Init(), FirstEvent: &Histogram{}, DecisionDelay: &Histogram{},
+		Orders: new(expvar.Map).Init(), StreamOrigins: new(expvar.Map).Init(), FirstEvent: &Histogram{}, DecisionDelay: &Histogram{},
 	}
 	m.Map.Set("requests_ended_total", m.Ended)
 	m.Map.Set("attempts_not_run_total", m.NotRun)
@@ -51,6 +53,7 @@
 	m.Map.Set("relayed_total", m.Relayed)
 	m.Map.Set("relayed_for_others_total", m.RelayedForOthers)
 	m.Map.Set("model_requests_resumed_total", m.Resumed)
+	m.Map.Set("stream_origins_total", m.StreamOrigins)
 	m.Map.Set("retry_budget_empty_total", m.BudgetEmpty)
 	m.Map.Set("target_connections_total", m.Dials)
 	m.Map.Set("store_calls_total", m.StoreCalls)
--- /dev/null
+++ b/internal/gateway/software_test.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord/origin"
+	"github.com/junctionfold/junctionfold/internal/fleet"
+)
+
+// fixedOrigins finds the given origins, by attempt.
+type fixedOrigins struct {
+	found       map[string]origin.Origin
+	onlyVersion string
+
+	mu       sync.Mutex
+	queries  []OriginQuery
+	recorded []origin.Record
+}
+
+func (o *fixedOrigins) Record(r origin.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.recorded = append(o.recorded, r)
+}
+
+func (o *fixedOrigins) Find(_ context.Context, q OriginQuery) (origin.Origin, OriginSource) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.queries = append(o.queries, q)
+	if found, ok := o.found[q.Attempt]; ok {
+		return found, OriginTold
+	}
+	return origin.Origin{}, OriginUnknown
+}
+
+func (o *fixedOrigins) OnlyVersion(string) string { return o.onlyVersion }
+
+// TestTakenUpStreamIsPlacedAsNew guards against streams that callers take up at targets of another
+// service or software version than the one that began them, or of one that is not known.
+func TestTakenUpStreamIsPlacedAsNew(t *testing.T) {
+	began := map[string]origin.Origin{"r0": {Service: "models", SoftwareVersion: "v1"}, "other": {Service: "plain", SoftwareVersion: "v1"}, "v2": {Service: "models", SoftwareVersion: "v2"}}
+	for _, row := range []struct {
+		name            string
+		headers         []string
+		onlyVersion     string
+		status          int
+		reason, boundTo string
+	}{
+		{"a new stream", nil, "", 200, "", ""},
+		{"a known attempt", []string{"Resumes", "r0", "After", "1"}, "", 200, "", "v1"},
+		{"without an event id", []string{"Resumes", "r0"}, "", 200, "", "v1"},
+		{"a version that the chosen target does not run", []string{"Resumes", "v2", "After", "1"}, "", 503, "none_left\n", "v2"},
+		{"an unknown attempt", []string{"Resumes", "r9", "After", "1"}, "v1", 503, "stream_origin_unknown\n", ""},
+		{"another service", []string{"Resumes", "other", "After", "1"}, "", 503, "stream_service_changed\n", ""},
+		{"no attempt, one version", []string{"After", "1"}, "v1", 200, "", "v1"},
+		{"no attempt, several versions", []string{"After", "1"}, "", 503, "stream_origin_unknown\n", ""},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			a := newBackend(t, "a")
+			a.handler = respondContinuation
+			x := newResumableFixture(t, a)
+			x.origins.found, x.origins.onlyVersion = began, row.onlyVersion
+			resp, body := x.send(t, "POST", "/stream/x", "prompt", row.headers...)
+			assert.Equal(t, resp.StatusCode, row.status)
+			if row.status != http.StatusOK {
+				assert.Equal(t, body, row.reason)
+				assert.Assert(t, resp.Header.Get("Retry-After") != "")
+				assert.Equal(t, a.requestCount(), 0)
+			}
+			if len(x.admission.requests) > 0 {
+				assert.Equal(t, x.admission.requests[0].SoftwareVersion, row.boundTo)
+			}
+		})
+	}
+}
+
+// TestOriginIsRecordedUnderTheFirstAttempt checks which streams are recorded, and until when: the caller
+// may take the stream up until its own deadline.
+func TestOriginIsRecordedUnderTheFirstAttempt(t *testing.T) {
+	for _, row := range []struct {
+		name     string
+		response http.HandlerFunc
+		version  string
+		headers  []string
+		attempt  string
+	}{
+		{"a new stream", respondContinuation, "v1", nil, "r1"},
+		{"a stream that goes on", respondContinuation, "v1", []string{"Resumes", "r0", "After", "1"}, "r0"},
+		{"a stream that names no attempt", respondContinuation, "v1", []string{"After", "1"}, ""},
+		{"unknown software", respondContinuation, "", nil, ""},
+		{"no complete event", respondEvents("id: 1\nda", abortConnection), "v1", nil, ""},
+		{"an error response", respondError, "v1", nil, ""},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			a := newBackend(t, "a")
+			a.handler = row.response
+			x := newResumableFixture(t, a)
+			x.admission.targets[0].SoftwareVersion = row.version
+			x.directory.dir.Targets["a"].SoftwareVersion = row.version
+			x.origins.found, x.origins.onlyVersion = map[string]origin.Origin{"r0": {Service: "models", SoftwareVersion: "v1"}}, "v1"
+			start := time.Now()
+			x.send(t, "POST", "/stream/x", "prompt", append(row.headers, "Wait", "5s")...)
+			if row.attempt == "" {
+				assert.Equal(t, len(x.origins.recorded), 0)
+				return
+			}
+			assert.Equal(t, len(x.origins.recorded), 1)
+			r := x.origins.recorded[0]
+			assert.Equal(t, r.Attempt, origin.AttemptOf(row.attempt))
+			assert.Equal(t, r.Origin, origin.Origin{Service: "models", SoftwareVersion: "v1"})
+			assert.Assert(t, !r.ExpiresAt.Before(start.Add(5*time.Second)))
+		})
+	}
+}
+
+// TestStreamOfSplitRouteStaysAtItsService guards against streams that are taken up at another service of
+// the route, which the id of the new attempt selects.
+func TestStreamOfSplitRouteStaysAtItsService(t *testing.T) {
+	for _, service := range []string{"models", "plain"} {
+		a := newBackend(t, "a")
+		a.handler = respondContinuation
+		x := newResumableFixture(t, a)
+		for i := range x.directory.dir.Config.Routes {
+			if r := &x.directory.dir.Config.Routes[i]; r.Kind == fleet.Streaming {
+				r.Split = []fleet.WeightedService{{Service: "models", Weight: 1}, {Service: "plain", Weight: 1}}
+			}
+		}
+		x.origins.found["r0"] = origin.Origin{Service: service, SoftwareVersion: "v1"}
+		resp, _ := x.send(t, "POST", "/stream/x", "prompt", "Resumes", "r0", "After", "1")
+		assert.Equal(t, resp.StatusCode, 200)
+		assert.Equal(t, x.admission.requests[0].Service, service)
+		assert.Equal(t, x.origins.queries[0].Service, "", "several services prove nothing")
+	}
+}
