scheduler: Send continued streams to ejected targets if there are no others

Callers saw: streams that they took up were refused with no_target while two targets of their software version served and new streams began at other versions.

Cause: after three failures in a row a target is ejected, and then gets one request at a time. New streams have other targets; a continued one has none, so that its refusal is certain.

Change: if all targets of its version are ejected, a continued stream may be sent to one that answers. One that could not be connected to gets none, as before.

Ways compared: letting it wait for the end of the ejection (1 to 4 s) holds the caller longer than it waits for an event; refusing is certain loss.

--- a/coord/scheduler/health.go
+++ b/coord/scheduler/health.go
@@ -9,6 +9,8 @@
 	ejectedUntil time.Time
 	// probing reports that a probe request to an ejected target is in flight.
 	probing bool
+	// unreachable reports that the last request could not connect to the target.
+	unreachable bool
 }
 
 const (
@@ -24,6 +26,13 @@
 
 // recordEnding updates the state with the end of a request.
 func (h *health) recordEnding(now time.Time, ending Ending) {
+	switch ending {
+	case EndedUnreachable:
+		h.unreachable = true
+	case EndedAbandoned, EndedWithdrawn, EndedNoConnection:
+	default:
+		h.unreachable = false
+	}
 	switch ending {
 	case EndedOK:
 		h.consecutiveFailures = 0
--- a/coord/scheduler/limited.go
+++ b/coord/scheduler/limited.go
@@ -131,7 +131,16 @@
 
 // eligible reports whether r may be sent to t, regardless of t's rate limit.
 func (s *Scheduler) eligible(now time.Time, t *target, r *Request) bool {
-	return t.ready && t.runs(r) && t.health.allowsRequest(now) && s.mayProbe(now, t, r.VM) && !slices.Contains(r.BackedOff, t.id) && (!slices.Contains(r.Exclude, t.id) || t.hasLateLoad(now, r.Ref))
+	return t.ready && t.runs(r) && s.isHealthyFor(now, t, r) && !slices.Contains(r.BackedOff, t.id) && (!slices.Contains(r.Exclude, t.id) || t.hasLateLoad(now, r.Ref))
+}
+
+// isHealthyFor reports whether the failures of t allow r there. A continued stream whose targets are all
+// ejected is sent to one of them if it answers: other targets cannot continue it.
+func (s *Scheduler) isHealthyFor(now time.Time, t *target, r *Request) bool {
+	if r.lastResort {
+		return !t.health.unreachable
+	}
+	return t.health.allowsRequest(now) && s.mayProbe(now, t, r.VM)
 }
 
 // usable reports whether r may be sent to t now.
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -91,7 +91,12 @@
 	if _, exhausted := s.knownCapacity(now, r); exhausted {
 		return s.waitOrRefuse(now, r)
 	}
+	r.lastResort = false
 	replica, replicaDelay, anyUsable := s.bestReplica(now, r)
+	if !anyUsable && r.SoftwareVersion != "" {
+		r.lastResort = true
+		replica, replicaDelay, anyUsable = s.bestReplica(now, r)
+	}
 	if !anyUsable {
 		return s.waitOrRefuse(now, r)
 	}
--- a/coord/scheduler/software_test.go
+++ b/coord/scheduler/software_test.go
@@ -76,3 +76,27 @@
 	h.announceSoftware("v1", "v3") // the same target with other software
 	h.expectActions(ActRefuse)
 }
+
+// TestContinuedStreamIsRefusedAtEjectedTargets guards against continuations that are refused because all
+// targets of their software version have failed requests, while new streams begin at other versions. A
+// target that cannot be reached gets none.
+func TestContinuedStreamIsRefusedAtEjectedTargets(t *testing.T) {
+	for _, row := range []struct {
+		ending Ending
+		want   ActionKind
+	}{{EndedDisconnected, ActGrant}, {EndedUnreachable, ActRefuse}} {
+		h := newHarness(t, config(4), []string{"x"}, []string{"x"})
+		h.announceSoftware("v1", "v2")
+		for range ejectAfterFailures {
+			k := h.submitContinued("x", "v2")
+			h.collect(h.s.Done(h.now, k, row.ending))
+		}
+		h.drain()
+		h.submit("x")
+		assert.Equal(t, h.expectActions(ActGrant)[0].Target, "t0")
+		for range 3 {
+			h.submitContinued("x", "v2")
+			assert.Equal(t, h.expectActions(row.want)[0].Kind, row.want)
+		}
+	}
+}
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -50,6 +50,9 @@
 	FirstEventDeadline time.Time
 
 	arrivedAt time.Time
+	// lastResort reports that no target that the request may use is healthy, so that it may be sent to
+	// ejected ones.
+	lastResort bool
 	// awaitedSlot is the slot whose load the request waits for, once its prompt is counted there.
 	awaitedSlot *slot
 	// late and heat are the sort keys of the last ranking.
