Run suspect streams beside others if no other target can continue them

Cause: the contents of these streams are suspect, and a suspect runs at a target where no other one runs. A continued stream has only the targets of its version: with two of them, the third suspect had none left.

Change: if other suspects run at all targets of its version, a continued stream may run beside them. Contents that are blocked, and a second request with the same content, are refused as before.

Ways compared: waiting until another suspect has ended takes as long as its stream. Beside another suspect, a harmless stream may be suspected of one more crash; the content that crashes targets is blocked after the same number of them. TestSuspectStreamIsRefusedAtItsOnlyTargets; internal/edge passes.

--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -9,6 +9,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/quarantine"
+	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -37,18 +38,32 @@
 
 // check returns a refusal if a request's content is blocked, or if it is suspect and another
 // request with it is in flight. For suspect content it excludes the targets where other suspects
-// run.
+// run, unless the request continues a stream that no other target can continue.
 func (q *contentQuarantine) check(from coord.VMID, a *schema.Admit) *schema.Verdict {
-	d := digestOf(a.Content)
+	d, targets := digestOf(a.Content), q.node.feed.Directory().Targets
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if refusal := q.refusal(from, a.Ticket, d); refusal != nil {
 		return refusal
 	}
-	a.Exclude = append(a.Exclude, q.table.TargetsToAvoid(d)...)
+	avoid := slices.Concat(a.Exclude, q.table.TargetsToAvoid(d))
+	if a.SoftwareVersion == "" || canContinue(targets, a, avoid) {
+		a.Exclude = avoid
+	}
 	return nil
 }
 
+// canContinue reports whether a target that is not to be avoided runs the software version that began
+// the stream of a request.
+func canContinue(targets map[string]*fleet.Target, a *schema.Admit, avoid []string) bool {
+	for _, t := range targets {
+		if t.Service == a.Service && t.SoftwareVersion == a.SoftwareVersion && t.State == fleet.TargetReady && !slices.Contains(avoid, t.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // refusal returns a refusal if a request's content may not run now. q.mu is held.
 func (q *contentQuarantine) refusal(from coord.VMID, ticket uint64, d quarantine.Digest) *schema.Verdict {
 	reason, retryAfter := q.table.Check(q.node.now(), quarantine.Key{VM: from, Ticket: ticket}, d)
@@ -61,6 +76,7 @@
 
 // startPlaced records that a request is sent to a target. It returns a refusal instead if the request
 // may not run there any more: while it waited, its content was blocked, or another suspect came first.
+// A request that continues a stream may run beside another suspect, see check.
 func (q *contentQuarantine) startPlaced(from coord.VMID, a *schema.Admit, target string) *schema.Verdict {
 	now, d := q.node.now(), digestOf(a.Content)
 	q.mu.Lock()
@@ -68,7 +84,7 @@
 	if refusal := q.refusal(from, a.Ticket, d); refusal != nil {
 		return refusal
 	}
-	if slices.Contains(q.table.TargetsToAvoid(d), target) {
+	if a.SoftwareVersion == "" && slices.Contains(q.table.TargetsToAvoid(d), target) {
 		q.refused++
 		return refusalMessage(quarantine.ReasonSuspect, besideSuspectRetryDelay)
 	}
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -80,3 +80,17 @@
 		})
 	}
 }
+
+// TestSuspectStreamIsRefusedAtItsOnlyTargets guards against streams that are refused after a crash
+// because other suspects run at all targets of their software version.
+func TestSuspectStreamIsRefusedAtItsOnlyTargets(t *testing.T) {
+	targets := map[string]*fleet.Target{}
+	for id, version := range map[string]string{"a1": "v1", "a2": "v1", "b": "v2"} {
+		targets[id] = &fleet.Target{ID: id, Service: "s", SoftwareVersion: version, State: fleet.TargetReady}
+	}
+	targets["c"] = &fleet.Target{ID: "c", Service: "s", SoftwareVersion: "v1", State: fleet.TargetDraining}
+	targets["d"] = &fleet.Target{ID: "d", Service: "other", SoftwareVersion: "v1", State: fleet.TargetReady}
+	a := &schema.Admit{Service: "s", SoftwareVersion: "v1"}
+	assert.Assert(t, canContinue(targets, a, []string{"a1"}))
+	assert.Assert(t, !canContinue(targets, a, []string{"a1", "a2"}))
+}
