scheduler: Distrust the announced software version of a target that restarted

Callers would see: a stream that goes on at a target that came back under the same id with other software, while the store does not deliver its new announcement (it is down, or the copy is old).

Cause: the version of a target is that of its last announcement. A target may restart under the same id, where deployments do not report the start time in announcements and reports, and it may serve before its announcement is read.

Change: a report that shows fewer accepted orders than one before proves a restart. Restarted engines are empty: they serve no model request before an order, which requires such a report. The version in a decision is the scheduler's.

Ways compared: refused connections and broken answers as evidence make every path of a VM that breaks end the continuation of streams everywhere; the age of the copy at each send would refuse streams whenever the store is down.

--- a/coord/scheduler/limited.go
+++ b/coord/scheduler/limited.go
@@ -100,11 +100,6 @@
 	return len(r.Exclude)+len(r.BackedOff) > 0 || r.SoftwareVersion != ""
 }
 
-// runs reports whether t runs a version of the software that may process r.
-func (t *target) runs(r *Request) bool {
-	return r.SoftwareVersion == "" || r.SoftwareVersion == t.softwareVersion
-}
-
 // rateWaitDeadline returns the time until which a request may wait for a rate-limited target.
 func (r *Request) rateWaitDeadline() time.Time {
 	deadline := r.arrivedAt.Add(max(r.Objective, minRateWait))
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -220,7 +220,7 @@
 		t.prober = r.Key
 	}
 	s.grants[r.Key] = g
-	a := Action{Kind: ActGrant, Key: r.Key, Target: t.id, Ref: r.Ref, Priority: priority}
+	a := Action{Kind: ActGrant, Key: r.Key, Target: t.id, Ref: r.Ref, Priority: priority, SoftwareVersion: t.software()}
 	if sl := t.slots[r.Ref]; sl != nil {
 		sl.inUse++
 		sl.lastUsed = now
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -21,7 +21,7 @@
 // duration of loads (learnt, coord/loadtime), heat.go the request rate of adapters, orders.go and
 // reports.go the orders that change adapter slots and the reports that verify them, freed.go the
 // evidence that frees slots, health.go failing targets, witness.go failures that show a fault of a VM's path,
-// limited.go targets that limit their request rate, brittle.go targets that crash when they reject too
+// software.go the software versions of targets, limited.go targets that limit their request rate, brittle.go targets that crash when they reject too
 // many requests.
 package scheduler
 
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -81,8 +81,11 @@
 	id     string
 	idHash uint64 // hash of id
 	ready  bool
-	// softwareVersion is the version of the target's software; empty: unknown.
-	softwareVersion string
+	// announcedSoftware is the version of the target's software that it announced; empty: none.
+	announcedSoftware string
+	// restartedAt is when the target was found to have restarted under the same id, perhaps with other
+	// software than it announced before; zero if its announcement is newer.
+	restartedAt time.Time
 	// unlistedSince is when the target stopped being announced; zero while it is announced.
 	unlistedSince time.Time
 	// replaced reports that the target's process is gone and that another one has replaced it.
@@ -239,7 +242,9 @@
 		return
 	}
 	t.ready = l.Ready
-	t.softwareVersion = l.SoftwareVersion
+	if t.announcedSoftware != l.SoftwareVersion {
+		t.announcedSoftware, t.restartedAt = l.SoftwareVersion, time.Time{}
+	}
 	for _, item := range l.Resident {
 		if item.Ref.IsBase() {
 			t.models[item.Ref.Model] = true
--- a/coord/scheduler/software_test.go
+++ b/coord/scheduler/software_test.go
@@ -100,3 +100,35 @@
 		}
 	}
 }
+
+// TestRestartedTargetContinuesStreams guards against continuations at a target that came back under the
+// same id, perhaps with other software, before its new announcement has been read.
+func TestRestartedTargetContinuesStreams(t *testing.T) {
+	h := newHarness(t, config(4), []string{"x"}, nil)
+	h.announceSoftware("v1", "v2")
+	report := func(orders uint64) {
+		t0 := h.s.targets["t0"]
+		t0.requireReportAt(h.now)
+		h.advance(reportLag)
+		h.sendReport("t0", Report{Resident: []ResidentItem{{Ref: base}, {Ref: ref("x")}}, OrderCount: orders})
+		h.drain()
+	}
+	report(3)
+	h.submitContinued("x", "v1")
+	assert.Equal(t, h.expectActions(ActGrant)[0].SoftwareVersion, "v1")
+	report(1)
+	h.submitContinued("x", "v1")
+	h.expectActions(ActRefuse)
+	h.submit("x")
+	assert.Equal(t, h.expectActions(ActGrant)[0].SoftwareVersion, "", "a new stream's version is not known")
+	h.s.ObserveCopy(h.now)
+	h.submitContinued("x", "v1")
+	h.expectActions(ActRefuse)
+	h.s.ObserveCopy(h.now.Add(announcementDelay))
+	h.submitContinued("x", "v1")
+	assert.Equal(t, h.expectActions(ActGrant)[0].SoftwareVersion, "v1")
+	report(0)
+	h.announceSoftware("v3", "v2")
+	h.submitContinued("x", "v3")
+	h.expectActions(ActGrant)
+}
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -121,6 +121,8 @@
 	Version int64
 	// Priority is the priority of a granted request at Target; 0 is the most urgent.
 	Priority int
+	// SoftwareVersion is the version of the software of a granted request's Target; empty: unknown.
+	SoftwareVersion string
 	// ExpectedOrders is the number of orders that Target must have accepted so far in order to
 	// accept this one; nil means any number.
 	ExpectedOrders *uint64
--- a/internal/edge/queues.go
+++ b/internal/edge/queues.go
@@ -165,8 +165,12 @@
 // deliver sends decisions to the waiting requests. qs.mu is held.
 func (qs *queues) deliver(sq *serviceQueue, actions []servicequeue.Action) {
 	for _, a := range actions {
+		software := ""
+		if t := sq.targets[a.Target]; t != nil {
+			software = t.SoftwareVersion
+		}
 		delivered := sq.waiters.deliver(a.Key, sq.targets, qs.node.limitPair(a.Target), &schema.Verdict{
-			Target: a.Target, RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
+			Target: a.Target, SoftwareVersion: software, RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
 			FeedRevision: uint64(sq.revision), FeedAgeMs: qs.node.feed.Age().Milliseconds(),
 		})
 		if delivered && a.Target == "" && a.Reason != scheduler.ReasonNotLeader {
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -153,7 +153,11 @@
 }
 
 func (ss *schedulers) tick() {
-	ss.each(func(sc *serviceScheduler, now time.Time) []scheduler.Action { return sc.scheduler.Tick(now) })
+	age := ss.node.feed.Age()
+	ss.each(func(sc *serviceScheduler, now time.Time) []scheduler.Action {
+		sc.scheduler.ObserveCopy(now.Add(-age))
+		return sc.scheduler.Tick(now)
+	})
 }
 
 func (ss *schedulers) vmUnresponsive(vm coord.VMID) {
@@ -296,7 +300,7 @@
 // the store.
 func (sc *serviceScheduler) deliver(a scheduler.Action, limits limitPair, age time.Duration) {
 	sc.waiters.deliver(a.Key, sc.targets, limits, &schema.Verdict{
-		Target: a.Target, AdapterVersion: a.Version, Priority: int32(a.Priority), RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
+		Target: a.Target, SoftwareVersion: a.SoftwareVersion, AdapterVersion: a.Version, Priority: int32(a.Priority), RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: a.Reason,
 		FeedRevision: uint64(sc.revision), FeedAgeMs: age.Milliseconds(),
 	})
 }
--- a/internal/edge/waiters.go
+++ b/internal/edge/waiters.go
@@ -19,8 +19,8 @@
 	return decision
 }
 
-// deliver sends a request its decision, with the target's address, software version and limits added.
-// It reports whether the request was waiting.
+// deliver sends a request its decision, with the target's address and limits added. It reports
+// whether the request was waiting.
 func (w waiters) deliver(key coord.RequestKey, targets map[string]*fleet.Target, limits limitPair, v *schema.Verdict) bool {
 	decision := w[key]
 	if decision == nil {
@@ -28,7 +28,7 @@
 	}
 	delete(w, key)
 	if t := targets[v.Target]; t != nil {
-		v.Address, v.SoftwareVersion = t.Address, t.SoftwareVersion
+		v.Address = t.Address
 	}
 	v.LimitPerSecond, v.LimitStamp = limits.rate.PerSecond, limits.rate.Stamp
 	v.RejectionsPerSecond, v.RejectionLimitStamp = limits.rejections.PerSecond, limits.rejections.Stamp
