edge: Remember the last replica of an adapter for each service

Cause: without an answer of the leader, a VM sends a request to the target that last served its adapter. It remembered targets by adapter alone, and two services may serve adapters of one name.

Change: targets are remembered by service and adapter. Evidence: TestDisconnectedVMSendsToAnotherService failed before (target e of service models for others); internal/edge passes.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -161,7 +161,7 @@
 	if d.Target == "" || r.Plain {
 		return d
 	}
-	n.lastReplicas.Add(r.Request.Adapter, lastReplica{target: d.Target, version: d.AdapterVersion})
+	n.lastReplicas.Add(replicaKey{r.Service, r.Request.Adapter}, lastReplica{target: d.Target, version: d.AdapterVersion})
 	n.running.add(r, d)
 	if leader := *n.leader.Load(); leader != "" && string(leader) != d.DecidedBy {
 		go n.notify(leader, &schema.Call{Body: &schema.Call_Running{Running: &schema.Running{
@@ -215,6 +215,12 @@
 	return gateway.Decision{Service: r.Service, RetryAfter: retryAfter, Reason: reason}
 }
 
+// replicaKey identifies an adapter at a service. Several services may serve adapters of one name.
+type replicaKey struct {
+	service string
+	adapter fleet.AdapterRef
+}
+
 // lastReplica is the target that last received requests for an adapter, and the adapter's version
 // there.
 type lastReplica struct {
@@ -237,7 +243,7 @@
 // knownReplica returns the target that last served a request's adapter and the adapter's version
 // there. It returns nil if the target is unknown or cannot be used.
 func (n *Node) knownReplica(r *gateway.AdmitRequest) (t *fleet.Target, version int64) {
-	replica, known := n.lastReplicas.Get(r.Request.Adapter)
+	replica, known := n.lastReplicas.Get(replicaKey{r.Service, r.Request.Adapter})
 	if !known {
 		return nil, 0
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,7 +154,7 @@
 	rosterRequestedAt time.Time
 	tickets           atomic.Uint64
 	// lastReplicas holds the target that last served each adapter.
-	lastReplicas *lru.Cache[coord.AdapterRef, lastReplica]
+	lastReplicas *lru.Cache[replicaKey, lastReplica]
 	running      *runningRequests
 	// leaderMonitor detects an unresponsive leader.
 	leaderMonitor *leaderMonitor
@@ -208,7 +208,7 @@
 	n.vmCount.Store(1)
 	n.connectedVMs.Store(1)
 	n.storeWatchers.Store(&[]roster.Entry{})
-	replicas, err := lru.New[coord.AdapterRef, lastReplica](maxLastReplicas)
+	replicas, err := lru.New[replicaKey, lastReplica](maxLastReplicas)
 	if err != nil {
 		return nil, errors.Wrap(err, "create replica cache")
 	}
--- /dev/null
+++ b/internal/edge/localplacement_test.go
@@ -0,0 +1,28 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/gateway"
+)
+
+// TestDisconnectedVMSendsToAnotherService guards against requests without a decision of the leader that
+// are sent to the target that last served their adapter, although it belongs to another service that
+// serves an adapter of the same name, or runs another software version than the one that began the stream.
+func TestDisconnectedVMSendsToAnotherService(t *testing.T) {
+	n, now := disconnectedNode(t)
+	request := func(service, software string) *gateway.AdmitRequest {
+		return &gateway.AdmitRequest{
+			Service: service, Route: &fleet.Route{}, Deadline: now.Add(time.Second), SoftwareVersion: software,
+			Request: &fleet.Request{Adapter: fleet.AdapterRef{Model: "m", Adapter: "a"}},
+		}
+	}
+	n.recordDecision(request("models", ""), gateway.Decision{Service: "models", Target: "e", Ticket: 1})
+	assert.Equal(t, n.chooseKnownTarget(request("models", "")).Target, "e")
+	assert.Equal(t, n.chooseKnownTarget(request("others", "")).Target, "")
+	assert.Equal(t, n.chooseKnownTarget(request("models", "v2")).Target, "")
+}
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -35,7 +35,7 @@
 	n.roster = roster.New(roster.Config{Start: at}, roster.Entry{ID: "a"})
 	n.quotas = newQuotas(n, &schema.EdgeQuota{})
 	n.queues, n.schedulers, n.quarantine = newQueues(n), newSchedulers(n), newContentQuarantine(n)
-	replicas, err := lru.New[coord.AdapterRef, lastReplica](maxLastReplicas)
+	replicas, err := lru.New[replicaKey, lastReplica](maxLastReplicas)
 	assert.NilError(t, err)
 	n.lastReplicas = replicas
 	engine := &fleet.Target{ID: "e", Service: "models", Resident: []fleet.ResidentModel{{Name: "m"}}}
