--- a/coord/origin/origin.go
+++ b/coord/origin/origin.go
@@ -37,7 +37,7 @@
 	ExpiresAt time.Time
 }
 
-// maxRecords bounds the records of one VM. Each of 330 VMs holds 2,000 at 9,000 streams per second.
+// maxRecords bounds the records of one VM. Each of 330 VMs holds 3,000 at 9,000 streams per second.
 const maxRecords = 1 << 16
 
 // Table holds the origins of streams that callers may take up.
