edge: Remember the last replica of an adapter for each software version

Callers would see: a stream that they take up is refused with scheduler_silent while the leader is lost, although a target of its version served the adapter a moment ago.

Cause: without an answer of the leader a VM knows one target for each adapter, the last one, which may run another version than the one that began the stream.

Change: the last target is remembered among all, and among those of its version. Evidence: TestDisconnectedVMForgetsReplicaOfVersion failed before; internal/edge passes.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -161,7 +161,7 @@
 	if d.Target == "" || r.Plain {
 		return d
 	}
-	n.lastReplicas.Add(replicaKey{r.Service, r.Request.Adapter}, lastReplica{target: d.Target, version: d.AdapterVersion})
+	n.rememberReplica(r, d)
 	n.running.add(r, d)
 	if leader := *n.leader.Load(); leader != "" && string(leader) != d.DecidedBy {
 		go n.notify(leader, &schema.Call{Body: &schema.Call_Running{Running: &schema.Running{
@@ -215,10 +215,11 @@
 	return gateway.Decision{Service: r.Service, RetryAfter: retryAfter, Reason: reason}
 }
 
-// replicaKey identifies an adapter at a service. Several services may serve adapters of one name.
+// replicaKey identifies an adapter at the targets of a service that run a software version; empty: any
+// version. Several services may serve adapters of one name.
 type replicaKey struct {
-	service string
-	adapter fleet.AdapterRef
+	service, softwareVersion string
+	adapter                  fleet.AdapterRef
 }
 
 // lastReplica is the target that last received requests for an adapter, and the adapter's version
@@ -228,8 +229,19 @@
 	version int64
 }
 
-// maxLastReplicas bounds the number of adapters whose last replica a VM remembers.
-const maxLastReplicas = 4096
+// maxLastReplicas bounds the number of last replicas that a VM remembers: two for each adapter, one more
+// for each further software version.
+const maxLastReplicas = 8192
+
+// rememberReplica remembers the target of a decision as the last replica of its adapter, among all and
+// among those of its software version.
+func (n *Node) rememberReplica(r *gateway.AdmitRequest, d gateway.Decision) {
+	replica := lastReplica{target: d.Target, version: d.AdapterVersion}
+	n.lastReplicas.Add(replicaKey{r.Service, "", r.Request.Adapter}, replica)
+	if d.SoftwareVersion != "" {
+		n.lastReplicas.Add(replicaKey{r.Service, d.SoftwareVersion, r.Request.Adapter}, replica)
+	}
+}
 
 // canPlaceLocally reports whether this VM can choose a target for a request without the leader.
 func (n *Node) canPlaceLocally(r *gateway.AdmitRequest) bool {
@@ -243,7 +255,7 @@
 // knownReplica returns the target that last served a request's adapter and the adapter's version
 // there. It returns nil if the target is unknown or cannot be used.
 func (n *Node) knownReplica(r *gateway.AdmitRequest) (t *fleet.Target, version int64) {
-	replica, known := n.lastReplicas.Get(replicaKey{r.Service, r.Request.Adapter})
+	replica, known := n.lastReplicas.Get(replicaKey{r.Service, r.SoftwareVersion, r.Request.Adapter})
 	if !known {
 		return nil, 0
 	}
--- a/internal/edge/localplacement_test.go
+++ b/internal/edge/localplacement_test.go
@@ -26,3 +26,17 @@
 	assert.Equal(t, n.chooseKnownTarget(request("others", "")).Target, "")
 	assert.Equal(t, n.chooseKnownTarget(request("models", "v2")).Target, "")
 }
+
+// TestDisconnectedVMForgetsReplicaOfVersion guards against continued streams that are refused without the
+// leader because the adapter was last served by another software version.
+func TestDisconnectedVMForgetsReplicaOfVersion(t *testing.T) {
+	n, now := disconnectedNode(t)
+	r := &gateway.AdmitRequest{
+		Service: "models", Route: &fleet.Route{}, Deadline: now.Add(time.Second),
+		Request: &fleet.Request{Adapter: fleet.AdapterRef{Model: "m", Adapter: "a"}},
+	}
+	n.recordDecision(r, gateway.Decision{Service: "models", Target: "e", SoftwareVersion: "v1", Ticket: 1})
+	n.recordDecision(r, gateway.Decision{Service: "models", Target: "gone", SoftwareVersion: "v2", Ticket: 2})
+	r.SoftwareVersion = "v1"
+	assert.Equal(t, n.chooseKnownTarget(r).Target, "e")
+}
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -38,7 +38,7 @@
 	replicas, err := lru.New[replicaKey, lastReplica](maxLastReplicas)
 	assert.NilError(t, err)
 	n.lastReplicas = replicas
-	engine := &fleet.Target{ID: "e", Service: "models", Resident: []fleet.ResidentModel{{Name: "m"}}}
+	engine := &fleet.Target{ID: "e", Service: "models", SoftwareVersion: "v1", Resident: []fleet.ResidentModel{{Name: "m"}}}
 	n.feed = feed.New(feed.Config{
 		Decode:   func(fleet.Item) (fleet.Decoded, error) { return fleet.Decoded{Target: engine}, nil },
 		OnChange: func(*feed.Directory) {}, Log: log, Now: n.now,
