--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -35,10 +35,10 @@
 	// Took is the total duration, AdmitTime the time spent on decisions of the scheduler, and
 	// FirstEventTime the time from sending to the first event of the response.
 	Took, AdmitTime, FirstEventTime time.Duration
-	// Resumes is the attempt whose stream the caller continues, and LastEventID the last event that
-	// it received; empty: none. Origin is how the software version that began the stream was found:
-	// own, told, proved, unnamed or unknown.
-	Resumes, LastEventID, Origin string
+	// FirstAttemptID is the attempt that received the first event of the stream that the caller
+	// continues, and LastEventID the last event that it received; empty: none. Origin is how the
+	// software version that began the stream was found: own, told, proved, unnamed or unknown.
+	FirstAttemptID, LastEventID, Origin string
 	// Framing is how the body of the last response is delimited: length, chunked or close; empty if
 	// there was no response.
 	Framing string
@@ -101,7 +101,7 @@
 		"team": r.Team, "key": hex.EncodeToString(r.Key), "proven_ms": r.ConfirmedAge.Milliseconds(),
 		"sends": r.Attempts, "target": r.Target, "decided_by": r.DecidedBy, "adapter": r.Adapter,
 		"took_ms": r.Took.Milliseconds(), "admit_ms": r.AdmitTime.Milliseconds(), "first_ms": r.FirstEventTime.Milliseconds(),
-		"resumes": r.Resumes, "last_event": r.LastEventID, "origin": r.Origin, "framing": r.Framing, "error": errorText(r.Err),
+		"first_attempt": r.FirstAttemptID, "last_event": r.LastEventID, "origin": r.Origin, "framing": r.Framing, "error": errorText(r.Err),
 	}))
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -248,9 +248,9 @@
 	Parts []PromptPart
 	// Remaining is how long the caller waits; 0: not specified.
 	Remaining time.Duration
-	// Resumes is the id of the caller's attempt that received the first event of the stream that
-	// this request continues; empty: none is named.
-	Resumes string
+	// FirstAttemptID is the id of the caller's attempt that received the first event of the stream
+	// that this request continues; empty: none is named.
+	FirstAttemptID string
 	// LastEventID is the last event of that stream that the caller has received; empty: none.
 	LastEventID string
 	// Key is the digest of the caller's key; nil if the request has no key, a malformed one, or
@@ -259,7 +259,7 @@
 }
 
 // ContinuesStream reports whether the request takes up a stream that broke off.
-func (r *Request) ContinuesStream() bool { return r.Resumes != "" || r.LastEventID != "" }
+func (r *Request) ContinuesStream() bool { return r.FirstAttemptID != "" || r.LastEventID != "" }
 
 // PromptPart is a part of a prompt that requests may share.
 type PromptPart = coord.PromptPart
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,7 +34,7 @@
 type testCodec struct{}
 
 func (testCodec) DecodeRequest(h http.Header) (fleet.Request, error) {
-	r := fleet.Request{ID: h.Get("Id"), Resumes: h.Get("Resumes"), LastEventID: h.Get("After"), Adapter: fleet.AdapterRef{Model: "m", Adapter: h.Get("Adapter")}}
+	r := fleet.Request{ID: h.Get("Id"), FirstAttemptID: h.Get("First"), LastEventID: h.Get("After"), Adapter: fleet.AdapterRef{Model: "m", Adapter: h.Get("Adapter")}}
 	if r.ID == "" {
 		return r, errors.New("no id")
 	}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -82,8 +82,8 @@
 // on if this VM knows one software version only: nothing tells its stream from others.
 func (x *exchange) lookUpOrigin() (origin.Origin, OriginSource) {
 	service := x.route.OnlyService()
-	if x.req.Resumes != "" {
-		return x.g.cfg.Origins.Find(x.ctx, OriginQuery{Attempt: x.req.Resumes, Service: service, Window: x.originWindow()})
+	if x.req.FirstAttemptID != "" {
+		return x.g.cfg.Origins.Find(x.ctx, OriginQuery{Attempt: x.req.FirstAttemptID, Service: service, Window: x.originWindow()})
 	}
 	if v := x.g.cfg.Origins.OnlyVersion(service); v != "" {
 		return origin.Origin{Service: service, SoftwareVersion: v}, OriginUnnamed
@@ -136,7 +136,7 @@
 // recordOrigin records the origin of the stream under the attempt that received its first event, each
 // time that the stream goes on: the VMs that held the record may be gone.
 func (x *exchange) recordOrigin() {
-	attempt := x.req.Resumes
+	attempt := x.req.FirstAttemptID
 	switch {
 	case attempt != "":
 	case x.req.ContinuesStream():
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -53,11 +53,11 @@
 		reason, boundTo string
 	}{
 		{"a new stream", nil, "", 200, "", ""},
-		{"a known attempt", []string{"Resumes", "r0", "After", "1"}, "", 200, "", "v1"},
-		{"without an event id", []string{"Resumes", "r0"}, "", 200, "", "v1"},
-		{"a version that the chosen target does not run", []string{"Resumes", "v2", "After", "1"}, "", 503, "none_left\n", "v2"},
-		{"an unknown attempt", []string{"Resumes", "r9", "After", "1"}, "v1", 503, "stream_origin_unknown\n", ""},
-		{"another service", []string{"Resumes", "other", "After", "1"}, "", 503, "stream_service_changed\n", ""},
+		{"a known attempt", []string{"First", "r0", "After", "1"}, "", 200, "", "v1"},
+		{"without an event id", []string{"First", "r0"}, "", 200, "", "v1"},
+		{"a version that the chosen target does not run", []string{"First", "v2", "After", "1"}, "", 503, "none_left\n", "v2"},
+		{"an unknown attempt", []string{"First", "r9", "After", "1"}, "v1", 503, "stream_origin_unknown\n", ""},
+		{"another service", []string{"First", "other", "After", "1"}, "", 503, "stream_service_changed\n", ""},
 		{"no attempt, one version", []string{"After", "1"}, "v1", 200, "", "v1"},
 		{"no attempt, several versions", []string{"After", "1"}, "", 503, "stream_origin_unknown\n", ""},
 	} {
@@ -91,7 +91,7 @@
 		attempt  string
 	}{
 		{"a new stream", respondContinuation, "v1", nil, "r1"},
-		{"a stream that goes on", respondContinuation, "v1", []string{"Resumes", "r0", "After", "1"}, "r0"},
+		{"a stream that goes on", respondContinuation, "v1", []string{"First", "r0", "After", "1"}, "r0"},
 		{"a stream that names no attempt", respondContinuation, "v1", []string{"After", "1"}, ""},
 		{"unknown software", respondContinuation, "", nil, ""},
 		{"no complete event", respondEvents("id: 1\nda", abortConnection), "v1", nil, ""},
@@ -132,7 +132,7 @@
 			}
 		}
 		x.origins.found["r0"] = origin.Origin{Service: service, SoftwareVersion: "v1"}
-		resp, _ := x.send(t, "POST", "/stream/x", "prompt", "Resumes", "r0", "After", "1")
+		resp, _ := x.send(t, "POST", "/stream/x", "prompt", "First", "r0", "After", "1")
 		assert.Equal(t, resp.StatusCode, 200)
 		assert.Equal(t, x.admission.requests[0].Service, service)
 		assert.Equal(t, x.origins.queries[0].Service, "", "several services prove nothing")
