edge: Bound the searches for origins of streams at other VMs

Cause: a request with an unknown attempt asks all VMs of a zone, and callers choose its id: one request costs up to 65 calls in a zone of a fleet of 330 VMs.

Change: a VM makes at most 64 such searches at once, as many as streams of a lost VM that come to it together in a fleet of seven with 400 streams open; beyond it, the origin counts as unknown. Not tested: no test makes that many searches at once.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
@@ -16,6 +17,9 @@
 	// originBatchInterval is the least time between two messages with the origins of streams. The
 	// first one after a pause is sent at once.
 	originBatchInterval = 100 * time.Millisecond
+	// maxOriginQueries bounds the searches at other VMs at once: each asks up to all VMs of a zone, for a
+	// name that the caller chose.
+	maxOriginQueries = 64
 	// originQueryTimeout bounds the search for an origin at other VMs. Live VMs reply within a few
 	// milliseconds.
 	originQueryTimeout = 400 * time.Millisecond
@@ -29,6 +33,8 @@
 // lock is acquired while origins.mu is held.
 type origins struct {
 	node *Node
+	// queries is the number of searches at other VMs.
+	queries atomic.Int64
 
 	mu      sync.Mutex
 	table   *origin.Table
@@ -141,6 +147,10 @@
 	if v := origin.Prove(q.Window, claims); v != "" {
 		return origin.Origin{Service: q.Service, SoftwareVersion: v}, gateway.OriginProved
 	}
+	defer o.queries.Add(-1)
+	if o.queries.Add(1) > maxOriginQueries {
+		return origin.Origin{}, gateway.OriginUnknown
+	}
 	for reply := range o.ask(ctx, request) {
 		if found := originOf(reply); found.IsKnown() {
 			return found, gateway.OriginTold
