Refuse streams that name no attempt after another version has left; split the parts by duty

Cause: a request that takes a stream up and names no attempt went on at the only version listed now, also where another one had left a moment ago.

Change: it goes on only if the VM has seen no other version within the time in which the stream can have begun. Beside it, without a change of behaviour: origins and software versions are files of their own in the front end, holders and messages in internal/edge, and the version of an attempt's target is a field of the exchange rather than of its log entry. Evidence: two rows of TestVersionListedNowProvesNothing (another version has left, one version replaced another) demand it; coord/origin, internal/gateway and internal/edge pass.

--- a/coord/origin/history.go
+++ b/coord/origin/history.go
@@ -11,6 +11,8 @@
 	// several, or one is unknown.
 	Version string
 	Since   time.Time
+	// changed reports that there was another version, or an unknown one, before Since.
+	changed bool
 }
 
 // NewHistory returns a History without observations.
@@ -29,17 +31,28 @@
 		}
 	}
 	if last, observed := h.spans[service]; !observed || only == "" || last.Version != only {
-		h.spans[service] = Span{Version: only, Since: now}
+		h.spans[service] = Span{Version: only, Since: now, changed: observed}
 	}
 }
 
 // Restart begins the history of all services anew, because changes before now may have been missed.
 func (h *History) Restart(now time.Time) {
 	for service, s := range h.spans {
-		h.spans[service] = Span{Version: s.Version, Since: now}
+		s.Since = now
+		h.spans[service] = s
 	}
 }
 
+// OnlySeen returns the only version of a service's targets that was observed within the window, however
+// short a time ago the first observation was; empty: there were several, or one is unknown.
+func (h *History) OnlySeen(now time.Time, service string, window time.Duration) string {
+	s := h.spans[service]
+	if s.changed && now.Sub(s.Since) < window {
+		return ""
+	}
+	return s.Version
+}
+
 // Span returns what is known of a service. observed is false if no target was ever announced.
 func (h *History) Span(service string) (s Span, observed bool) {
 	s, observed = h.spans[service]
--- a/coord/origin/origin_test.go
+++ b/coord/origin/origin_test.go
@@ -61,36 +61,42 @@
 	for _, row := range []struct {
 		name    string
 		observe func(h *History)
-		want    string
+		// proved is what a stream of unknown origin may rely on, seen what one that names no attempt may.
+		proved, seen string
 	}{
-		{"one version over the window", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v1"}) }, "v1"},
+		{"one version over the window", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v1"}) }, "v1", "v1"},
 		{"no targets in between", func(h *History) {
 			h.Observe(at(0), "models", []string{"v1"})
 			h.Observe(at(30), "models", nil)
 			h.Observe(at(31), "models", []string{"v1"})
-		}, "v1"},
-		{"the VM started within the window", func(h *History) { h.Observe(at(41), "models", []string{"v1"}) }, ""},
+		}, "v1", "v1"},
+		{"the VM started within the window", func(h *History) { h.Observe(at(41), "models", []string{"v1"}) }, "", "v1"},
 		{"another version has left", func(h *History) {
 			h.Observe(at(0), "models", []string{"v1", "v2"})
 			h.Observe(at(50), "models", []string{"v1"})
-		}, ""},
+		}, "", ""},
+		{"another version has left before", func(h *History) {
+			h.Observe(at(0), "models", []string{"v1", "v2"})
+			h.Observe(at(40), "models", []string{"v1"})
+		}, "v1", "v1"},
 		{"one version replaced another", func(h *History) {
 			h.Observe(at(0), "models", []string{"v2"})
 			h.Observe(at(50), "models", []string{"v1"})
-		}, ""},
-		{"two versions", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v2"}) }, ""},
-		{"an unknown version", func(h *History) { h.Observe(at(0), "models", []string{"v1", ""}) }, ""},
-		{"only unknown versions", func(h *History) { h.Observe(at(0), "models", []string{"", ""}) }, ""},
+		}, "", ""},
+		{"two versions", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v2"}) }, "", ""},
+		{"an unknown version", func(h *History) { h.Observe(at(0), "models", []string{"v1", ""}) }, "", ""},
+		{"only unknown versions", func(h *History) { h.Observe(at(0), "models", []string{"", ""}) }, "", ""},
 		{"a gap in the observations", func(h *History) {
 			h.Observe(at(0), "models", []string{"v1"})
 			h.Restart(at(50))
-		}, ""},
-		{"no observation", func(*History) {}, ""},
+		}, "", "v1"},
+		{"no observation", func(*History) {}, "", ""},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			h := NewHistory()
 			row.observe(h)
-			assert.Equal(t, Prove(window, []Claim{claim(h, at(100))}), row.want)
+			assert.Equal(t, Prove(window, []Claim{claim(h, at(100))}), row.proved)
+			assert.Equal(t, h.OnlySeen(at(100), "models", window), row.seen)
 		})
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,8 +13,8 @@
 // cannot reach, and reachprobe.go probes them. transport.go sends requests to targets, relayclient.go
 // through other VMs, and relayserver.go those of other VMs. join.go joins the fleet through the seeds.
 // suspension.go detects suspensions of this VM, and notices.go applies the notices that targets send
-// beside their answers. origins.go finds which software version began a stream that a caller takes up, by
-// records that originholders.go distributes.
+// beside their answers. origins.go finds which software version began a stream that a caller takes up,
+// originholders.go selects the VMs that hold the records of that, and originmessages.go encodes them.
 package edge
 
 import (
--- a/internal/edge/originholders.go
+++ b/internal/edge/originholders.go
@@ -49,3 +49,18 @@
 	}
 	return out
 }
+
+// originPeers returns the VMs that are asked for the origin of a stream: those of this VM's zone in a
+// large fleet, as every VM's records are held in each zone, and else all.
+func (n *Node) originPeers() []coord.VMID {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	live := n.roster.Live()
+	var out []coord.VMID
+	for _, e := range live {
+		if string(e.ID) != n.settings.Vm.Id && (len(live) < largeFleetSize || n.isSameZone(e)) {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/origin"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/gateway"
@@ -204,12 +203,12 @@
 	return out
 }
 
-// OnlyVersion implements gateway.Origins.
-func (o *origins) OnlyVersion(service string) string {
+// OnlySeen implements gateway.Origins.
+func (o *origins) OnlySeen(service string, window time.Duration) string {
+	now := o.node.now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	span, _ := o.history.Span(service)
-	return span.Version
+	return o.history.OnlySeen(now, service, window)
 }
 
 // recordCount returns the number of records, for metrics.
@@ -218,60 +217,3 @@
 	defer o.mu.Unlock()
 	return int64(o.table.Len())
 }
-
-func originOf(m *schema.OriginReply) origin.Origin {
-	return origin.Origin{Service: m.GetService(), SoftwareVersion: m.GetSoftwareVersion()}
-}
-
-func claimOf(m *schema.OriginReply) origin.Claim {
-	return origin.Claim{
-		Observed: m.GetObserved(), Version: m.GetOnlyVersion(), For: time.Duration(m.GetOnlyForMs()) * time.Millisecond,
-	}
-}
-
-// originsToProto groups records by origin.
-func originsToProto(now time.Time, records []origin.Record) *schema.StreamOrigins {
-	out := &schema.StreamOrigins{}
-	groups := map[origin.Origin]*schema.OriginGroup{}
-	for _, r := range records {
-		g := groups[r.Origin]
-		if g == nil {
-			g = &schema.OriginGroup{Service: r.Origin.Service, SoftwareVersion: r.Origin.SoftwareVersion}
-			groups[r.Origin] = g
-			out.Groups = append(out.Groups, g)
-		}
-		g.Attempts = append(g.Attempts, uint64(r.Attempt))
-		g.LeftMs = append(g.LeftMs, uint32(max(r.ExpiresAt.Sub(now).Milliseconds(), 0)))
-	}
-	return out
-}
-
-// originsFromProto returns the records of a message.
-func originsFromProto(now time.Time, m *schema.StreamOrigins) []origin.Record {
-	var out []origin.Record
-	for _, g := range m.Groups {
-		began := origin.Origin{Service: g.Service, SoftwareVersion: g.SoftwareVersion}
-		for i, a := range g.Attempts {
-			if i < len(g.LeftMs) {
-				left := time.Duration(g.LeftMs[i]) * time.Millisecond
-				out = append(out, origin.Record{Attempt: origin.Attempt(a), Origin: began, ExpiresAt: now.Add(left)})
-			}
-		}
-	}
-	return out
-}
-
-// originPeers returns the VMs that are asked for the origin of a stream: those of this VM's zone in a
-// large fleet, as every VM's records are held in each zone, and else all.
-func (n *Node) originPeers() []coord.VMID {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	live := n.roster.Live()
-	var out []coord.VMID
-	for _, e := range live {
-		if string(e.ID) != n.settings.Vm.Id && (len(live) < largeFleetSize || n.isSameZone(e)) {
-			out = append(out, e.ID)
-		}
-	}
-	return out
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,8 @@
 // budget.go bounds. drain.go, backoff.go and limited.go hold requests back from targets that drain,
 // request backoff or limit their rate, and relayed.go those that this VM sends for others. relay.go
 // returns responses, framing.go detects those that were broken off, resume.go resumes broken streams at
-// another target, and software.go keeps each stream at the software version that began it.
+// another target, software.go keeps each stream at the software version that began it, and origins.go finds
+// that version for streams that callers take up.
 //
 // Responses state only what is certain: 503 and 429 mean that the request has not run and never
 // will; 502 and 504 mean that it may have run. A response that breaks off ends with its connection.
@@ -169,6 +170,8 @@
 	// began the stream; empty: any. begun reports that the caller has received an event of this answer.
 	software string
 	begun    bool
+	// sentSoftware is the version of the software of the current attempt's target; empty: unknown.
+	sentSoftware string
 	// delimiter delimits the caller's response.
 	delimiter framing.Delimiter
 	// decision is the one on which the current attempt is based.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -53,7 +53,7 @@
 
 // setDecision sets the decision for the next attempt.
 func (x *exchange) setDecision(decision Decision) {
-	x.decision = decision
+	x.decision, x.sentSoftware = decision, ""
 	x.logEntry.Sent = events.SendInfo{PlacementCopy: decision.StoreCopy, DecisionDelay: decision.NetworkDelay, RateLimit: decision.RateLimit.PerSecond}
 }
 
