Share the fixtures of tests on software versions

Split routes are rows of the table of streams that are taken up; requests of the harnesses of coord/scheduler and coord/servicequeue are made in one place. No check goes: the service of each row is checked beside its version.

--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -73,10 +73,15 @@
 }
 
 func (h *harness) submit(name string, exclude ...string) Key {
+	return h.submitTo("", name, exclude...)
+}
+
+// submitTo submits a request that only targets of a software version may process.
+func (h *harness) submitTo(version, name string, exclude ...string) Key {
 	h.ticket++
 	k := Key{VM: "vm", Ticket: h.ticket}
 	r := Request{
-		Key: k, Ref: ref(name), PromptTokens: 300, OutputTokens: 50,
+		Key: k, Ref: ref(name), PromptTokens: 300, OutputTokens: 50, SoftwareVersion: version,
 		Objective: 800 * time.Millisecond, Deadline: h.now.Add(15 * time.Second), Exclude: exclude,
 	}
 	if name == "" {
--- a/coord/scheduler/software_test.go
+++ b/coord/scheduler/software_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -17,29 +16,18 @@
 	h.collect(h.s.SetTargets(h.now, listed))
 }
 
-// submitContinued submits a request that only targets of a software version may process.
-func (h *harness) submitContinued(name, version string) Key {
-	h.ticket++
-	k := Key{VM: "vm", Ticket: h.ticket}
-	h.collect(h.s.Submit(h.now, Request{
-		Key: k, Ref: ref(name), PromptTokens: 300, OutputTokens: 50, SoftwareVersion: version,
-		Objective: 800 * time.Millisecond, Deadline: h.now.Add(15 * time.Second),
-	}))
-	return k
-}
-
 // TestContinuedStreamIsPlacedAtOtherSoftwareVersion guards against continuations at the target that
 // holds the adapter but runs another software version: the adapter is loaded at one that runs it.
 func TestContinuedStreamIsPlacedAtOtherSoftwareVersion(t *testing.T) {
 	h := newHarness(t, config(4), []string{"x"}, nil, nil)
 	h.announceSoftware("v1", "v2", "")
-	h.submitContinued("x", "v2")
+	h.submitTo("v2", "x")
 	load := h.expectActions(ActLoad)[0]
 	assert.Equal(t, load.Target, "t1")
 	h.answerOrder(load, OrderAccepted)
 	h.advance(2 * initialColdLoadTime)
 	assert.Equal(t, h.expectActions(ActGrant)[0].Target, "t1")
-	h.submitContinued("x", "v1")
+	h.submitTo("v1", "x")
 	assert.Equal(t, h.expectActions(ActGrant)[0].Target, "t0")
 }
 
@@ -48,8 +36,8 @@
 func TestContinuedStreamBlocksNewRequests(t *testing.T) {
 	h := newHarness(t, config(4), nil, nil)
 	h.announceSoftware("v1", "v2")
-	h.submitContinued("x", "v2") // its load takes longer
-	continued := h.submitContinued("x", "v1")
+	h.submitTo("v2", "x") // its load takes longer
+	continued := h.submitTo("v1", "x")
 	loads := h.expectActions(ActLoad, ActLoad)
 	assert.Equal(t, loads[1].Target, "t0")
 	fresh := h.submit("x")
@@ -69,9 +57,9 @@
 func TestContinuedStreamWaitsWithoutTargets(t *testing.T) {
 	h := newHarness(t, config(4), nil, nil)
 	h.announceSoftware("v1", "v2")
-	h.submitContinued("x", "v3")
+	h.submitTo("v3", "x")
 	h.expectActions(ActRefuse)
-	h.submitContinued("x", "v2")
+	h.submitTo("v2", "x")
 	h.expectActions(ActLoad)
 	h.announceSoftware("v1", "v3") // the same target with other software
 	h.expectActions(ActRefuse)
@@ -88,14 +76,14 @@
 		h := newHarness(t, config(4), []string{"x"}, []string{"x"})
 		h.announceSoftware("v1", "v2")
 		for range ejectAfterFailures {
-			k := h.submitContinued("x", "v2")
+			k := h.submitTo("v2", "x")
 			h.collect(h.s.Done(h.now, k, row.ending))
 		}
 		h.drain()
 		h.submit("x")
 		assert.Equal(t, h.expectActions(ActGrant)[0].Target, "t0")
 		for range 3 {
-			h.submitContinued("x", "v2")
+			h.submitTo("v2", "x")
 			assert.Equal(t, h.expectActions(row.want)[0].Kind, row.want)
 		}
 	}
@@ -114,21 +102,21 @@
 		h.drain()
 	}
 	report(3)
-	h.submitContinued("x", "v1")
+	h.submitTo("v1", "x")
 	assert.Equal(t, h.expectActions(ActGrant)[0].SoftwareVersion, "v1")
 	report(1)
-	h.submitContinued("x", "v1")
+	h.submitTo("v1", "x")
 	h.expectActions(ActRefuse)
 	h.submit("x")
 	assert.Equal(t, h.expectActions(ActGrant)[0].SoftwareVersion, "", "a new stream's version is not known")
 	h.s.ObserveCopy(h.now)
-	h.submitContinued("x", "v1")
+	h.submitTo("v1", "x")
 	h.expectActions(ActRefuse)
 	h.s.ObserveCopy(h.now.Add(announcementDelay))
-	h.submitContinued("x", "v1")
+	h.submitTo("v1", "x")
 	assert.Equal(t, h.expectActions(ActGrant)[0].SoftwareVersion, "v1")
 	report(0)
 	h.announceSoftware("v3", "v2")
-	h.submitContinued("x", "v3")
+	h.submitTo("v3", "x")
 	h.expectActions(ActGrant)
 }
--- a/coord/servicequeue/queue_test.go
+++ b/coord/servicequeue/queue_test.go
@@ -27,11 +27,13 @@
 }
 
 func (h *harness) submit(priority int, softDeadline, deadline time.Duration, exclude ...string) (Key, []Action) {
+	return h.submitRequest(Request{Priority: priority, Exclude: exclude, SoftDeadline: h.now.Add(softDeadline), Deadline: h.now.Add(deadline)})
+}
+
+func (h *harness) submitRequest(r Request) (Key, []Action) {
 	h.next++
-	k := Key{VM: "vm", Ticket: h.next}
-	return k, h.queue.Submit(h.now, Request{
-		Key: k, Zone: "za", Priority: priority, Exclude: exclude, SoftDeadline: h.now.Add(softDeadline), Deadline: h.now.Add(deadline),
-	})
+	r.Key, r.Zone = Key{VM: "vm", Ticket: h.next}, "za"
+	return r.Key, h.queue.Submit(h.now, r)
 }
 
 func TestRequestsBeyondTheConcurrencyLimitWait(t *testing.T) {
--- a/coord/servicequeue/software_test.go
+++ b/coord/servicequeue/software_test.go
@@ -10,11 +10,7 @@
 )
 
 func (h *harness) submitContinued(version string) (Key, []Action) {
-	h.next++
-	k := Key{VM: "vm", Ticket: h.next}
-	return k, h.queue.Submit(h.now, Request{
-		Key: k, Zone: "za", SoftwareVersion: version, SoftDeadline: h.now.Add(time.Second), Deadline: h.now.Add(3 * time.Second),
-	})
+	return h.submitRequest(Request{SoftwareVersion: version, SoftDeadline: h.now.Add(time.Second), Deadline: h.now.Add(3 * time.Second)})
 }
 
 // TestContinuedStreamIsGrantedOtherSoftware guards against continuations at targets of another software
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -45,27 +45,38 @@
 // service or software version than the one that began them, or of one that is not known.
 func TestTakenUpStreamIsPlacedAsNew(t *testing.T) {
 	began := map[string]origin.Origin{"r0": {Service: "models", SoftwareVersion: "v1"}, "other": {Service: "plain", SoftwareVersion: "v1"}, "v2": {Service: "models", SoftwareVersion: "v2"}}
+	plainToo := []fleet.WeightedService{{Service: "plain", Weight: 1}}
 	for _, row := range []struct {
 		name            string
 		headers         []string
 		onlyVersion     string
 		status          int
 		reason, boundTo string
+		// split are the services of the route beside "models", service the one that gets the request.
+		split   []fleet.WeightedService
+		service string
 	}{
-		{"a new stream", nil, "", 200, "", ""},
-		{"a known attempt", []string{"First", "r0", "After", "1"}, "", 200, "", "v1"},
-		{"without an event id", []string{"First", "r0"}, "", 200, "", "v1"},
-		{"a version that the chosen target does not run", []string{"First", "v2", "After", "1"}, "", 503, "none_left\n", "v2"},
-		{"an unknown attempt", []string{"First", "r9", "After", "1"}, "v1", 503, "stream_origin_unknown\n", ""},
-		{"another service", []string{"First", "other", "After", "1"}, "", 503, "stream_service_changed\n", ""},
-		{"no attempt, one version", []string{"After", "1"}, "v1", 200, "", "v1"},
-		{"no attempt, several versions", []string{"After", "1"}, "", 503, "stream_origin_unknown\n", ""},
+		{"a new stream", nil, "", 200, "", "", nil, "models"},
+		{"a known attempt", []string{"First", "r0", "After", "1"}, "", 200, "", "v1", nil, "models"},
+		{"without an event id", []string{"First", "r0"}, "", 200, "", "v1", nil, "models"},
+		{"a version that the chosen target does not run", []string{"First", "v2", "After", "1"}, "", 503, "none_left\n", "v2", nil, "models"},
+		{"an unknown attempt", []string{"First", "r9", "After", "1"}, "v1", 503, "stream_origin_unknown\n", "", nil, ""},
+		{"another service", []string{"First", "other", "After", "1"}, "", 503, "stream_service_changed\n", "", nil, ""},
+		{"no attempt, one version", []string{"After", "1"}, "v1", 200, "", "v1", nil, "models"},
+		{"no attempt, several versions", []string{"After", "1"}, "", 503, "stream_origin_unknown\n", "", nil, ""},
+		{"one service of a split route", []string{"First", "r0", "After", "1"}, "", 200, "", "v1", plainToo, "models"},
+		{"the other service of a split route", []string{"First", "other", "After", "1"}, "", 200, "", "v1", plainToo, "plain"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			a := newBackend(t, "a")
 			a.handler = respondContinuation
 			x := newResumableFixture(t, a)
 			x.origins.found, x.origins.onlyVersion = began, row.onlyVersion
+			for i := range x.directory.dir.Config.Routes {
+				if r := &x.directory.dir.Config.Routes[i]; r.Kind == fleet.Streaming {
+					r.Split = append(r.Split, row.split...)
+				}
+			}
 			resp, body := x.send(t, "POST", "/stream/x", "prompt", row.headers...)
 			assert.Equal(t, resp.StatusCode, row.status)
 			if row.status != http.StatusOK {
@@ -73,8 +84,13 @@
 				assert.Assert(t, resp.Header.Get("Retry-After") != "")
 				assert.Equal(t, a.requestCount(), 0)
 			}
-			if len(x.admission.requests) > 0 {
+			if row.service != "" {
 				assert.Equal(t, x.admission.requests[0].SoftwareVersion, row.boundTo)
+				assert.Equal(t, x.admission.requests[0].Service, row.service)
+			}
+			assert.Equal(t, len(x.admission.requests) > 0, row.service != "")
+			for _, q := range x.origins.queries {
+				assert.Equal(t, q.Service == "", len(row.split) > 0, "several services prove nothing")
 			}
 		})
 	}
@@ -118,23 +134,3 @@
 		})
 	}
 }
-
-// TestStreamOfSplitRouteStaysAtItsService guards against streams that are taken up at another service of
-// the route, which the id of the new attempt selects.
-func TestStreamOfSplitRouteStaysAtItsService(t *testing.T) {
-	for _, service := range []string{"models", "plain"} {
-		a := newBackend(t, "a")
-		a.handler = respondContinuation
-		x := newResumableFixture(t, a)
-		for i := range x.directory.dir.Config.Routes {
-			if r := &x.directory.dir.Config.Routes[i]; r.Kind == fleet.Streaming {
-				r.Split = []fleet.WeightedService{{Service: "models", Weight: 1}, {Service: "plain", Weight: 1}}
-			}
-		}
-		x.origins.found["r0"] = origin.Origin{Service: service, SoftwareVersion: "v1"}
-		resp, _ := x.send(t, "POST", "/stream/x", "prompt", "First", "r0", "After", "1")
-		assert.Equal(t, resp.StatusCode, 200)
-		assert.Equal(t, x.admission.requests[0].Service, service)
-		assert.Equal(t, x.origins.queries[0].Service, "", "several services prove nothing")
-	}
-}
