--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -20,9 +20,9 @@
 // choice of a target, replicas.go the choice of targets for loading an adapter, loads.go the
 // duration of loads (learnt, coord/loadtime), heat.go the request rate of adapters, orders.go and
 // reports.go the orders that change adapter slots and the reports that verify them, freed.go the
-// evidence that frees slots, health.go failing targets, witness.go failures that show a fault of a VM's path,
-// software.go the software versions of targets, limited.go targets that limit their request rate, brittle.go targets that crash when they reject too
-// many requests.
+// evidence that frees slots, health.go failing targets, witness.go failures that show a fault of a VM's
+// path, software.go the software versions of targets, limited.go targets that limit their request rate,
+// brittle.go targets that crash when they reject too many requests.
 package scheduler
 
 import (
