--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -111,13 +111,14 @@
 // ErrRequestNotFound is returned by Explain if no line has the request's id.
 var ErrRequestNotFound = errors.New("no log line has this request id: the request succeeded and was omitted (see log_lines_omitted), reached none of the VMs whose logs were read, or is older than the logs")
 
-// Explain reconstructs the history of the request with the given id. The lines must be sorted.
+// Explain reconstructs the history of the request with the given id, and of the requests by which its
+// caller took its stream up, perhaps at other VMs. The lines must be sorted.
 // It returns ErrRequestNotFound if no line has the id.
 func Explain(lines []Line, id string) (*Explanation, error) {
 	e := &Explanation{}
 	targets, adapters, vms := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, l := range lines {
-		if l.Fields["id"] != id {
+		if l.Fields["id"] != id && l.Fields["first_attempt"] != id {
 			continue
 		}
 		e.RequestLines = append(e.RequestLines, l)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,6 +57,24 @@
 	assert.Assert(t, strings.Contains(e.Conclusion, "refused (not_run), status 503; attempt 1 was at i-1, chosen by edge-2"), e.Conclusion)
 }
 
+// TestExplainShowsWhereStreamWentOn checks that the requests that take a stream up belong to its history.
+func TestExplainShowsWhereStreamWentOn(t *testing.T) {
+	var log bytes.Buffer
+	l := events.New(&log, "info", "edge-1")
+	now := time.Now()
+	l.RequestEnded(now, events.Request{ID: "r1", Outcome: "cut", Target: "i-1", Sent: events.SendInfo{SoftwareVersion: "v1"}})
+	l.RequestEnded(now, events.Request{ID: "r2", FirstAttemptID: "r1", Outcome: "refused", Reason: "stream_origin_unknown"})
+	l.RequestEnded(now, events.Request{ID: "r3", FirstAttemptID: "other", Outcome: "cut"})
+	l.Close()
+	lines, _, err := Read(&log)
+	assert.NilError(t, err)
+	e, err := Explain(lines, "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, len(e.RequestLines), 2)
+	assert.Equal(t, e.RequestLines[0].Fields["software"], "v1")
+	assert.Assert(t, strings.Contains(e.Conclusion, "stream_origin_unknown"), e.Conclusion)
+}
+
 func TestExplainUnknownAndUnfinishedRequests(t *testing.T) {
 	lines := sampleLines(t)
 	_, err := Explain(lines, "nobody")
