edge: Send the records of streams again to holders that restart

Callers would see: a stream that is taken up is refused with stream_origin_unknown after the VMs that held its record were killed one after the other, although each was back within a second.

Cause: a restarted VM has no records, and one that was cut off lacks those of that time. Each record is told once, and again only when its stream goes on.

Change: a VM sends all its records to a holder of its own that has joined, restarted or become responsive again, as it does with other findings.

--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -152,6 +152,7 @@
 			go n.sendLeavingTargets(c.VM, n.feed.Leaving())
 			n.rateLimits.sendLimitsTo(c.VM)
 			n.rejectionLimits.sendLimitsTo(c.VM)
+			n.origins.sendTo(c.VM)
 		}
 		n.log.PeerChanged(string(c.VM), c.Old, c.New, c.UnresponsiveFor)
 		if c.New == roster.Suspect.String() || c.New == "" {
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,23 +105,34 @@
 	records := o.unsent
 	o.unsent, o.sendScheduled, o.sentAt = nil, false, now
 	o.mu.Unlock()
-	o.send(now, records)
+	o.send(now, records, o.node.originHolders())
 }
 
-// handOver sends all records to other VMs, because this VM leaves.
-func (o *origins) handOver() {
+// handOver sends all records to the holders, because this VM leaves.
+func (o *origins) handOver() { o.sendAll(o.node.originHolders()) }
+
+// sendTo sends all records to a VM that has joined, restarted or become responsive again, if it is one of
+// the holders: it lacks those of the time before.
+func (o *origins) sendTo(vm coord.VMID) {
+	if slices.Contains(o.node.originHolders(), vm) {
+		o.sendAll([]coord.VMID{vm})
+	}
+}
+
+func (o *origins) sendAll(vms []coord.VMID) {
 	now := o.node.now()
 	o.mu.Lock()
 	records := o.table.Records(now)
 	o.mu.Unlock()
-	if len(records) > 0 {
-		o.send(now, records)
-	}
+	o.send(now, records, vms)
 }
 
-func (o *origins) send(now time.Time, records []origin.Record) {
+func (o *origins) send(now time.Time, records []origin.Record, vms []coord.VMID) {
+	if len(records) == 0 {
+		return
+	}
 	call := &schema.Call{Body: &schema.Call_StreamOrigins{StreamOrigins: originsToProto(now, records)}}
-	for _, vm := range o.node.originHolders() {
+	for _, vm := range vms {
 		go o.node.notify(vm, call)
 	}
 }
