scheduler: Notice a restart after orders that no report has shown

Cause: a restart under the same id was noticed only if a report showed fewer orders than the report before it. Reports are read rarely, and orders accepted since were not counted, so that most restarts went unnoticed.

Evidence: TestRestartAfterOrdersIsUnnoticed failed before; coord/scheduler passes, with its random models.

--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -123,6 +123,9 @@
 	if t == nil {
 		return nil
 	}
+	if result == OrderAccepted {
+		t.observeAccepted(now)
+	}
 	s.handleFirstOrderAnswer(now, t, ref, result)
 	switch {
 	case ref.IsBase():
--- a/coord/scheduler/reports.go
+++ b/coord/scheduler/reports.go
@@ -63,7 +63,7 @@
 		return s.takeActions() // another report became necessary meanwhile
 	}
 	s.applyReport(now, t, r, requestedAt)
-	t.observeRestart(now, r.OrderCount)
+	t.observeRestart(now, requestedAt, r.OrderCount)
 	t.recordOrderCount(requestedAt, r.OrderCount)
 	if r.Busy && len(t.models) == 0 {
 		// A base model is being loaded or unloaded and is not listed yet. The engine has no memory
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -86,6 +86,10 @@
 	// restartedAt is when the target was found to have restarted under the same id, perhaps with other
 	// software than it announced before; zero if its announcement is newer.
 	restartedAt time.Time
+	// acceptedCount is the least number of orders that the target has accepted, by its reports and its
+	// answers, the last of which was at acceptedAt.
+	acceptedCount uint64
+	acceptedAt    time.Time
 	// unlistedSince is when the target stopped being announced; zero while it is announced.
 	unlistedSince time.Time
 	// replaced reports that the target's process is gone and that another one has replaced it.
--- a/coord/scheduler/software.go
+++ b/coord/scheduler/software.go
@@ -19,11 +19,20 @@
 	return r.SoftwareVersion == "" || r.SoftwareVersion == t.software()
 }
 
-// observeRestart records that a target has lost the orders that it had accepted, which shows that it has
-// restarted under the same id.
-func (t *target) observeRestart(now time.Time, orderCount uint64) {
-	if !t.orderCountSince.IsZero() && orderCount < t.orderCount {
+// observeAccepted records that a target has accepted an order.
+func (t *target) observeAccepted(now time.Time) {
+	t.acceptedCount = max(t.acceptedCount, t.orderCount) + 1
+	t.acceptedAt = now
+}
+
+// observeRestart records that a target has lost orders that it had accepted, according to a report requested
+// at a time, which shows that it has restarted under the same id. A report may lag behind its last orders.
+func (t *target) observeRestart(now, requestedAt time.Time, orderCount uint64) {
+	lostReported := !t.orderCountSince.IsZero() && orderCount < t.orderCount
+	lostAccepted := orderCount < t.acceptedCount && requestedAt.Sub(t.acceptedAt) >= reportLag
+	if lostReported || lostAccepted {
 		t.restartedAt = now
+		t.acceptedCount = orderCount
 	}
 }
 
--- a/coord/scheduler/software_test.go
+++ b/coord/scheduler/software_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -120,3 +121,22 @@
 	h.submitTo("v3", "x")
 	h.expectActions(ActGrant)
 }
+
+// TestRestartAfterOrdersIsUnnoticed guards against a restart that no report shows by itself, because the
+// lost orders were accepted after the last one; a report may lag behind an order of just before.
+func TestRestartAfterOrdersIsUnnoticed(t *testing.T) {
+	for _, row := range []struct {
+		lag  time.Duration
+		want string
+	}{{reportLag, ""}, {0, "v1"}} {
+		h := newHarness(t, config(4), []string{"x"})
+		h.announceSoftware("v1")
+		h.submit("y")
+		h.answerOrder(h.expectActions(ActLoad)[0], OrderAccepted)
+		h.now = h.now.Add(row.lag)
+		h.s.targets["t0"].requireReportAt(h.now)
+		h.advance(0)
+		h.sendReport("t0", Report{Resident: []ResidentItem{{Ref: base}, {Ref: ref("x")}}})
+		assert.Equal(t, h.s.targets["t0"].software(), row.want)
+	}
+}
