--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 // state, and run.go starts and stops them. heartbeat.go maintains the roster, leader.go determines the
 // store watchers and the leader, and peers.go and update.go exchange messages with other VMs.
 // schedule.go runs the schedulers, orders.go sends their orders, admit.go requests decisions,
+// localplacement.go chooses targets while the leader is unresponsive,
 // running.go records the requests that run, and leadermonitor.go detects an unresponsive leader.
 // queues.go queues the requests to plain services. quotas.go charges requests to their teams,
 // targetlimits.go tracks the limits that targets announce, of the kinds in limitkinds.go, and
