Compare software versions and select VMs by hash in one place

Whether a target runs a required software version stood three times beside fleet.Target, and the selection of the VMs with the highest weights, which the store watchers have, was written again for the holders of records.

Change: fleet.Target.Runs, and topVMs for both selections. Evidence: internal/edge, internal/gateway and internal/fleet pass, the latter two and part of internal/edge also with -race, and the tests of software versions, ServesModels and RollingRestart of platform; the linter is clean on the three packages.

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -8,7 +8,6 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/leadership"
-	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 )
@@ -36,20 +35,15 @@
 	live := n.roster.CapableVMs()
 	n.vmCount.Store(int64(max(n.roster.Size(), 1)))
 	n.mu.Unlock()
-	hashes := make([]uint64, len(live))
-	for i, e := range live {
-		hashes[i] = rendezvous.Hash(string(e.ID))
-	}
-	best := make([]int, max(minStoreWatchers, int(n.vmCount.Load())/vmsPerStoreWatcher))
-	top := best[:rendezvous.Top(hashes, rendezvous.Hash(storeWatcherKey), best)]
+	limit := max(minStoreWatchers, int(n.vmCount.Load())/vmsPerStoreWatcher)
 	var watchers []roster.Entry
 	isWatcher := false
-	for _, i := range top {
-		if string(live[i].ID) == n.settings.Vm.Id {
+	for _, e := range topVMs(storeWatcherKey, live, limit) {
+		if string(e.ID) == n.settings.Vm.Id {
 			isWatcher = true
 			continue
 		}
-		watchers = append(watchers, live[i])
+		watchers = append(watchers, e)
 	}
 	n.isStoreWatcher.Store(isWatcher)
 	if slices.ContainsFunc(watchers, n.isSameZone) {
--- a/internal/edge/localplacement.go
+++ b/internal/edge/localplacement.go
@@ -92,7 +92,7 @@
 
 func isUsable(t *fleet.Target, r *gateway.AdmitRequest) bool {
 	return t != nil && t.State == fleet.TargetReady && !slices.Contains(r.Exclude, t.ID) && !slices.Contains(r.BackedOff, t.ID) &&
-		!slices.Contains(r.RateLimited, t.ID) && (r.SoftwareVersion == "" || r.SoftwareVersion == t.SoftwareVersion)
+		!slices.Contains(r.RateLimited, t.ID) && t.Runs(r.SoftwareVersion)
 }
 
 func holdsModel(t *fleet.Target, model string) bool {
--- a/internal/edge/originholders.go
+++ b/internal/edge/originholders.go
@@ -30,22 +30,30 @@
 func selectOriginHolders(self, zone string, live []roster.Entry) []coord.VMID {
 	others := slices.DeleteFunc(slices.Clone(live), func(e roster.Entry) bool { return string(e.ID) == self })
 	if len(live) < largeFleetSize {
-		return topVMs(self, others, originCopies)
+		return idsOf(topVMs(self, others, originCopies))
 	}
 	sameZone := slices.DeleteFunc(slices.Clone(others), func(e roster.Entry) bool { return e.Zone != zone })
-	return append(topVMs(self, sameZone, zoneOriginCopies), crossZonePeers(self, zone, others)...)
+	return append(idsOf(topVMs(self, sameZone, zoneOriginCopies)), crossZonePeers(self, zone, others)...)
 }
 
 // topVMs returns the VMs with the highest weights for a key, at most limit of them.
-func topVMs(key string, vms []roster.Entry, limit int) []coord.VMID {
+func topVMs(key string, vms []roster.Entry, limit int) []roster.Entry {
 	hashes := make([]uint64, len(vms))
 	for i, e := range vms {
 		hashes[i] = rendezvous.Hash(string(e.ID))
 	}
 	best := make([]int, limit)
-	var out []coord.VMID
+	var out []roster.Entry
 	for _, i := range best[:rendezvous.Top(hashes, rendezvous.Hash(key), best)] {
-		out = append(out, vms[i].ID)
+		out = append(out, vms[i])
+	}
+	return out
+}
+
+func idsOf(vms []roster.Entry) []coord.VMID {
+	var out []coord.VMID
+	for _, e := range vms {
+		out = append(out, e.ID)
 	}
 	return out
 }
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -57,7 +57,7 @@
 // the stream of a request.
 func canContinue(targets map[string]*fleet.Target, a *schema.Admit, avoid []string) bool {
 	for _, t := range targets {
-		if t.Service == a.Service && t.SoftwareVersion == a.SoftwareVersion && t.State == fleet.TargetReady && !slices.Contains(avoid, t.ID) {
+		if t.Service == a.Service && t.Runs(a.SoftwareVersion) && t.State == fleet.TargetReady && !slices.Contains(avoid, t.ID) {
 			return true
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -175,6 +175,11 @@
 	Resident        []ResidentModel
 }
 
+// Runs reports whether the target runs a version of the software; empty: any version will do.
+func (t *Target) Runs(softwareVersion string) bool {
+	return softwareVersion == "" || softwareVersion == t.SoftwareVersion
+}
+
 // ResidentModel is a base model that a target holds, with its adapters.
 type ResidentModel struct {
 	Name     string
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -115,7 +115,7 @@
 	dir := x.g.cfg.Directory.Directory()
 	var candidates []balance.Target
 	for _, t := range dir.TargetsOf(x.service.Name) {
-		if t.State == fleet.TargetReady && (x.software == "" || x.software == t.SoftwareVersion) {
+		if t.State == fleet.TargetReady && t.Runs(x.software) {
 			candidates = append(candidates, balance.Target{ID: t.ID, SameZone: t.Zone == x.g.cfg.Zone})
 		}
 	}
