--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -32,6 +32,8 @@
 	Attempts          int
 	Target, DecidedBy string
 	Adapter           string
+	// PromptParts are the ids of the parts of the prompt, first to last.
+	PromptParts []string
 	// Took is the total duration, AdmitTime the time spent on decisions of the scheduler, and
 	// FirstEventTime the time from sending to the first event of the response.
 	Took, AdmitTime, FirstEventTime time.Duration
@@ -99,7 +101,7 @@
 		"id": r.ID, "route": r.Route, "outcome": r.Outcome, "reason": r.Reason, "status": r.Status,
 		"config": r.ConfigVersion, "feed_age_ms": r.FeedAge.Milliseconds(),
 		"team": r.Team, "key": hex.EncodeToString(r.Key), "proven_ms": r.ConfirmedAge.Milliseconds(),
-		"sends": r.Attempts, "target": r.Target, "decided_by": r.DecidedBy, "adapter": r.Adapter,
+		"sends": r.Attempts, "target": r.Target, "decided_by": r.DecidedBy, "adapter": r.Adapter, "prompt_parts": strings.Join(r.PromptParts, ","),
 		"took_ms": r.Took.Milliseconds(), "admit_ms": r.AdmitTime.Milliseconds(), "first_ms": r.FirstEventTime.Milliseconds(),
 		"first_attempt": r.FirstAttemptID, "last_event": r.LastEventID, "origin": r.Origin, "framing": r.Framing, "error": errorText(r.Err),
 	}))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -266,6 +266,15 @@
 // ContinuesStream reports whether the request takes up a stream that broke off.
 func (r *Request) ContinuesStream() bool { return r.FirstAttemptID != "" || r.LastEventID != "" }
 
+// PartIDs returns the ids of the parts of the prompt, first to last.
+func (r *Request) PartIDs() []string {
+	ids := make([]string, len(r.Parts))
+	for i, p := range r.Parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // PromptPart is a part of a prompt that requests may share.
 type PromptPart = coord.PromptPart
 
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -75,6 +75,7 @@
 	now := x.g.cfg.Now()
 	x.logEntry.ID, x.logEntry.Outcome, x.logEntry.Reason, x.logEntry.Status = x.req.ID, outcome, reason, status
 	x.logEntry.FirstAttemptID, x.logEntry.LastEventID = x.req.FirstAttemptID, x.req.LastEventID
+	x.logEntry.PromptParts = x.req.PartIDs()
 	x.logEntry.Adapter, x.logEntry.Took, x.logEntry.Err = x.req.Adapter.String(), now.Sub(x.startedAt), err
 	if x.route != nil {
 		x.logEntry.Route = x.route.Name
