edge: Send findings about prompt parts that come without contents

A VM that decides without a leader, or just started, let requests with a blocked part through: messages with parts alone were taken for empty and never sent.

--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -295,7 +295,7 @@
 		if candidates[vm] {
 			m = all
 		}
-		if len(m.Suspects) > 0 {
+		if len(m.Suspects) > 0 || len(m.Parts) > 0 {
 			go n.notify(vm, &schema.Call{Body: &schema.Call_Suspects{Suspects: m}})
 		}
 	}
