edge: Close new connections unread while others have room and this VM has not

A load balancer may hand most new connections of a zone or region to one VM for some seconds. Nothing bounded what the front end accepts: the VM read all of it and served all of it late.

Cause: no VM knew its own limit. Heartbeats tell whether their sender is overloaded: where no other VM has room, none is turned away, and a tenth is always accepted. Open connections are bounded by the memory of the VM.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -131,6 +131,7 @@
 	queues     *queues
 	quotas     *quotas
 	quarantine *contentQuarantine
+	overload   *overloadControl
 	// rateLimits holds the rate limits that targets announced.
 	rateLimits *targetLimits
 	// rejectionLimits holds the numbers of rejections with which targets announced that they crash.
@@ -220,6 +221,7 @@
 	n.queues = newQueues(n)
 	n.quotas = newQuotas(n, s.Quota)
 	n.quarantine = newContentQuarantine(n)
+	n.overload = newOverloadControl(n, int(s.Vm.MemoryMb))
 	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
 	n.origins = newOrigins(n)
 	n.reachability = newReachability(n)
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -29,6 +29,8 @@
 	n.metrics.Gauge("plain_running", func() int64 { return int64(n.queues.stats().Running) })
 	n.metrics.Gauge("plain_limit", func() int64 { return int64(n.queues.stats().Limit) })
 	n.metrics.Gauge("plain_work_ms", func() int64 { return n.queues.stats().ServiceTime.Milliseconds() })
+	n.metrics.Gauge("caller_connections", func() int64 { open, _ := n.overload.stats(); return open })
+	n.metrics.Gauge("caller_connections_closed_unread_total", func() int64 { _, closed := n.overload.stats(); return closed })
 	n.metrics.Gauge("contents_suspect", func() int64 { suspect, _, _ := n.quarantine.stats(); return suspect })
 	n.metrics.Gauge("contents_held", func() int64 { _, blocked, _ := n.quarantine.stats(); return blocked })
 	n.metrics.Gauge("contents_refused_total", func() int64 { _, _, refused := n.quarantine.stats(); return refused })
--- /dev/null
+++ b/internal/edge/overload_test.go
@@ -0,0 +1,84 @@
+package edge
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// overloadedNode returns a VM whose timers were late for two seconds, with new connections meanwhile. The other
+// VM has room or is overloaded as well.
+func overloadedNode(t *testing.T, peerOverloaded bool) *Node {
+	t.Helper()
+	n, now := disconnectedNode(t)
+	n.overload = newOverloadControl(n, 200)
+	for range 40 {
+		*now = now.Add(50 * time.Millisecond)
+		n.overload.recordPeer("b", peerOverloaded)
+		n.overload.admit()
+		n.overload.observe(200 * time.Millisecond)
+	}
+	return n
+}
+
+// TestOverloadedVMClosesConnectionsUnread guards against a VM that reads more requests than it has time for
+// while other VMs have room.
+func TestOverloadedVMClosesConnectionsUnread(t *testing.T) {
+	n := overloadedNode(t, false)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: n.overload.connectionChanged}
+	go func() { _ = server.Serve(n.overload.listener(listener)) }() // returns after Close
+	t.Cleanup(func() { _ = server.Close() })
+	read := 0
+	const connections = 60
+	for range connections {
+		read += readResponses(t, listener.Addr().String())
+	}
+	assert.Assert(t, read > 0, "some connections must be accepted")
+	assert.Assert(t, read <= connections/2, "%d of %d requests were read", read, connections)
+	open, closed := n.overload.stats()
+	assert.Equal(t, open, int64(0))
+	assert.Assert(t, closed >= int64(connections-read))
+}
+
+// readResponses sends a request over a new connection and returns the number of responses.
+func readResponses(t *testing.T, address string) int {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	if _, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); err != nil {
+		return 0
+	}
+	response, err := io.ReadAll(conn)
+	if err != nil || len(response) == 0 {
+		return 0
+	}
+	return 1
+}
+
+// TestOverloadedVMServesWhileOthersAreOverloaded guards against callers that are turned away by all VMs.
+func TestOverloadedVMServesWhileOthersAreOverloaded(t *testing.T) {
+	n := overloadedNode(t, true)
+	for range 60 {
+		assert.Assert(t, n.overload.admit())
+	}
+}
+
+// TestConnectionsAreBoundedByMemory guards against a VM that exceeds its memory because of open connections.
+func TestConnectionsAreBoundedByMemory(t *testing.T) {
+	n, _ := disconnectedNode(t)
+	n.overload = newOverloadControl(n, 16)
+	for range 16 * connectionsPerMB {
+		assert.Assert(t, n.overload.admit())
+		n.overload.connectionChanged(nil, http.StateNew)
+	}
+	assert.Assert(t, !n.overload.admit())
+	n.overload.connectionChanged(nil, http.StateClosed)
+	assert.Assert(t, n.overload.admit())
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -22,7 +22,9 @@
 // HandleHeartbeat applies the roster that a heartbeat carries.
 func (h *peerHandler) HandleHeartbeat(hb *schema.Heartbeat) {
 	if hb.Roster != nil {
-		(*Node)(h).handleRoster(coord.VMID(hb.Vm), hb.Roster)
+		n := (*Node)(h)
+		n.overload.recordPeer(coord.VMID(hb.Vm), hb.Roster.Overloaded)
+		n.handleRoster(coord.VMID(hb.Vm), hb.Roster)
 	}
 }
 
@@ -119,6 +121,7 @@
 		out.Digests = append(out.Digests, h.Digest)
 		out.Counts = append(out.Counts, h.Count)
 	}
+	out.Overloaded = n.overload.isOverloaded()
 	s := n.feed.State()
 	out.FeedLastChange, out.FeedRevision = uint64(s.LastChange), uint64(s.To)
 	out.FeedAgeMs, out.FeedReads, out.ConfigVersion = s.Age.Milliseconds(), s.ReadCount, s.ConfigVersion
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -32,15 +32,16 @@
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){n.feed.Run, n.feed.RunConfirmation, n.heartbeatLoop, n.tickLoop, n.seedLoop, n.reachability.probeLoop} {
+	for _, loop := range []func(context.Context){n.feed.Run, n.feed.RunConfirmation, n.heartbeatLoop, n.tickLoop, n.seedLoop, n.reachability.probeLoop, n.overload.run} {
 		wg.Go(func() { loop(loopCtx) })
 	}
 	go n.mesh.Serve(n.peerListener)
 	frontEnd := newServer(n.gateway)
 	frontEnd.ConnContext = framing.WithConn
+	frontEnd.ConnState = n.overload.connectionChanged
 	servers := []*http.Server{frontEnd}
 	failed := make(chan error, 3)
-	serve(frontEnd, n.frontEndListener, failed)
+	serve(frontEnd, n.overload.listener(n.frontEndListener), failed)
 	ready := newServer(http.HandlerFunc(n.serveReady))
 	servers = append(servers, ready)
 	serve(ready, n.readyListener, failed)
--- a/internal/events/names.go
+++ b/internal/events/names.go
@@ -4,6 +4,7 @@
 func Names() []string {
 	return []string{
 		"request_ended", "attempt_failed", "retry_denied", "scheduler_silent", "verdict_refused", "line_refused", "content_suspected", "content_released",
+		"overload_began", "overload_ended",
 		"part_held", "part_suspected", "part_released",
 		"order_answered", "report_failed", "target_changed", "target_said", "rate_limit_named", "rate_limit_ended", "target_brittle", "target_brittle_ended",
 		"config_adopted", "team_changed", "store_item_refused", "store_lost", "store_regained", "store_history_gone", "store_relisted", "store_era_began", "feed_gap",
--- a/internal/events/vm.go
+++ b/internal/events/vm.go
@@ -16,6 +16,18 @@
 	l.warn("suspensions_unseen", log.Fields{"error": errorText(err)})
 }
 
+// OverloadBegan records that this VM begins to close new connections of callers unread, because its timers
+// are late.
+func (l *Log) OverloadBegan(delay time.Duration) {
+	l.warn("overload_began", log.Fields{"delay_ms": delay.Milliseconds()})
+}
+
+// OverloadEnded records that this VM accepts all new connections again, and how many it has closed since it
+// started.
+func (l *Log) OverloadEnded(closed int64) {
+	l.info("overload_ended", log.Fields{"closed_total": closed})
+}
+
 // PathBroken records that this VM cannot reach a target that another VM reaches.
 func (l *Log) PathBroken(target string) { l.warn("path_broken", log.Fields{"target": target}) }
 
