quarantine: Count the crashes of processes, not of ids

A target that restarts under its id crashed again and again under one content: its crashes counted once for the id, and were withdrawn after seven seconds because the id was still listed. The store's entry names when a target started; once that changes, the earlier crashes keep the name of the former process, the same at all VMs.

TestCrashesOfTargetsThatRestartUnderTheirIDsCount failed before (not blocked after three crashes of one id). Targets that do not announce their start cannot be told apart: open.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -45,7 +45,7 @@
 func (n *Node) reportRestarts(old, d *feed.Directory) {
 	for id, t := range d.Targets {
 		if before := old.Targets[id]; before != nil && before.Started != t.Started {
-			n.quarantine.targetRestarted(id)
+			n.quarantine.targetRestarted(id, before.Started)
 		}
 	}
 }
