--- a/coord/promptpart/findings.go
+++ b/coord/promptpart/findings.go
@@ -15,7 +15,8 @@
 	// SurvivedAt is when the last request that survived began its response; zero: none is remembered.
 	SurvivedAt time.Time
 	// Requests is the number of requests since the first of the crashes, Disconnects that of those that
-	// the crashes disconnected, and Trials that of requests that ran after a block.
+	// the crashes disconnected, and Trials that of requests that
+	// crashed their targets after a block.
 	Requests, Disconnects, Trials int
 	// BlockedFor is how much longer requests with the part are blocked; 0: it is suspect at most.
 	BlockedFor time.Duration
--- a/coord/promptpart/promptpart.go
+++ b/coord/promptpart/promptpart.go
@@ -123,8 +123,10 @@
 	survivedAt time.Time
 	inFlight   map[string]int // requests by target
 	usedAt     time.Time
-	// trials is the number of requests that ran after a block had ended.
-	trials int
+	// trials is the number of requests that crashed their targets after a block had ended, and onTrial is
+	// set while such a request runs.
+	trials  int
+	onTrial bool
 	// implicated is set if the part explains enough crashes for a block.
 	implicated bool
 	// observed is set once this VM has observed a crash itself, and published while other VMs have its
@@ -178,7 +180,7 @@
 		p := t.get(now, id)
 		p.inFlight[target]++
 		if p.implicated && p.blockedFor(now) == 0 {
-			p.trials++
+			p.onTrial = true
 		}
 	}
 }
@@ -227,12 +229,21 @@
 	for _, ids := range requests {
 		t.addCrash(now, c, ids)
 		for _, id := range ids {
-			t.parts[id].observed = true
+			t.parts[id].recordConfirmed()
 		}
 	}
 	t.evaluate()
 }
 
+// recordConfirmed records that this VM observed a crash under the part.
+func (p *part) recordConfirmed() {
+	p.observed = true
+	if p.onTrial {
+		p.trials++
+		p.onTrial = false
+	}
+}
+
 // Withdraw removes a crash that was none.
 func (t *Table) Withdraw(c *Crash) {
 	t.withdraw(func(other *Crash) bool { return other == c })
@@ -310,7 +321,7 @@
 	}
 	t.changed[id] = true
 	if len(p.crashes) == 0 {
-		p.crashes, p.trials = nil, 0
+		p.crashes, p.trials, p.onTrial = nil, 0, false
 		delete(t.suspects, id)
 	}
 	return true
