promptpart: Keep a blocked part in its place when a wider one has a crash more

A part of a whole route has every crash that the blocked part has. One crash without a cause, while no request of a quiet route had survived since, made the route the better explanation: the route was blocked and the crashing part was not. A blocked part now keeps its crashes unless one of similar width explains them better.

--- a/coord/promptpart/promptpart.go
+++ b/coord/promptpart/promptpart.go
@@ -68,6 +68,8 @@
 	evidenceTTL = 10 * time.Minute
 	// suspectRetryDelay is the retry delay of a request with a suspect part.
 	suspectRetryDelay = 500 * time.Millisecond
+	// maxWidening is the ratio of exposed requests up to which a part may take the place of a blocked one.
+	maxWidening = 2
 	// sameCrash is the time within which two VMs may observe the crash of one process.
 	sameCrash = time.Second
 	// maxParts bounds the parts that are remembered, and maxIDBytes their ids. maxCrashes bounds the
@@ -372,8 +374,19 @@
 type candidate struct {
 	id ID
 	*part
-	// count is the number of its independent crashes, and requests that of its requests since the first.
-	count, requests int
+	crashes []*Crash
+	// moments is the number of its independent crashes, requests that of its requests since the first one,
+	// and exposed that of the requests that its crashes disconnected or that are in flight.
+	moments, requests, exposed int
+}
+
+func newCandidate(id ID, p *part, crashes []*Crash) candidate {
+	c := candidate{id: id, part: p, crashes: crashes, requests: p.requests - p.crashes[0].requestsBefore, exposed: p.disconnects()}
+	c.moments, _ = independent(crashes)
+	for _, n := range p.inFlight {
+		c.exposed += n
+	}
+	return c
 }
 
 // survival returns the zero time if no request with the part ever survived, and otherwise another one.
@@ -388,42 +401,53 @@
 // then those that never survived, then by the fewest requests.
 func (c candidate) compare(other candidate) int {
 	return cmp.Or(
-		cmp.Compare(other.count, c.count),
+		cmp.Compare(other.moments, c.moments),
 		c.survival().Compare(other.survival()),
 		cmp.Compare(c.requests, other.requests),
 		cmp.Compare(c.part.requests, other.part.requests),
 	)
 }
 
-func (p *part) allCrashes() []*Crash {
-	out := make([]*Crash, len(p.crashes))
-	for i, c := range p.crashes {
-		out[i] = c.Crash
-	}
-	return out
+// isOvertaken reports whether another part explains the crashes of a blocked one better. A much wider part does
+// not: it also has the crashes that have nothing to do with the blocked one.
+func (c candidate) isOvertaken(others []candidate) bool {
+	return slices.ContainsFunc(others, func(o candidate) bool {
+		return o.compare(c) < 0 && o.exposed <= maxWidening*c.exposed &&
+			!slices.ContainsFunc(c.crashes, func(crash *Crash) bool { return !slices.Contains(o.crashes, crash) })
+	})
 }
 
-// explain returns the parts that explain the crashes: in the order of compare, each part with at least
-// minCrashes crashes that the earlier ones do not explain. Parts that compare equal explain them together,
-// since nothing tells them apart. explained are the crashes that they explain.
+// explain returns the parts that explain the crashes, each at least minCrashes: the blocked parts that are not
+// overtaken, and then in the order of compare those with enough crashes that the earlier ones do not explain.
+// Parts that compare equal explain them together, since nothing tells them apart. explained are the crashes
+// that they explain.
 func (t *Table) explain(minCrashes int) (ids map[ID]bool, explained map[*Crash]bool) {
 	candidates := t.candidates(minCrashes)
 	ids, explained = map[ID]bool{}, map[*Crash]bool{}
+	add := func(id ID, crashes []*Crash) {
+		ids[id] = true
+		for _, c := range crashes {
+			explained[c] = true
+		}
+	}
+	for _, c := range candidates {
+		if c.implicated && c.isConfirmed() && !c.isOvertaken(candidates) {
+			add(c.id, c.crashes)
+		}
+	}
 	for len(candidates) > 0 {
 		equal := 1
 		for equal < len(candidates) && candidates[equal].compare(candidates[0]) == 0 {
 			equal++
 		}
-		var newlyExplained []*Crash
+		rests := map[ID][]*Crash{}
 		for _, c := range candidates[:equal] {
-			rest := c.crashesWithout(explained)
-			if c.explainsEnough(rest, minCrashes) {
-				ids[c.id] = true
-				newlyExplained = append(newlyExplained, rest...)
+			if rest := c.crashesWithout(explained); c.explainsEnough(rest, minCrashes) {
+				rests[c.id] = rest
 			}
 		}
-		for _, c := range newlyExplained {
-			explained[c] = true
+		for id, rest := range rests {
+			add(id, rest)
 		}
 		candidates = candidates[equal:]
 	}
@@ -434,8 +458,7 @@
 func (t *Table) candidates(minCrashes int) (out []candidate) {
 	for id, p := range t.suspects {
 		if crashes := p.crashesWithout(nil); p.explainsEnough(crashes, minCrashes) {
-			moments, _ := independent(crashes)
-			out = append(out, candidate{id, p, moments, p.requests - p.crashes[0].requestsBefore})
+			out = append(out, newCandidate(id, p, crashes))
 		}
 	}
 	slices.SortFunc(out, candidate.compare)
@@ -491,6 +514,9 @@
 	return slices.ContainsFunc(ids, func(id ID) bool { p := t.suspects[id]; return p != nil && p.implicated })
 }
 
+// ExplainsCrash reports whether a part explains a crash that is enough for its block.
+func (t *Table) ExplainsCrash(c *Crash) bool { return t.explained[c] }
+
 // isSuspect reports whether a request with the part must not put a further target at risk.
 func (t *Table) isSuspect(p *part) bool {
 	if len(p.crashes) == 0 {
--- a/coord/promptpart/promptpart_test.go
+++ b/coord/promptpart/promptpart_test.go
@@ -33,13 +33,18 @@
 	route, crashing := id("route"), id("crashing")
 	table := New()
 	for i := range blockAfter {
-		table.Requested(at(1000*i), []ID{route})
-		crashUnder(table, 1000*i+100, fmt.Sprint(i), route, crashing)
+		beside := [][]ID{{route}, {route, crashing}, {route}}
+		for _, ids := range beside {
+			table.Requested(at(1000*i), ids)
+		}
+		table.Confirm(at(1000*i+100), &Crash{Target: fmt.Sprint(i), At: at(1000*i + 100)}, beside)
 	}
 	assert.Equal(t, reasonFor(table, 4000, route, crashing), ReasonBlocked)
 	assert.Equal(t, reasonFor(table, 4000, route), "")
 	_, restricted := table.AllowedTargets([]ID{route})
 	assert.Assert(t, !restricted, "the crashes of the route are explained")
+	crashUnder(table, 5000, "another", route)
+	assert.Equal(t, reasonFor(table, 5100, route), "", "one crash without the blocked part")
 }
 
 // TestPartsThatNothingTellsApartAreBlockedTogether guards against a crashing part that goes on because another
