quarantine: Withdraw evidence against contents from crashes that a prompt part explains

Popular content that ran beside a crashing part at its first two targets stayed suspect under both, and one further crash blocked it for ten minutes although the part was known by then. Once a part is blocked, the crashes that it explains no longer count against contents. TestContentBesideCrashingPartIsNotBlocked failed before (content_held).

--- a/coord/quarantine/innerpart_test.go
+++ b/coord/quarantine/innerpart_test.go
@@ -287,3 +287,31 @@
 		assert.Check(t, float64(refused) <= row.maxRefused*float64(asked))
 	}
 }
+
+// TestContentBesideCrashingPartIsNotBlocked guards against a popular content that is blocked because it ran beside
+// a crashing part, which further crashes then explain.
+func TestContentBesideCrashingPartIsNotBlocked(t *testing.T) {
+	table := New()
+	route := promptpart.ID{Service: "s", Part: "route"}
+	crashed := func(ms int, target string, keys ...int) {
+		for _, k := range keys {
+			table.RequestEnded(at(ms), key(k), false, true)
+		}
+		table.Tick(at(ms).Add(crashSettleTime))
+	}
+	run := func(ms, k, content int, target string, parts ...promptpart.ID) {
+		table.Parts().Requested(at(ms), parts)
+		table.RequestStarted(at(ms), key(k), digest(content), target, at(ms).Add(deadline), parts...)
+	}
+	for i, target := range []string{"a", "b", "c"} {
+		run(1000*i, 10*i, 0, target, route)
+		run(1000*i, 10*i+1, 100+i, target, route, crashingPart)
+		crashed(1000*i+50, target, 10*i, 10*i+1)
+	}
+	run(5000, 50, 0, "d", route)
+	crashed(5050, "d", 50)
+	reason, _ := table.Check(at(6000), key(60), digest(0))
+	assert.Equal(t, reason, "", "one crash remains that the part does not explain")
+	reason, _ = table.Parts().Check(at(6000), []promptpart.ID{route, crashingPart})
+	assert.Equal(t, reason, promptpart.ReasonBlocked)
+}
--- a/coord/quarantine/judge.go
+++ b/coord/quarantine/judge.go
@@ -43,6 +43,7 @@
 	if t.explainByParts(now, inc) {
 		t.removeProvisionalSuspects(inc)
 		t.crashes = append(t.crashes, crash{at: now, target: target, witnesses: inc.disconnected, ofParts: inc.crash})
+		t.dropExplained()
 		return nil
 	}
 	soleCandidate := t.countCandidates(inc) == 1
--- a/coord/quarantine/survival.go
+++ b/coord/quarantine/survival.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord/promptpart"
@@ -60,6 +61,20 @@
 	inc.pending = len(inc.disconnected)
 }
 
+// dropExplained withdraws the evidence against contents from the crashes that a prompt part explains.
+func (t *Table) dropExplained() {
+	for i := range t.crashes {
+		c := &t.crashes[i]
+		if !t.parts.ExplainsCrash(c.ofParts) {
+			continue
+		}
+		for _, ch := range slices.Backward(c.changes) {
+			t.undoChange(c.target, ch)
+		}
+		c.changes = nil
+	}
+}
+
 // explainByParts confirms the crash of a target in the evidence against prompt parts. It reports whether
 // one of the parts explains the crash.
 func (t *Table) explainByParts(now time.Time, inc *incident) bool {
