promptpart: Record a crash in a full table

While a crash was recorded, a part of it that had survived since could be evicted to make room for the next one, and the leader panicked (TestCrashInFullTable; found by reading). Dropping crashes copies nothing where there are none.

--- a/coord/promptpart/promptpart.go
+++ b/coord/promptpart/promptpart.go
@@ -10,10 +10,10 @@
 //   - A part with such a crash is suspect. Its requests may run only at the targets where others with it run
 //     already, or at one target if there is none, so that no further target is at risk. A part that a whole
 //     route has runs at most targets, and the route goes on.
-//   - A part with blockAfter crashes, or with one more at two moments and at least as many as there are
+//   - A part with blockAfter crashes, or with one more at two moments and at least twice as many as there are
 //     targets at which it is in flight, is blocked, unless a narrower part explains these crashes: one with at
-//     least as many crashes, and no survival or fewer requests. Disconnects that have not been evaluated count as crashes
-//     for this, but the part is blocked for suspectRetryDelay only until they are confirmed.
+//     least as many, and no survival or fewer requests. Disconnects that have not been evaluated count as
+//     crashes for this, but until they are confirmed requests are refused for suspectRetryDelay only.
 //   - After the block one request may run as a trial. If it survives, the evidence is dropped, else the
 //     next block is longer.
 //
@@ -230,22 +230,28 @@
 	c.confirmed = true
 	for _, ids := range requests {
 		t.addCrash(now, c, ids)
-		for _, id := range ids {
-			t.parts[id].recordConfirmed()
+	}
+	for id, p := range t.suspects {
+		if p.has(c) {
+			t.recordObserved(id, p)
 		}
 	}
 	t.evaluate()
 }
 
-// recordConfirmed records that this VM observed a crash under the part.
-func (p *part) recordConfirmed() {
-	p.observed = true
+// recordObserved records that this VM observed a crash under a part itself.
+func (t *Table) recordObserved(id ID, p *part) {
+	p.observed, t.changed[id] = true, true
 	if p.onTrial {
 		p.trials++
 		p.onTrial = false
 	}
 }
 
+func (p *part) has(c *Crash) bool {
+	return slices.ContainsFunc(p.crashes, func(known partCrash) bool { return known.Crash == c })
+}
+
 // Withdraw removes a crash that was none.
 func (t *Table) Withdraw(c *Crash) {
 	t.withdraw(func(other *Crash) bool { return other == c })
@@ -316,12 +322,11 @@
 // dropCrashes removes crashes from the evidence against a part. It reports whether there were any.
 func (t *Table) dropCrashes(id ID, drop func(c *Crash) bool) bool {
 	p := t.suspects[id]
-	before := len(p.crashes)
-	p.crashes = slices.DeleteFunc(slices.Clone(p.crashes), func(c partCrash) bool { return drop(c.Crash) })
-	if len(p.crashes) == before {
+	isDropped := func(c partCrash) bool { return drop(c.Crash) }
+	if !slices.ContainsFunc(p.crashes, isDropped) {
 		return false
 	}
-	t.changed[id] = true
+	p.crashes, t.changed[id] = slices.DeleteFunc(p.crashes, isDropped), true
 	if len(p.crashes) == 0 {
 		p.crashes, p.trials, p.onTrial = nil, 0, false
 		delete(t.suspects, id)
--- a/coord/promptpart/promptpart_test.go
+++ b/coord/promptpart/promptpart_test.go
@@ -155,3 +155,18 @@
 		table.Ended(ids, target)
 	}
 }
+
+// TestCrashInFullTable guards against a crash whose parts are evicted while it is recorded.
+func TestCrashInFullTable(t *testing.T) {
+	table := New()
+	var requests [][]ID
+	for i := range maxParts + 10 {
+		part := id(fmt.Sprint(i))
+		table.Survived(at(0), at(0), []ID{part})
+		if i%1000 == 0 {
+			requests = append(requests, []ID{part, id(fmt.Sprint("new", i))})
+		}
+	}
+	table.Confirm(at(1000), &Crash{Target: "t", At: at(1000)}, requests)
+	assert.Assert(t, len(table.parts) <= maxParts)
+}
