--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -15,8 +15,8 @@
 	// delayProbeInterval is the time between two measurements of how late timers are.
 	delayProbeInterval = 20 * time.Millisecond
 	// connectionsPerMB bounds the open connections of callers by the memory of the VM. A connection takes
-	// up to 32 kB, and half of the memory is for other purposes.
-	connectionsPerMB = 16
+	// up to 32 kB, a quarter of the memory in all, and fewer descriptors than VMs of that memory have.
+	connectionsPerMB = 8
 )
 
 // overloadControl closes new connections of callers unread while this VM has more work than processor time
