--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -14,8 +14,8 @@
 const (
 	// delayProbeInterval is the time between two measurements of how late timers are.
 	delayProbeInterval = 20 * time.Millisecond
-	// connectionsPerMB bounds the open connections of callers by the memory of the VM. A connection takes
-	// up to 32 kB, a quarter of the memory in all, and fewer descriptors than VMs of that memory have.
+	// connectionsPerMB bounds the open connections of callers by the memory of the VM. They take up to 32 kB
+	// each, a quarter of the memory in all.
 	connectionsPerMB = 8
 )
 
