quarantine: Count disconnects soon after a crash as part of it

The log: i-1 crashes, requests still go there for 0.7 s and are disconnected, which counts as a second crash of the same process. A caller's part then had three crashes and was held, the route next, the crashing part last.

Disconnects within a second of a target's crash now belong to it, with the requests that were sent before it.

The names for former processes of targets are removed with their test: the ids inside already hold the start that a target announces, so that the id of a restarted target is another one and the hook never fired.

--- a/coord/promptpart/findings.go
+++ b/coord/promptpart/findings.go
@@ -101,7 +101,7 @@
 	p.requests, p.trials = max(p.requests, f.Requests), max(p.trials, f.Trials)
 	for _, c := range f.Crashes {
 		if !p.hasCrash(c) {
-			t.addCrash(now, t.sharedCrash(c), []ID{f.ID})
+			t.addCrash(now, t.confirmedAt(c), []ID{f.ID})
 		}
 	}
 	if len(p.crashes) > 0 {
@@ -126,14 +126,9 @@
 	return slices.ContainsFunc(p.crashes, func(known partCrash) bool { return known.isSame(&c) })
 }
 
-// sharedCrash returns the crash that this VM knows for that of a finding, or a new one.
-func (t *Table) sharedCrash(c Crash) *Crash {
-	for _, p := range t.suspects {
-		for _, known := range p.crashes {
-			if known.confirmed && known.isSame(&c) {
-				return known.Crash
-			}
-		}
-	}
-	return &Crash{Target: c.Target, At: c.At, confirmed: true}
+// confirmedAt returns the crash that this VM knows for that of a finding, or a new one.
+func (t *Table) confirmedAt(c Crash) *Crash {
+	known := t.CrashAt(c.Target, c.At)
+	known.confirmed = true
+	return known
 }
--- a/coord/promptpart/promptpart.go
+++ b/coord/promptpart/promptpart.go
@@ -72,7 +72,8 @@
 	suspectRetryDelay = 500 * time.Millisecond
 	// maxWidening is the ratio of exposed requests up to which a part may take the place of a blocked one.
 	maxWidening = 2
-	// sameCrash is the time within which two VMs may observe the crash of one process.
+	// sameCrash is the time within which the disconnects at one target are of one crash, at one VM or
+	// several. Targets restart later.
 	sameCrash = time.Second
 	// maxParts bounds the parts that are remembered, and maxIDBytes their ids. maxCrashes bounds the
 	// crashes that are kept for a part.
@@ -96,9 +97,6 @@
 	At     time.Time
 	// confirmed is false while the disconnects have not been evaluated.
 	confirmed bool
-	// restarted is set if the target's id now belongs to another process, so that its entry no longer
-	// shows that this one goes on.
-	restarted bool
 	// moment has the crashes at the same time.
 	moment *moment
 }
@@ -218,10 +216,12 @@
 }
 
 // Confirm records that a target crashed, and the parts of each of the requests that it disconnected, in
-// place of those of AddPending.
+// place of those of AddPending. More requests may follow for a crash that is confirmed.
 func (t *Table) Confirm(now time.Time, c *Crash, requests [][]ID) {
 	for id := range t.suspects {
-		t.dropCrashes(id, func(other *Crash) bool { return other == c })
+		if !c.confirmed {
+			t.dropCrashes(id, func(other *Crash) bool { return other == c })
+		}
 	}
 	c.confirmed = true
 	for _, ids := range requests {
@@ -248,6 +248,23 @@
 	return slices.ContainsFunc(p.crashes, func(known partCrash) bool { return known.Crash == c })
 }
 
+// IsConfirmed reports whether a crash is confirmed.
+func (c *Crash) IsConfirmed() bool { return c.confirmed }
+
+// CrashAt returns the crash to which the disconnects at a target belong that begin at a time: a known one
+// that was shortly before, or a new one.
+func (t *Table) CrashAt(target string, at time.Time) *Crash {
+	c := Crash{Target: target, At: at}
+	for _, m := range t.moments {
+		for _, known := range m.crashes {
+			if known.confirmed && known.isSame(&c) {
+				return known
+			}
+		}
+	}
+	return &c
+}
+
 // Withdraw removes a crash that was none.
 func (t *Table) Withdraw(c *Crash) {
 	t.withdraw(func(other *Crash) bool { return other == c })
@@ -258,7 +275,7 @@
 	out := map[string]bool{}
 	for _, p := range t.suspects {
 		for _, c := range p.crashes {
-			if c.confirmed && !c.restarted {
+			if c.confirmed {
 				out[c.Target] = true
 			}
 		}
@@ -268,17 +285,7 @@
 
 // TargetRan removes the crashes of a target that was still running at a later time.
 func (t *Table) TargetRan(target string, ranAt time.Time) {
-	t.withdraw(func(c *Crash) bool { return c.Target == target && !c.restarted && c.At.Before(ranAt) })
-}
-
-// TargetRestarted records that the process that has a target's id is a new one, so that the earlier
-// crashes of the target are certain.
-func (t *Table) TargetRestarted(target string) {
-	for _, p := range t.suspects {
-		for _, c := range p.crashes {
-			c.restarted = c.restarted || c.Target == target
-		}
-	}
+	t.withdraw(func(c *Crash) bool { return c.Target == target && c.At.Before(ranAt) })
 }
 
 func (t *Table) withdraw(isNone func(c *Crash) bool) {
--- a/coord/quarantine/confirm.go
+++ b/coord/quarantine/confirm.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -100,30 +99,3 @@
 		c.blockedUntil, c.blockedAfter = time.Time{}, 0
 	}
 }
-
-// TargetRestarted records that another process has the id of a target, and when the former one started, in
-// Unix ms. The earlier crashes of the id are those of the former process: later ones count beside them, and no
-// listing withdraws them.
-func (t *Table) TargetRestarted(target string, formerStart int64) {
-	t.parts.TargetRestarted(target)
-	former := fmt.Sprintf("%s@%d", target, formerStart) // the same at all VMs
-	for _, c := range t.contents {
-		c.renameCrashed(target, former)
-	}
-	for i := range t.crashes {
-		if t.crashes[i].target == target {
-			t.crashes[i].target = former
-		}
-	}
-}
-
-func (c *content) renameCrashed(target, former string) {
-	i := slices.Index(c.crashedTargets, target)
-	if i < 0 || slices.Contains(c.crashedTargets, former) {
-		return
-	}
-	c.crashedTargets = slices.Clone(c.crashedTargets)
-	c.crashedTargets[i] = former
-	c.crashedAt[former] = c.crashedAt[target]
-	delete(c.crashedAt, target)
-}
--- a/coord/quarantine/confirm_test.go
+++ b/coord/quarantine/confirm_test.go
@@ -190,23 +190,3 @@
 		}
 	}
 }
-
-// TestCrashesOfTargetsThatRestartUnderTheirIDsCount guards against a content that crashes a target again and again,
-// because its crashes count once for each id, or are withdrawn since the id is still listed.
-func TestCrashesOfTargetsThatRestartUnderTheirIDsCount(t *testing.T) {
-	table := New()
-	for i := range blockAfterCrashes {
-		r := []fleetRequest{{"vm", 0, "a"}, {"vm", 10 + i, "a"}} // content 0 crashes its targets
-		send(table, 1000*i, r...)
-		disconnect(table, 1000*i+10, r...)
-		table.Tick(at(1000*i + 10).Add(crashSettleTime))
-		table.TargetRestarted("a", int64(1000*i))
-	}
-	reason, _ := table.Check(at(4000), key(1000), digest(0))
-	assert.Equal(t, reason, ReasonBlocked)
-	table.TargetRan(at(12_000), at(9000), "a")
-	reason, _ = table.Check(at(12_000), key(1001), digest(0))
-	assert.Equal(t, reason, ReasonBlocked, "another process has the id now")
-	reason, _ = table.Check(at(12_000), key(1002), digest(11))
-	assert.Equal(t, reason, "", "content that ran beside one crash")
-}
--- a/coord/quarantine/innerpart_test.go
+++ b/coord/quarantine/innerpart_test.go
@@ -315,3 +315,36 @@
 	reason, _ = table.Parts().Check(at(6000), []promptpart.ID{route, crashingPart})
 	assert.Equal(t, reason, promptpart.ReasonBlocked)
 }
+
+// TestLateDisconnectsAreOfTheSameCrash guards against a crash that counts twice because requests go on to the
+// target for a moment: a part of sound requests then had more crashes than the part that crashes targets.
+func TestLateDisconnectsAreOfTheSameCrash(t *testing.T) {
+	table := New()
+	caller := promptpart.ID{Service: "s", Part: "caller"}
+	run := func(ms, k int, target string, parts ...promptpart.ID) {
+		table.Parts().Requested(at(ms), parts)
+		table.RequestStarted(at(ms), key(k), digest(k), target, at(ms).Add(deadline), parts...)
+	}
+	crash := func(ms int, keys ...int) {
+		for _, k := range keys {
+			table.RequestEnded(at(ms), key(k), false, true)
+		}
+		table.Tick(at(ms).Add(crashSettleTime))
+	}
+	for i, target := range []string{"a", "b", "c"} {
+		begin := 2000 * i
+		run(begin, 10*i, target, caller)
+		run(begin, 10*i+1, target, crashingPart)
+		run(begin, 10*i+2, target, caller, crashingPart)
+		crash(begin+50, 10*i+1, 10*i+2, 10*i)
+		if i == 0 {
+			continue
+		}
+		run(begin+400, 10*i+3, target, caller) // the target is gone, which is not known yet
+		crash(begin+450, 10*i+3)
+	}
+	reason, _ := table.Parts().Check(at(6000), []promptpart.ID{crashingPart})
+	assert.Equal(t, reason, promptpart.ReasonBlocked)
+	reason, _ = table.Parts().Check(at(6000), []promptpart.ID{caller})
+	assert.Equal(t, reason, "")
+}
--- a/coord/quarantine/survival.go
+++ b/coord/quarantine/survival.go
@@ -52,7 +52,7 @@
 // addPendingCrash adds the requests of an incident to the evidence against their prompt parts, once they
 // are so many that the target counts as crashed.
 func (t *Table) addPendingCrash(now time.Time, inc *incident) {
-	if !isCrash(len(inc.disconnected), inc.inFlight) {
+	if inc.isLate || !isCrash(len(inc.disconnected), inc.inFlight) {
 		return
 	}
 	for _, r := range inc.disconnected[inc.pending:] {
@@ -76,12 +76,15 @@
 }
 
 // explainByParts confirms the crash of a target in the evidence against prompt parts. It reports whether
-// one of the parts explains the crash.
+// one of the parts explains the crash. Requests that were sent after an earlier disconnect of the same crash
+// reached no process.
 func (t *Table) explainByParts(now time.Time, inc *incident) bool {
 	var requests [][]promptpart.ID
 	explained := false
 	for _, r := range inc.disconnected {
-		requests = append(requests, r.parts)
+		if r.sentAt.Before(inc.crash.At) || !inc.isLate {
+			requests = append(requests, r.parts)
+		}
 	}
 	t.parts.Confirm(now, inc.crash, requests)
 	for _, parts := range requests {
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -10,7 +10,6 @@
 	n.loggedDirectory = d
 	n.logConfig(old, d)
 	n.logTargets(old, d)
-	n.reportRestarts(old, d)
 	n.reachability.apply(d)
 	n.origins.observe(d)
 	n.quotas.apply(d)
@@ -41,15 +40,6 @@
 	}
 }
 
-// reportRestarts records the targets whose ids now belong to other processes.
-func (n *Node) reportRestarts(old, d *feed.Directory) {
-	for id, t := range d.Targets {
-		if before := old.Targets[id]; before != nil && before.Started != t.Started {
-			n.quarantine.targetRestarted(id, before.Started)
-		}
-	}
-}
-
 func (n *Node) onTargetsRemoved(ids []string) {
 	for _, id := range ids {
 		n.pool.Forget(id)
--- a/internal/edge/promptparts.go
+++ b/internal/edge/promptparts.go
@@ -70,13 +70,6 @@
 	q.table.Parts().Survived(q.node.now(), begunAt, parts)
 }
 
-// targetRestarted records that another process has the id of a target, and when the former one started.
-func (q *contentQuarantine) targetRestarted(target string, formerStart int64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.table.TargetRestarted(target, formerStart)
-}
-
 // reportParts logs and publishes findings about prompt parts.
 func (q *contentQuarantine) reportParts(found []promptpart.Finding) {
 	if len(found) == 0 {
