--- a/coord/loadshed/simulation_test.go
+++ b/coord/loadshed/simulation_test.go
@@ -22,8 +22,6 @@
 	// maxTries and callerPatience bound the tries of a caller.
 	maxTries       = 4
 	callerPatience = 800 * time.Millisecond
-	// readTime is the time within which a request must be read, or its caller tries elsewhere.
-	readTime = time.Second
 	// eventStart and eventEnd bound the time in which most connections go to one VM.
 	eventStart, eventEnd = 5 * time.Second, 15 * time.Second
 	// settleTime is the time from the start of the event from which on its requests count (contact_ms).
