--- a/internal/edge/promptparts_test.go
+++ b/internal/edge/promptparts_test.go
@@ -96,13 +96,13 @@
 // TestVMThatStartsLearnsOfBlockedPart guards against a VM that has just started, or was not responsive while
 // a prompt part was blocked, and lets targets crash under it again.
 func TestVMThatStartsLearnsOfBlockedPart(t *testing.T) {
-	vms := startFleet(t, "large", "a")
-	leader, started := vms[0], vms[1]
+	leader := startPeer(t, "large", 1)
 	leader.serveWithRoutePart()
 	for i := range 3 {
 		leader.crashUnderParts(t, uint64(i+1), fmt.Sprint("t", i))
 	}
-	started.quarantine = newContentQuarantine(started)
+	started := startPeer(t, "a", 0.2)
+	leader.mergeRoster(started.fullRoster())
 	assert.Assert(t, !started.refuses(crashingTestPart))
 	leader.quarantine.sendFindingsTo("a")
 	started.waitFor(t, "the VM refuses the part", func() bool { return started.refuses(routeTestPart, crashingTestPart) })
