promptpart, quarantine: Derive state instead of keeping it twice

Found on reading the change again: whether a part is implicated was kept at the part and in a map of the table, whether an incident is late was a copy of what its crash says, a crash was looked up in a part's evidence by two functions, and the parts of disconnected requests were collected by two loops. One of each is left; the comparison of survivals needs no invented time.

Tried and not kept: evaluating once for all disconnects of a crash in place of once for each.

--- a/coord/promptpart/explain.go
+++ b/coord/promptpart/explain.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // candidate is a part with enough crashes for an explanation of them.
@@ -25,12 +24,12 @@
 	return c
 }
 
-// survival returns the zero time if no request with the part ever survived, and otherwise another one.
-func (c candidate) survival() time.Time {
-	if c.survivedAt.IsZero() {
-		return time.Time{}
+// survivals returns 0 if no request with the part is known to have survived, and otherwise 1.
+func (p *part) survivals() int {
+	if p.survivedAt.IsZero() {
+		return 0
 	}
-	return time.Unix(0, 0)
+	return 1
 }
 
 // compare orders candidates by how well they explain their crashes, the best first: by the most crashes,
@@ -38,7 +37,7 @@
 func (c candidate) compare(other candidate) int {
 	return cmp.Or(
 		cmp.Compare(other.moments, c.moments),
-		c.survival().Compare(other.survival()),
+		cmp.Compare(c.survivals(), other.survivals()),
 		cmp.Compare(c.requests, other.requests),
 		cmp.Compare(c.part.requests, other.part.requests),
 	)
@@ -123,17 +122,12 @@
 // evaluate determines which parts are implicated.
 func (t *Table) evaluate() {
 	implicated, explained := t.explain(blockAfter)
-	for id := range t.implicated {
-		if p := t.parts[id]; p != nil && !implicated[id] {
-			p.implicated, t.changed[id] = false, true
-		}
-	}
-	for id := range implicated {
-		if p := t.parts[id]; !p.implicated {
-			p.implicated, t.changed[id] = true, true
+	for id, p := range t.suspects {
+		if p.implicated != implicated[id] {
+			p.implicated, t.changed[id] = implicated[id], true
 		}
 	}
-	t.implicated, t.explained = implicated, explained
+	t.explained = explained
 }
 
 // unexplained returns the crashes of a part that no narrower part explains.
--- a/coord/promptpart/findings.go
+++ b/coord/promptpart/findings.go
@@ -20,7 +20,7 @@
 	Requests, Disconnects, Trials int
 	// BlockedFor is how much longer requests with the part are blocked; 0: it is suspect at most.
 	BlockedFor time.Duration
-	// Released is set if the part was reported as blocked and no longer counts as crashing targets.
+	// Released is set if the part was reported as blocked and there is no evidence against it now.
 	Released bool
 }
 
--- a/coord/promptpart/promptpart.go
+++ b/coord/promptpart/promptpart.go
@@ -135,9 +135,8 @@
 	parts map[ID]*part
 	// suspects are the parts with crashes.
 	suspects map[ID]*part
-	// implicated are the parts that explain enough crashes for a block, and explained these crashes.
-	implicated map[ID]bool
-	explained  map[*Crash]bool
+	// explained are the crashes that the implicated parts explain.
+	explained map[*Crash]bool
 	// changed are the parts whose evidence has changed since TakeChanges.
 	changed map[ID]bool
 	moments []*moment
@@ -147,7 +146,7 @@
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{parts: map[ID]*part{}, suspects: map[ID]*part{}, implicated: map[ID]bool{}, explained: map[*Crash]bool{}, changed: map[ID]bool{}}
+	return &Table{parts: map[ID]*part{}, suspects: map[ID]*part{}, explained: map[*Crash]bool{}, changed: map[ID]bool{}}
 }
 
 // get returns what is known about a part, and remembers it.
@@ -181,7 +180,7 @@
 	}
 }
 
-// Ended records that a request is no longer in flight.
+// Ended records the end of a request.
 func (t *Table) Ended(ids []ID, target string) {
 	for _, id := range ids {
 		p := t.parts[id]
@@ -228,7 +227,7 @@
 		t.addCrash(now, c, ids)
 	}
 	for id, p := range t.suspects {
-		if p.has(c) {
+		if p.indexOf(c) >= 0 {
 			t.recordObserved(id, p)
 		}
 	}
@@ -244,8 +243,9 @@
 	}
 }
 
-func (p *part) has(c *Crash) bool {
-	return slices.ContainsFunc(p.crashes, func(known partCrash) bool { return known.Crash == c })
+// indexOf returns the index of a crash in the evidence against the part; negative: it is not in it.
+func (p *part) indexOf(c *Crash) int {
+	return slices.IndexFunc(p.crashes, func(known partCrash) bool { return known.Crash == c })
 }
 
 // IsConfirmed reports whether a crash is confirmed.
@@ -306,8 +306,7 @@
 	t.join(c)
 	for _, id := range ids {
 		p := t.get(now, id)
-		known := slices.IndexFunc(p.crashes, func(other partCrash) bool { return other.Crash == c })
-		if known >= 0 {
+		if known := p.indexOf(c); known >= 0 {
 			p.crashes[known].disconnects++
 			continue
 		}
@@ -331,7 +330,7 @@
 	}
 	p.crashes, t.changed[id] = slices.DeleteFunc(p.crashes, isDropped), true
 	if len(p.crashes) == 0 {
-		p.crashes, p.trials, p.onTrial = nil, 0, false
+		p.crashes, p.trials, p.onTrial, p.implicated = nil, 0, false, false
 		delete(t.suspects, id)
 	}
 	return true
--- a/coord/quarantine/judge.go
+++ b/coord/quarantine/judge.go
@@ -36,7 +36,7 @@
 // evaluateIncident evaluates the disconnects at one target. It returns new findings.
 func (t *Table) evaluateIncident(now time.Time, target string, inc *incident) (found []Finding) {
 	if !isCrash(len(inc.disconnected), inc.inFlight) {
-		if !inc.isLate {
+		if !inc.isLate() {
 			t.parts.Withdraw(inc.crash)
 		}
 		t.removeProvisionalSuspects(inc)
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -142,8 +142,6 @@
 	disconnected []request
 	// crash is the crash of the target as the evidence against prompt parts has it.
 	crash *promptpart.Crash
-	// isLate is set if the target was known to have crashed before.
-	isLate bool
 	// pending is the number of the disconnected requests that are added to it.
 	pending int
 }
@@ -297,7 +295,6 @@
 		inc := t.incidents[r.target]
 		if inc == nil {
 			inc = &incident{startedAt: now, inFlight: inFlight, crash: t.parts.CrashAt(r.target, now)}
-			inc.isLate = inc.crash.IsConfirmed()
 			t.incidents[r.target] = inc
 		}
 		r.disconnectedAt = now
--- a/coord/quarantine/survival.go
+++ b/coord/quarantine/survival.go
@@ -52,7 +52,7 @@
 // addPendingCrash adds the requests of an incident to the evidence against their prompt parts, once they
 // are so many that the target counts as crashed.
 func (t *Table) addPendingCrash(now time.Time, inc *incident) {
-	if inc.isLate || !isCrash(len(inc.disconnected), inc.inFlight) {
+	if inc.isLate() || !isCrash(len(inc.disconnected), inc.inFlight) {
 		return
 	}
 	for _, r := range inc.disconnected[inc.pending:] {
@@ -61,6 +61,17 @@
 	inc.pending = len(inc.disconnected)
 }
 
+// partsOf returns the shared parts of each request.
+func partsOf(requests []request) (parts [][]promptpart.ID) {
+	for _, r := range requests {
+		parts = append(parts, r.parts)
+	}
+	return parts
+}
+
+// isLate reports whether the target is known to have crashed before these disconnects.
+func (inc *incident) isLate() bool { return inc.crash.IsConfirmed() }
+
 // dropExplained withdraws the evidence against contents from the crashes that a prompt part explains.
 func (t *Table) dropExplained() {
 	for i := range t.crashes {
@@ -79,16 +90,11 @@
 // one of the parts explains the crash. Requests that were sent after an earlier disconnect of the same crash
 // reached no process.
 func (t *Table) explainByParts(now time.Time, inc *incident) bool {
-	var requests [][]promptpart.ID
-	explained := false
-	for _, r := range inc.disconnected {
-		if r.sentAt.Before(inc.crash.At) || !inc.isLate {
-			requests = append(requests, r.parts)
-		}
+	reached := inc.disconnected
+	if inc.isLate() {
+		reached = slices.DeleteFunc(slices.Clone(reached), func(r request) bool { return !r.sentAt.Before(inc.crash.At) })
 	}
+	requests := partsOf(reached)
 	t.parts.Confirm(now, inc.crash, requests)
-	for _, parts := range requests {
-		explained = explained || t.parts.Explains(parts)
-	}
-	return explained
+	return slices.ContainsFunc(requests, t.parts.Explains)
 }
