edge: One path for refusals, one type for blocks, shared parts once a decision

Found on reading the change again, behaviour the same: - the leader built the shared parts of a prompt twice for each decision, and each VM built them at the end of every request although only some ends need them; the former are passed on, the latter are built where they are used - three copies of counting a refusal and answering it are contentQuarantine.refuse - BlockedPart was BlockedContent again: both are Block - two copies of the bounded conversion of milliseconds from other VMs are one function, and two of sending findings that are not empty are sendSuspectsTo - whether the overload was logged before is what the controller said before the measurement; the field is gone. One call in a test passes the parts as nil, as the request there has none; no assertion changed.

--- a/internal/cli/edgestatus.go
+++ b/internal/cli/edgestatus.go
@@ -19,25 +19,25 @@
 // edgeMetrics holds the metrics of an edge VM that edge-status shows. They are
 // described in docs/operators/edge-metrics.md.
 type edgeMetrics struct {
-	ConfigVersion     int64                          `json:"config_version"`
-	FleetVMs          int64                          `json:"fleet_vms"`
-	OpenRequests      int64                          `json:"open_requests"`
-	FeedEpoch         int64                          `json:"feed_era"`
-	FeedRevision      int64                          `json:"feed_revision"`
-	FeedAgeMs         int64                          `json:"feed_age_ms"`
-	FeedConfirmedMs   int64                          `json:"feed_proven_ms"`
-	KeyAgeLimitMs     int64                          `json:"keys_within_ms"`
-	PlainWaiting      int64                          `json:"plain_waiting"`
-	PlainRunning      int64                          `json:"plain_running"`
-	PlainLimit        int64                          `json:"plain_limit"`
-	SchedulerWaiting  int64                          `json:"scheduler_waiting"`
-	AdapterLoads      int64                          `json:"adapter_loads"`
-	AdapterLoadsLimit int64                          `json:"adapter_loads_limit"`
-	SuspectContents   int64                          `json:"contents_suspect"`
-	Teams             map[string]edge.TeamAccount    `json:"teams"`
-	BlockedContents   map[string]edge.BlockedContent `json:"held_contents"`
-	RateLimits        map[string]float64             `json:"rate_limits"`
-	RejectionLimits   map[string]float64             `json:"rejection_limits"`
+	ConfigVersion     int64                       `json:"config_version"`
+	FleetVMs          int64                       `json:"fleet_vms"`
+	OpenRequests      int64                       `json:"open_requests"`
+	FeedEpoch         int64                       `json:"feed_era"`
+	FeedRevision      int64                       `json:"feed_revision"`
+	FeedAgeMs         int64                       `json:"feed_age_ms"`
+	FeedConfirmedMs   int64                       `json:"feed_proven_ms"`
+	KeyAgeLimitMs     int64                       `json:"keys_within_ms"`
+	PlainWaiting      int64                       `json:"plain_waiting"`
+	PlainRunning      int64                       `json:"plain_running"`
+	PlainLimit        int64                       `json:"plain_limit"`
+	SchedulerWaiting  int64                       `json:"scheduler_waiting"`
+	AdapterLoads      int64                       `json:"adapter_loads"`
+	AdapterLoadsLimit int64                       `json:"adapter_loads_limit"`
+	SuspectContents   int64                       `json:"contents_suspect"`
+	Teams             map[string]edge.TeamAccount `json:"teams"`
+	BlockedContents   map[string]edge.Block       `json:"held_contents"`
+	RateLimits        map[string]float64          `json:"rate_limits"`
+	RejectionLimits   map[string]float64          `json:"rejection_limits"`
 }
 
 func edgeStatusCommand() *cobra.Command {
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -219,8 +219,9 @@
 		return // a refusal
 	}
 	n := (*Node)(ad)
-	if parts, begunAt, served := n.running.remove(d.Ticket); served && ending == scheduler.EndedOK && d.DecidedBy != n.settings.Vm.Id {
-		n.quarantine.survived(begunAt, parts)
+	g := n.running.remove(d.Ticket)
+	if ending == scheduler.EndedOK && !g.begunAt.IsZero() && d.DecidedBy != n.settings.Vm.Id {
+		n.quarantine.survived(g.begunAt, grantedParts(g.grant))
 	}
 	done := &schema.Done{Ticket: d.Ticket, Service: d.Service, Ending: protoEndings[ending]}
 	n.sendDone(coord.VMID(d.DecidedBy), done)
--- a/internal/edge/decide.go
+++ b/internal/edge/decide.go
@@ -18,7 +18,8 @@
 	if !n.isLeader() {
 		return refusalMessage(scheduler.ReasonNotLeader, 0)
 	}
-	if v := n.quarantine.check(from, a); v != nil {
+	parts := sharedParts(a)
+	if v := n.quarantine.check(from, a, parts); v != nil {
 		return v
 	}
 	requestedAt := n.now()
@@ -40,7 +41,7 @@
 		n.quarantine.requestEnded(from, a.Ticket, schema.Ending_ENDING_WITHDRAWN)
 		return v
 	}
-	if refusal := n.quarantine.startPlaced(from, a, v.Target); refusal != nil {
+	if refusal := n.quarantine.startPlaced(from, a, parts, v.Target); refusal != nil {
 		n.done(from, &schema.Done{Ticket: a.Ticket, Service: a.Service, Plain: a.Plain, Ending: schema.Ending_ENDING_WITHDRAWN})
 		refusal.WaitedMs = v.WaitedMs
 		return refusal
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -30,7 +30,6 @@
 	controller *loadshed.Controller
 	open       int
 	closed     int64
-	wasClosing bool
 }
 
 func newOverloadControl(n *Node, memoryMB int) *overloadControl {
@@ -52,15 +51,14 @@
 
 func (o *overloadControl) observe(delay time.Duration) {
 	o.mu.Lock()
+	wasClosing := o.controller.IsClosing()
 	o.controller.Observe(o.node.now(), delay)
-	closing, closed := o.controller.IsClosing(), o.closed
-	changed := closing != o.wasClosing
-	o.wasClosing = closing
+	isClosing, closed := o.controller.IsClosing(), o.closed
 	o.mu.Unlock()
 	switch {
-	case changed && closing:
+	case isClosing && !wasClosing:
 		o.node.log.OverloadBegan(delay)
-	case changed:
+	case wasClosing && !isClosing:
 		o.node.log.OverloadEnded(closed)
 	}
 }
--- a/internal/edge/promptparts.go
+++ b/internal/edge/promptparts.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -31,7 +30,7 @@
 func (q *contentQuarantine) checkParts(a *schema.Admit, parts []promptpart.ID, targets map[string]*fleet.Target) *schema.Verdict {
 	now, table := q.node.now(), q.table.Parts()
 	table.Requested(now, parts)
-	if refusal := q.partRefusal(table.Check(now, parts)); refusal != nil {
+	if refusal := q.refuse(table.Check(now, parts)); refusal != nil {
 		return refusal
 	}
 	allowed, restricted := table.AllowedTargets(parts)
@@ -46,15 +45,6 @@
 	return nil
 }
 
-// partRefusal returns a refusal with the given reason, or nil if it is empty. q.mu is held.
-func (q *contentQuarantine) partRefusal(reason string, retryAfter time.Duration) *schema.Verdict {
-	if reason == "" {
-		return nil
-	}
-	q.refused++
-	return refusalMessage(reason, retryAfter)
-}
-
 // responseBegan records the first event of the response to a request that this VM decided on.
 func (q *contentQuarantine) responseBegan(from coord.VMID, ticket uint64) {
 	q.mu.Lock()
@@ -133,18 +123,14 @@
 		ID: promptpart.ID{Service: m.Service, Part: m.Part}, Requests: int(m.Requests), Trials: int(m.Trials), Disconnects: int(m.Disconnects),
 	}
 	if m.SurvivedMsAgo >= 0 {
-		f.SurvivedAt = ago(now, m.SurvivedMsAgo)
+		f.SurvivedAt = now.Add(-milliseconds(m.SurvivedMsAgo))
 	}
 	for _, c := range m.Crashes {
-		f.Crashes = append(f.Crashes, promptpart.Crash{Target: c.Target, At: ago(now, c.MsAgo)})
+		f.Crashes = append(f.Crashes, promptpart.Crash{Target: c.Target, At: now.Add(-milliseconds(c.MsAgo))})
 	}
 	return f
 }
 
-func ago(now time.Time, ms int64) time.Time {
-	return now.Add(-time.Duration(min(ms, math.MaxInt64/int64(time.Millisecond))) * time.Millisecond)
-}
-
 // mergeParts applies findings about prompt parts that another VM sent. A VM that may lead next publishes
 // parts that are blocked because of what several VMs have found together.
 func (q *contentQuarantine) mergeParts(m *schema.Suspects) {
@@ -162,22 +148,15 @@
 	}
 }
 
-// BlockedPart describes a blocked prompt part for operators.
-type BlockedPart struct {
-	Targets []string
-	SinceMs int64
-	LeftMs  int64
-}
-
 // blockedParts returns the blocked prompt parts by service and id.
-func (q *contentQuarantine) blockedParts() map[string]BlockedPart {
+func (q *contentQuarantine) blockedParts() map[string]Block {
 	now := q.node.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	out := map[string]BlockedPart{}
+	out := map[string]Block{}
 	for _, f := range q.table.Parts().Findings(now) {
 		if f.IsBlocked() {
-			out[f.ID.Service+"/"+f.ID.Part] = BlockedPart{
+			out[f.ID.Service+"/"+f.ID.Part] = Block{
 				Targets: crashedTargets(f), SinceMs: now.Sub(f.Crashes[0].At).Milliseconds(), LeftMs: f.BlockedFor.Milliseconds(),
 			}
 		}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -40,9 +40,8 @@
 // check returns a refusal if a request's content is blocked, or if it is suspect and another
 // request with it is in flight. For suspect content it excludes the targets where other suspects
 // run, unless the request continues a stream that no other target can continue.
-func (q *contentQuarantine) check(from coord.VMID, a *schema.Admit) *schema.Verdict {
+func (q *contentQuarantine) check(from coord.VMID, a *schema.Admit, parts []promptpart.ID) *schema.Verdict {
 	d, targets := digestOf(a.Content), q.node.feed.Directory().Targets
-	parts := sharedParts(a)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if refusal := q.refusal(from, a.Ticket, d); refusal != nil {
@@ -71,7 +70,11 @@
 
 // refusal returns a refusal if a request's content may not run now. q.mu is held.
 func (q *contentQuarantine) refusal(from coord.VMID, ticket uint64, d quarantine.Digest) *schema.Verdict {
-	reason, retryAfter := q.table.Check(q.node.now(), quarantine.Key{VM: from, Ticket: ticket}, d)
+	return q.refuse(q.table.Check(q.node.now(), quarantine.Key{VM: from, Ticket: ticket}, d))
+}
+
+// refuse returns a refusal with the given reason and counts it, or nil if the reason is empty. q.mu is held.
+func (q *contentQuarantine) refuse(reason string, retryAfter time.Duration) *schema.Verdict {
 	if reason == "" {
 		return nil
 	}
@@ -82,7 +85,7 @@
 // startPlaced records that a request is sent to a target. It returns a refusal instead if the request
 // may not run there any more: while it waited, its content was blocked, or another suspect came first.
 // A request that continues a stream may run beside another suspect, see check.
-func (q *contentQuarantine) startPlaced(from coord.VMID, a *schema.Admit, target string) *schema.Verdict {
+func (q *contentQuarantine) startPlaced(from coord.VMID, a *schema.Admit, parts []promptpart.ID, target string) *schema.Verdict {
 	now, d := q.node.now(), digestOf(a.Content)
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -90,11 +93,9 @@
 		return refusal
 	}
 	if a.SoftwareVersion == "" && slices.Contains(q.table.TargetsToAvoid(d), target) {
-		q.refused++
-		return refusalMessage(quarantine.ReasonSuspect, besideSuspectRetryDelay)
+		return q.refuse(quarantine.ReasonSuspect, besideSuspectRetryDelay)
 	}
-	parts := sharedParts(a)
-	if refusal := q.partRefusal(q.table.Parts().CheckAt(now, parts, target)); refusal != nil {
+	if refusal := q.refuse(q.table.Parts().CheckAt(now, parts, target)); refusal != nil {
 		return refusal
 	}
 	q.table.RequestStarted(now, quarantine.Key{VM: from, Ticket: a.Ticket}, d, target, now.Add(time.Duration(a.LeftMs)*time.Millisecond), parts...)
@@ -222,9 +223,7 @@
 	q.mu.Unlock()
 	all, _ := suspectsToProto(found)
 	all.Parts = partsToProto(q.node.now(), foundParts)
-	if len(all.Suspects) > 0 || len(all.Parts) > 0 {
-		go q.node.notify(vm, &schema.Call{Body: &schema.Call_Suspects{Suspects: all}})
-	}
+	q.node.sendSuspectsTo(vm, all)
 }
 
 // mergeFindings applies findings that another VM sent. A VM that may lead next publishes what several VMs
@@ -241,8 +240,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, s := range m.Suspects {
-		blockedFor := time.Duration(min(s.HeldMs, math.MaxInt64/int64(time.Millisecond))) * time.Millisecond
-		f := quarantine.Finding{Digest: digestOf(s.Content), Targets: s.Targets, BlockedFor: blockedFor}
+		f := quarantine.Finding{Digest: digestOf(s.Content), Targets: s.Targets, BlockedFor: milliseconds(s.HeldMs)}
 		if sum := q.table.Merge(q.node.now(), f); sum != nil {
 			joined = append(joined, *sum)
 		}
@@ -250,6 +248,11 @@
 	return joined
 }
 
+// milliseconds returns a duration that another VM sent, or the longest one if it is longer.
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(ms, math.MaxInt64/int64(time.Millisecond))) * time.Millisecond
+}
+
 // stats returns the number of suspect contents, of blocked contents and of refused requests.
 func (q *contentQuarantine) stats() (suspect, blocked, refused int64) {
 	q.mu.Lock()
@@ -264,21 +267,21 @@
 	return suspect, blocked, q.refused
 }
 
-// BlockedContent describes a blocked content for operators.
-type BlockedContent struct {
+// Block describes a blocked content or prompt part for operators.
+type Block struct {
 	Targets []string
 	SinceMs int64
 	LeftMs  int64
 }
 
 // blocked returns the blocked contents by digest in hexadecimal.
-func (q *contentQuarantine) blocked() map[string]BlockedContent {
+func (q *contentQuarantine) blocked() map[string]Block {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	out := map[string]BlockedContent{}
+	out := map[string]Block{}
 	for _, f := range q.table.Findings(q.node.now()) {
 		if f.BlockedFor > 0 {
-			out[hex.EncodeToString(f.Digest[:])] = BlockedContent{
+			out[hex.EncodeToString(f.Digest[:])] = Block{
 				Targets: f.Targets, SinceMs: q.node.now().Sub(f.Since).Milliseconds(), LeftMs: f.BlockedFor.Milliseconds(),
 			}
 		}
@@ -295,9 +298,14 @@
 		if candidates[vm] {
 			m = all
 		}
-		if len(m.Suspects) > 0 || len(m.Parts) > 0 {
-			go n.notify(vm, &schema.Call{Body: &schema.Call_Suspects{Suspects: m}})
-		}
+		n.sendSuspectsTo(vm, m)
+	}
+}
+
+// sendSuspectsTo sends findings to a VM, unless there are none.
+func (n *Node) sendSuspectsTo(vm coord.VMID, m *schema.Suspects) {
+	if len(m.Suspects) > 0 || len(m.Parts) > 0 {
+		go n.notify(vm, &schema.Call{Body: &schema.Call_Suspects{Suspects: m}})
 	}
 }
 
--- a/internal/edge/quarantine_listed_test.go
+++ b/internal/edge/quarantine_listed_test.go
@@ -108,7 +108,7 @@
 // refusal returns the reason for which a new request is refused; empty: it may run.
 func (f *listedFleet) refusal(content quarantine.Digest) string {
 	f.ticket++
-	v := f.node.quarantine.check("vm", &schema.Admit{Ticket: f.ticket, Content: content[:]})
+	v := f.node.quarantine.check("vm", &schema.Admit{Ticket: f.ticket, Content: content[:]}, nil)
 	return v.GetReason()
 }
 
--- a/internal/edge/running.go
+++ b/internal/edge/running.go
@@ -73,17 +73,13 @@
 	}
 }
 
-// remove removes a request. It returns the shared parts of its prompt, and when its response began if it
-// did.
-func (r *runningRequests) remove(ticket uint64) (parts []promptpart.ID, begunAt time.Time, begun bool) {
+// remove removes a request and returns it; the zero value means that it is unknown.
+func (r *runningRequests) remove(ticket uint64) runningGrant {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	g, running := r.grants[ticket]
-	if !running {
-		return nil, time.Time{}, false
-	}
+	g := r.grants[ticket]
 	delete(r.grants, ticket)
-	return grantedParts(g.grant), g.begunAt, !g.begunAt.IsZero()
+	return g
 }
 
 // message returns all grants for a VM that becomes the leader.
