--- a/coord/promptpart/promptpart_test.go
+++ b/coord/promptpart/promptpart_test.go
@@ -22,6 +22,15 @@
 	t.Confirm(at(ms), &Crash{Target: target, At: at(ms)}, [][]ID{ids})
 }
 
+// blockedTable returns a Table of a VM that blocks the given parts, under which targets 0 to 2 crashed until 2 s.
+func blockedTable(ids ...ID) *Table {
+	table := New()
+	for i := range blockAfter {
+		crashUnder(table, 1000*i, fmt.Sprint(i), ids...)
+	}
+	return table
+}
+
 func reasonFor(t *Table, ms int, ids ...ID) string {
 	reason, _ := t.Check(at(ms), ids)
 	return reason
@@ -51,10 +60,7 @@
 // one, which only its requests have, is blocked in its place.
 func TestPartsThatNothingTellsApartAreBlockedTogether(t *testing.T) {
 	crashing, beside := id("crashing"), id("beside")
-	table := New()
-	for i := range blockAfter {
-		crashUnder(table, 1000*i, fmt.Sprint(i), crashing, beside)
-	}
+	table := blockedTable(crashing, beside)
 	assert.Equal(t, reasonFor(table, 4000, crashing), ReasonBlocked)
 	assert.Equal(t, reasonFor(table, 4000, beside), ReasonBlocked)
 	for range 3 {
@@ -79,10 +85,7 @@
 // next block longer, and that its survival ends the evidence.
 func TestBlockEndsWithTrial(t *testing.T) {
 	part := id("part")
-	table := New()
-	for i := range blockAfter {
-		crashUnder(table, 1000*i, fmt.Sprint(i), part)
-	}
+	table := blockedTable(part)
 	_, remaining := table.Check(at(2000), []ID{part})
 	assert.Equal(t, remaining, newPartBlock)
 	now := at(2000).Add(newPartBlock)
@@ -108,10 +111,7 @@
 // TestWithdrawnCrashDoesNotCount guards against a part that stays blocked although one of the targets goes on.
 func TestWithdrawnCrashDoesNotCount(t *testing.T) {
 	part := id("part")
-	table := New()
-	for i := range blockAfter {
-		crashUnder(table, 1000*i, fmt.Sprint(i), part)
-	}
+	table := blockedTable(part)
 	other := New()
 	for _, f := range table.Findings(at(3000)) {
 		other.Merge(at(3000), f)
@@ -126,10 +126,7 @@
 // TestTableIsBounded checks that parts with evidence stay when the table is full.
 func TestTableIsBounded(t *testing.T) {
 	part := id("part")
-	table := New()
-	for i := range blockAfter {
-		crashUnder(table, 1000*i, fmt.Sprint(i), part)
-	}
+	table := blockedTable(part)
 	for i := range 2 * maxParts {
 		table.Requested(at(3000+i), []ID{id(fmt.Sprint(i))})
 	}
--- a/coord/quarantine/innerpart_test.go
+++ b/coord/quarantine/innerpart_test.go
@@ -288,28 +288,24 @@
 	}
 }
 
+// startWithParts starts a request with a content and shared parts of its prompt.
+func startWithParts(t *Table, now time.Time, k, content int, target string, parts ...promptpart.ID) {
+	t.Parts().Requested(now, parts)
+	t.RequestStarted(now, key(k), digest(content), target, now.Add(deadline), parts...)
+}
+
 // TestContentBesideCrashingPartIsNotBlocked guards against a popular content that is blocked because it ran beside
 // a crashing part, which further crashes then explain.
 func TestContentBesideCrashingPartIsNotBlocked(t *testing.T) {
 	table := New()
 	route := promptpart.ID{Service: "s", Part: "route"}
-	crashed := func(ms int, target string, keys ...int) {
-		for _, k := range keys {
-			table.RequestEnded(at(ms), key(k), false, true)
-		}
-		table.Tick(at(ms).Add(crashSettleTime))
-	}
-	run := func(ms, k, content int, target string, parts ...promptpart.ID) {
-		table.Parts().Requested(at(ms), parts)
-		table.RequestStarted(at(ms), key(k), digest(content), target, at(ms).Add(deadline), parts...)
-	}
 	for i, target := range []string{"a", "b", "c"} {
-		run(1000*i, 10*i, 0, target, route)
-		run(1000*i, 10*i+1, 100+i, target, route, crashingPart)
-		crashed(1000*i+50, target, 10*i, 10*i+1)
+		startWithParts(table, at(1000*i), 10*i, 0, target, route)
+		startWithParts(table, at(1000*i), 10*i+1, 100+i, target, route, crashingPart)
+		crashTarget(table, at(1000*i+50), 10*i, 10*i+1)
 	}
-	run(5000, 50, 0, "d", route)
-	crashed(5050, "d", 50)
+	startWithParts(table, at(5000), 50, 0, "d", route)
+	crashTarget(table, at(5050), 50)
 	reason, _ := table.Check(at(6000), key(60), digest(0))
 	assert.Equal(t, reason, "", "one crash remains that the part does not explain")
 	reason, _ = table.Parts().Check(at(6000), []promptpart.ID{route, crashingPart})
@@ -321,27 +317,17 @@
 func TestLateDisconnectsAreOfTheSameCrash(t *testing.T) {
 	table := New()
 	caller := promptpart.ID{Service: "s", Part: "caller"}
-	run := func(ms, k int, target string, parts ...promptpart.ID) {
-		table.Parts().Requested(at(ms), parts)
-		table.RequestStarted(at(ms), key(k), digest(k), target, at(ms).Add(deadline), parts...)
-	}
-	crash := func(ms int, keys ...int) {
-		for _, k := range keys {
-			table.RequestEnded(at(ms), key(k), false, true)
-		}
-		table.Tick(at(ms).Add(crashSettleTime))
-	}
 	for i, target := range []string{"a", "b", "c"} {
 		begin := 2000 * i
-		run(begin, 10*i, target, caller)
-		run(begin, 10*i+1, target, crashingPart)
-		run(begin, 10*i+2, target, caller, crashingPart)
-		crash(begin+50, 10*i+1, 10*i+2, 10*i)
+		startWithParts(table, at(begin), 10*i, 10*i, target, caller)
+		startWithParts(table, at(begin), 10*i+1, 10*i+1, target, crashingPart)
+		startWithParts(table, at(begin), 10*i+2, 10*i+2, target, caller, crashingPart)
+		crashTarget(table, at(begin+50), 10*i+1, 10*i+2, 10*i)
 		if i == 0 {
 			continue
 		}
-		run(begin+400, 10*i+3, target, caller) // the target is gone, which is not known yet
-		crash(begin+450, 10*i+3)
+		startWithParts(table, at(begin+400), 10*i+3, 10*i+3, target, caller) // the target is gone, which is not known yet
+		crashTarget(table, at(begin+450), 10*i+3)
 	}
 	reason, _ := table.Parts().Check(at(6000), []promptpart.ID{crashingPart})
 	assert.Equal(t, reason, promptpart.ReasonBlocked)
