admit: Place requests locally at once where this VM has lost its leader

A VM that is cut off from most others knows no leader for as long as the cut lasts. Each of its requests waited for one second before it was placed at the target that last served its adapter, longer than the latency objectives of streams (600 to 1,000 ms). Requests for adapters that the VM cannot place still wait, and so do all requests in the first second after a start, when a leader is about to be known.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -91,7 +91,7 @@
 // long to keep retrying.
 func (n *Node) admitAtLeader(ctx context.Context, leader coord.VMID, r *gateway.AdmitRequest) (d gateway.Decision, answered bool, retryFor time.Duration) {
 	if leader == "" {
-		return d, false, unknownLeaderTimeout
+		return d, false, n.unknownLeaderWait(r)
 	}
 	a := n.admitMessage(r)
 	requestedAt := n.now()
@@ -116,6 +116,15 @@
 	return d, false, unreachableLeaderTimeout
 }
 
+// unknownLeaderWait returns how long a request waits until this VM knows a leader. A VM that has lost its
+// leader may be cut off for seconds; a request that it can place locally does not wait for the next one.
+func (n *Node) unknownLeaderWait(r *gateway.AdmitRequest) time.Duration {
+	if n.now().Sub(n.startedAt) > unknownLeaderTimeout && n.canPlaceLocally(r) {
+		return 0
+	}
+	return unknownLeaderTimeout
+}
+
 // requestDecision sends an admission request to the leader and waits for its decision. If this VM
 // can place the request locally, the wait ends when the leader becomes unresponsive.
 func (n *Node) requestDecision(ctx context.Context, leader coord.VMID, r *gateway.AdmitRequest, a *schema.Admit) (*schema.Verdict, error) {
--- a/internal/edge/localplacement_test.go
+++ b/internal/edge/localplacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -40,3 +41,34 @@
 	r.SoftwareVersion = "v1"
 	assert.Equal(t, n.chooseKnownTarget(r).Target, "e")
 }
+
+// TestVMWithoutLeaderDoesNotDelayKnownAdapters guards against streams at VMs that have lost their leader
+// that all come late, because each of them first waits for the next leader. A request for an adapter that
+// this VM cannot place still waits, and so does every request at a VM that has just started.
+func TestVMWithoutLeaderDoesNotDelayKnownAdapters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, _ := disconnectedNode(t)
+		n.now = time.Now
+		known, unknown := adapterRequest("a"), adapterRequest("b")
+		n.recordDecision(known, gateway.Decision{Service: "models", Target: "e", Ticket: 1})
+		n.startedAt = time.Now()
+		assert.Assert(t, admitDelay(t, n, known) > unknownLeaderTimeout)
+		assert.Assert(t, admitDelay(t, n, known) < 2*admitRetryInterval)
+		assert.Assert(t, admitDelay(t, n, unknown) > unknownLeaderTimeout)
+	})
+}
+
+func adapterRequest(adapter string) *gateway.AdmitRequest {
+	return &gateway.AdmitRequest{
+		Service: "models", Route: &fleet.Route{}, Deadline: time.Now().Add(time.Minute),
+		Request: &fleet.Request{Adapter: fleet.AdapterRef{Model: "m", Adapter: adapter}},
+	}
+}
+
+// admitDelay returns the time until the decision on a request.
+func admitDelay(t *testing.T, n *Node, r *gateway.AdmitRequest) time.Duration {
+	t.Helper()
+	start := time.Now()
+	(*admission)(n).Admit(t.Context(), r)
+	return time.Since(start)
+}
