--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -37,6 +37,8 @@
 	// Took is the total duration, AdmitTime the time spent on decisions of the scheduler, and
 	// FirstEventTime the time from sending to the first event of the response.
 	Took, AdmitTime, FirstEventTime time.Duration
+	// LongestPause is the longest time between two writes of the response to the caller.
+	LongestPause time.Duration
 	// FirstAttemptID is the attempt that received the first event of the stream that the caller
 	// continues, and LastEventID the last event that it received; empty: none. Origin is how the
 	// software version that began the stream was found: own, told, proved, unnamed or unknown.
@@ -102,7 +104,7 @@
 		"config": r.ConfigVersion, "feed_age_ms": r.FeedAge.Milliseconds(),
 		"team": r.Team, "key": hex.EncodeToString(r.Key), "proven_ms": r.ConfirmedAge.Milliseconds(),
 		"sends": r.Attempts, "target": r.Target, "decided_by": r.DecidedBy, "adapter": r.Adapter, "prompt_parts": strings.Join(r.PromptParts, ","),
-		"took_ms": r.Took.Milliseconds(), "admit_ms": r.AdmitTime.Milliseconds(), "first_ms": r.FirstEventTime.Milliseconds(),
+		"took_ms": r.Took.Milliseconds(), "admit_ms": r.AdmitTime.Milliseconds(), "first_ms": r.FirstEventTime.Milliseconds(), "pause_ms": r.LongestPause.Milliseconds(),
 		"first_attempt": r.FirstAttemptID, "last_event": r.LastEventID, "origin": r.Origin, "framing": r.Framing, "error": errorText(r.Err),
 	}))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,6 +176,8 @@
 	delimiter framing.Delimiter
 	// decision is the one on which the current attempt is based.
 	decision Decision
+	// wroteAt is the time of the last write of a relayed body to the caller; zero: there was none.
+	wroteAt time.Time
 	// logEntry is the final log entry of the request.
 	logEntry events.Request
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -243,12 +243,22 @@
 		return nil
 	}
 	x.beginStream()
+	x.recordPause()
 	if _, err := x.w.Write(b); err != nil {
 		return errors.Mark(err, errCallerLeft)
 	}
 	return x.flush()
 }
 
+// recordPause records the time since the last write of the response.
+func (x *exchange) recordPause() {
+	now := x.g.cfg.Now()
+	if !x.wroteAt.IsZero() {
+		x.logEntry.LongestPause = max(x.logEntry.LongestPause, now.Sub(x.wroteAt))
+	}
+	x.wroteAt = now
+}
+
 func (x *exchange) flush() error {
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return errors.Mark(err, errCallerLeft)
