scheduler: Load replicas by demand, several at once

Cause: a second load of an adapter did not start while one was in progress anywhere, and only once its replicas had an expected delay of over 150 ms. After a shift in demand, an adapter whose requests fill several batches got its engines one by one.

Change: the request rate of an adapter (half-life of 2 s, or the rate that the last 0.2 s show for certain) times the mean stream time gives its concurrent runs. Runs beyond three quarters of the batch places at its replicas, less half of the runs of other adapters there, need further engines. All missing loads start at once, within the load limit and at most half of it while requests wait for an adapter that no engine holds; then only adapters whose engines are full get replicas. Engines are chosen as before, other zones and free batch places first. Targets announce their zone to the scheduler. Adapters whose runs fit into one batch get no such loads. Metrics: loads by cause, replicas wanted and held.

--- a/coord/scheduler/heat.go
+++ b/coord/scheduler/heat.go
@@ -9,8 +9,10 @@
 
 // heat is the request rate of an adapter, as a count that decays exponentially.
 type heat struct {
-	value     float64
-	updatedAt time.Time
+	value float64
+	// recent and burst are such counts with the half-lives demandHalfLife and burstHalfLife.
+	recent, burst float64
+	updatedAt     time.Time
 }
 
 // heatHalfLife is the time in which past requests lose half of their weight: several times the
@@ -21,9 +23,29 @@
 	return h.value * math.Exp2(-float64(now.Sub(h.updatedAt))/float64(heatHalfLife))
 }
 
+func (h *heat) recentAt(now time.Time) float64 {
+	return h.recent * math.Exp2(-float64(now.Sub(h.updatedAt))/float64(demandHalfLife))
+}
+
+func (h *heat) burstAt(now time.Time) float64 {
+	return h.burst * math.Exp2(-float64(now.Sub(h.updatedAt))/float64(burstHalfLife))
+}
+
+// ratePerSecond returns the current request rate: the mean of the last seconds, or, if it is
+// greater, the rate that the last tenths of a second show for certain.
+func (h *heat) ratePerSecond(now time.Time) float64 {
+	rate := h.recentAt(now) * math.Ln2 / demandHalfLife.Seconds()
+	n := h.burstAt(now)
+	// The variance of a decaying count of random arrivals is half of its mean.
+	certain := n - burstDeviations*math.Sqrt(n/2)
+	return max(rate, certain*math.Ln2/burstHalfLife.Seconds())
+}
+
 // add counts one request.
 func (h *heat) add(now time.Time) {
 	h.value = h.valueAt(now) + 1
+	h.recent = h.recentAt(now) + 1
+	h.burst = h.burstAt(now) + 1
 	h.updatedAt = now
 }
 
@@ -34,6 +56,7 @@
 		s.heat[ref] = h
 	}
 	h.add(now)
+	s.observeDemand(now, ref, h)
 }
 
 func (s *Scheduler) heatOf(now time.Time, ref coord.AdapterRef) float64 {
--- a/coord/scheduler/loadsim_engine_test.go
+++ b/coord/scheduler/loadsim_engine_test.go
@@ -9,12 +9,21 @@
 
 // simEngine is a simulated engine.
 type simEngine struct {
-	id             string
+	id, zone       string
+	pace           float64                   // relative duration of a step
 	slots          map[coord.AdapterRef]bool // whether the adapter is loaded
 	cachedAdapters []coord.AdapterRef        // least recently held first
 	prefillUntil   time.Time                 // end of the prefill of all prompts so far
 	unresponsive   bool
 	orderCount     uint64
+	running        int         // requests in the batch
+	queue          []simQueued // requests that wait for a place in the batch
+}
+
+// simQueued is a request that waits for a place in an engine's batch.
+type simQueued struct {
+	priority int
+	start    func()
 }
 
 // simLoad is a load in progress; remaining is the remaining work at full speed.
@@ -122,7 +131,37 @@
 		sim.resubmit(a, r, EndedMisrouted)
 		return
 	}
-	prefillTime := time.Duration(float64(r.promptTokens) / sim.deployment.promptTokensPerMs * float64(time.Millisecond))
+	e.enqueue(a.Priority, sim.deployment, func() { sim.prefill(a, e, r) })
+}
+
+// enqueue starts a request once the batch has a place for it.
+func (e *simEngine) enqueue(priority int, d deployment, start func()) {
+	if !d.limitedBatch || e.running < d.batch {
+		e.running++
+		start()
+		return
+	}
+	i := slices.IndexFunc(e.queue, func(q simQueued) bool { return q.priority > priority })
+	if i < 0 {
+		i = len(e.queue)
+	}
+	e.queue = slices.Insert(e.queue, i, simQueued{priority: priority, start: start})
+}
+
+// finish ends a request in the batch, which makes room for the next one.
+func (e *simEngine) finish() {
+	e.running--
+	if len(e.queue) == 0 {
+		return
+	}
+	next := e.queue[0]
+	e.queue = e.queue[1:]
+	e.running++
+	next.start()
+}
+
+func (sim *loadSim) prefill(a Action, e *simEngine, r *simRequest) {
+	prefillTime := time.Duration(e.pace * float64(r.promptTokens) / sim.deployment.promptTokensPerMs * float64(time.Millisecond))
 	if e.prefillUntil.Before(sim.now) {
 		e.prefillUntil = sim.now
 	}
@@ -158,11 +197,12 @@
 		o.late++
 	}
 	// Generating a token takes longer while other prompts are prefilled: 1.3 times here.
-	sim.schedule(time.Duration(1.3*float64(r.outputTokens)*float64(sim.deployment.tokenTime)), func() {
+	sim.schedule(time.Duration(e.pace*1.3*float64(r.outputTokens)*float64(sim.deployment.tokenTime)), func() {
 		if _, open := sim.openRequests[a.Key]; open {
 			delete(sim.openRequests, a.Key)
 			sim.execute(sim.s.Done(sim.now, a.Key, EndedOK))
 		}
+		e.finish()
 	})
 }
 
--- a/coord/scheduler/loadsim_test.go
+++ b/coord/scheduler/loadsim_test.go
@@ -28,6 +28,13 @@
 	// zipfExponent and zipfOffset describe the adapters' popularity. With 1.2 and 3 the most
 	// popular one gets 6 of 100 requests.
 	zipfExponent, zipfOffset float64
+	// limitedBatch makes requests wait at an engine whose batch is full, most urgent first. Without
+	// it, engines run any number of requests.
+	limitedBatch bool
+	// zones is the number of zones of the engines; zero means one unnamed zone.
+	zones int
+	// paces are the relative durations of steps, assigned to the engines in turn; empty: 1.
+	paces []float64
 }
 
 // requestKind is a kind of request.
@@ -142,8 +149,10 @@
 	loads                []*simLoad
 	openRequests         map[Key]*simRequest
 	cumulativePopularity []float64 // of adapters, by rank
-	lastTicket           uint64
-	result               *result
+	// rankShift is added to the ranks of adapters: shifts in demand change it.
+	rankShift  int
+	lastTicket uint64
+	result     *result
 }
 
 const messageDelay = time.Millisecond // one-way network delay between VMs and engines
@@ -162,6 +171,13 @@
 	}
 	for i := range d.engines {
 		e := &simEngine{id: fmt.Sprintf("t%03d", i), slots: map[coord.AdapterRef]bool{}}
+		e.pace = 1
+		if len(d.paces) > 0 {
+			e.pace = d.paces[i%len(d.paces)]
+		}
+		if d.zones > 0 {
+			e.zone = fmt.Sprintf("z%d", i%d.zones)
+		}
 		sim.engines[e.id] = e
 	}
 	sim.execute(sim.s.SetTargets(sim.now, sim.announced()))
@@ -190,7 +206,7 @@
 	var out []AnnouncedTarget
 	for id, e := range sim.engines {
 		if !e.unresponsive {
-			out = append(out, AnnouncedTarget{ID: id, Ready: true, Resident: []ResidentItem{{Ref: base}}})
+			out = append(out, AnnouncedTarget{ID: id, Ready: true, Zone: e.zone, Resident: []ResidentItem{{Ref: base}}})
 		}
 	}
 	slices.SortFunc(out, func(a, b AnnouncedTarget) int {
@@ -242,7 +258,7 @@
 	rank, _ := slices.BinarySearch(sim.cumulativePopularity, sim.rng.Float64()*sim.cumulativePopularity[len(sim.cumulativePopularity)-1])
 	sampleTokens := func(mean float64) int { return max(int(mean*min(sim.rng.ExpFloat64()*0.7+0.3, 4)), 1) }
 	r := &simRequest{
-		kind: k, ref: ref(fmt.Sprintf("a%d", min(rank, len(sim.cumulativePopularity)-1))), submittedAt: sim.now, promptTokens: sampleTokens(k.prompt), outputTokens: sampleTokens(k.output),
+		kind: k, ref: ref(fmt.Sprintf("a%d", (rank+sim.rankShift+len(sim.cumulativePopularity))%len(sim.cumulativePopularity))), submittedAt: sim.now, promptTokens: sampleTokens(k.prompt), outputTokens: sampleTokens(k.output),
 	}
 	sim.result.byKind[k.name].submitted++
 	sim.result.perSecond[len(sim.result.perSecond)-1][1]++
--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -65,7 +65,7 @@
 
 // startLoad orders the load of an adapter, or first the unload of another one if all adapter slots
 // are occupied.
-func (s *Scheduler) startLoad(now time.Time, t *target, ref coord.AdapterRef) {
+func (s *Scheduler) startLoad(now time.Time, t *target, ref coord.AdapterRef, cause LoadCause) {
 	if len(t.slots) >= s.cfg.AdapterSlots {
 		victim, _, ok := s.victim(now, t)
 		if !ok {
@@ -78,10 +78,11 @@
 		s.issueOrder(now, t, Action{Kind: ActUnload, Ref: victim})
 		return
 	}
-	sl := &slot{state: loading, version: s.versions[ref], stateSince: now, lastUsed: now, fromStore: !t.isCached(ref)}
+	sl := &slot{state: loading, version: s.versions[ref], stateSince: now, lastUsed: now, fromStore: !t.isCached(ref), cause: cause}
 	s.setExpectedEnd(now, sl)
 	if sl.fromStore {
 		sl.startedLoad = s.loadLimit.Begin(now)
+		s.loadsStarted[cause]++
 	}
 	s.countLoad(sl, true)
 	t.addSlot(ref, sl)
@@ -111,8 +112,10 @@
 	sl.counted = inProgress
 	if inProgress {
 		s.storeLoads++
+		s.loadsInProgress[sl.cause]++
 	} else {
 		s.storeLoads--
+		s.loadsInProgress[sl.cause]--
 	}
 }
 
--- a/coord/scheduler/replicas.go
+++ b/coord/scheduler/replicas.go
@@ -40,10 +40,13 @@
 		return
 	}
 	s.searchesLeft--
-	if t, _ := s.cheapestLoadTarget(now, r); t != nil {
-		s.startLoad(now, t, r.Ref)
-		t.addPendingPrompt(r)
+	t, _ := s.cheapestLoadTarget(now, r, nil)
+	if t == nil {
+		s.demand.firstLoadBlockedAt = now
+		return
 	}
+	s.startLoad(now, t, r.Ref, LoadFirst)
+	t.addPendingPrompt(r)
 }
 
 // replicate starts a load of r's adapter at one more target if the present replicas have a long
@@ -62,9 +65,9 @@
 }
 
 func (s *Scheduler) loadExtraReplica(now time.Time, r *Request, replicaDelay time.Duration) {
-	t, delay := s.cheapestLoadTarget(now, r)
+	t, delay := s.cheapestLoadTarget(now, r, nil)
 	if t != nil && float64(delay-s.expectedLoadTime(t, r.Ref)) < replicaDelayRatioMax*float64(replicaDelay) {
-		s.startLoad(now, t, r.Ref)
+		s.startLoad(now, t, r.Ref, LoadByDemand)
 	}
 }
 
@@ -112,8 +115,9 @@
 }
 
 // cheapestLoadTarget returns the target where loading the adapter costs least, or nil if there is
-// none, and the expected delay there including the load.
-func (s *Scheduler) cheapestLoadTarget(now time.Time, r *Request) (best *target, delay time.Duration) {
+// none, and the expected delay there including the load. extraCost, if not nil, adds to the cost of
+// a target or leaves it out.
+func (s *Scheduler) cheapestLoadTarget(now time.Time, r *Request, extraCost func(t *target) (cost time.Duration, ok bool)) (best *target, delay time.Duration) {
 	var lowestCost time.Duration
 	loadLimitReached := s.storeLoads >= s.loadLimit.Max()
 	if loadLimitReached {
@@ -129,6 +133,12 @@
 		cost := d + time.Duration(t.recentGrants.valueAt(now)*float64(targetCostPerRequest))
 		cost += s.speed.PrefillTime(t.pendingPromptTokens()) + s.rateCost(t)
 		cost += time.Duration(rendezvous.Weight(t.idHash, adapterHash) % uint64(tieBreakSpan))
+		if extraCost != nil {
+			extra, ok := extraCost(t)
+			if cost += extra; !ok {
+				continue
+			}
+		}
 		if best != nil && cost >= lowestCost {
 			continue
 		}
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -22,7 +22,8 @@
 // reports.go the orders that change adapter slots and the reports that verify them, freed.go the
 // evidence that frees slots, health.go failing targets, witness.go failures that show a fault of a VM's
 // path, software.go the software versions of targets, limited.go targets that limit their request rate,
-// brittle.go targets that crash when they reject too many requests.
+// brittle.go targets that crash when they reject too many requests, demand.go the replicas of adapters
+// whose requests need more than one engine, loadcause.go the causes of loads.
 package scheduler
 
 import (
@@ -66,6 +67,11 @@
 	// leaseSince is when this VM acquired the lease.
 	leaseSince time.Time
 	storeLoads int
+	// loadsInProgress divides storeLoads by cause, and loadsStarted counts all loads from the store.
+	loadsInProgress [loadCauseCount]int
+	loadsStarted    [loadCauseCount]int64
+	// demand has the adapters that need more than one engine.
+	demand demandTracker
 	// loadLimit bounds storeLoads, the number of loads from the store in progress.
 	loadLimit *loadlimit.Limit
 	// coldLoadTime is the estimated time of a load from the store at full speed, and warmLoadTime
@@ -117,6 +123,7 @@
 		judge:             witness.New(),
 		guard:             overload.NewGuard(),
 		exhausted:         map[string]capacity{},
+		demand:            demandTracker{adapters: map[coord.AdapterRef]*adapterDemand{}},
 	}
 }
 
@@ -290,6 +297,7 @@
 	s.searchesLeft = maxSearchesPerRound
 	s.rateWaiters = 0
 	clear(s.exhausted)
+	s.loadByDemand(now)
 	s.replicateOverloaded(now)
 	remaining := s.waiting[:0]
 	blocked := map[coord.AdapterRef]bool{}
@@ -324,12 +332,19 @@
 	ColdLoad, WarmLoad time.Duration
 	// Freed counts the freed adapter slots by the evidence that freed them.
 	Freed [freedByCount]int64
+	// LoadsStarted counts the loads from the weight store by their cause.
+	LoadsStarted [loadCauseCount]int64
+	// ReplicasHeld is the number of replicas of the adapters that need more than one engine, and
+	// ReplicasWanted the number that they need.
+	ReplicasHeld, ReplicasWanted int
 }
 
 // Stats returns a summary.
 func (s *Scheduler) Stats() Stats {
+	wanted, held := s.demand.replicas()
 	return Stats{
 		Waiting: len(s.waiting), Running: len(s.grants), Loads: s.storeLoads, MaxLoads: s.loadLimit.Max(), ColdLoad: s.coldLoadTime.Value(),
 		WarmLoad: s.warmLoadTime.Value(), Freed: s.freed,
+		LoadsStarted: s.loadsStarted, ReplicasWanted: wanted, ReplicasHeld: held,
 	}
 }
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -69,6 +69,8 @@
 	promptTokens int
 	// fromStore loads count towards Scheduler.loadLimit; counted reports that this load is counted.
 	fromStore, counted bool
+	// cause is why the adapter was loaded.
+	cause LoadCause
 	// rejected reports that the target rejected a request because the load was unfinished.
 	rejected bool
 	// startedLoad is the start of a load from the store that no request has shown to be on time or
@@ -81,6 +83,8 @@
 	id     string
 	idHash uint64 // hash of id
 	ready  bool
+	// zone is the target's availability zone; empty: unknown.
+	zone string
 	// announcedSoftware is the version of the target's software that it announced; empty: none.
 	announcedSoftware string
 	// restartedAt is when the target was found to have restarted under the same id, perhaps with other
@@ -245,7 +249,7 @@
 	if t.replaced {
 		return
 	}
-	t.ready = l.Ready
+	t.ready, t.zone = l.Ready, l.Zone
 	if t.announcedSoftware != l.SoftwareVersion {
 		t.announcedSoftware, t.restartedAt = l.SoftwareVersion, time.Time{}
 	}
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -158,6 +158,8 @@
 type AnnouncedTarget struct {
 	ID    string
 	Ready bool
+	// Zone is the target's availability zone; empty: unknown.
+	Zone string
 	// SoftwareVersion is the version of the target's software; empty: unknown.
 	SoftwareVersion string
 	// Resident lists the adapters and models in the announcement, which lags.
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -43,6 +43,11 @@
 	for _, reason := range scheduler.FreedByValues() {
 		n.metrics.Gauge("places_freed_by_"+reason.String(), func() int64 { return n.schedulers.stats().Freed[reason] })
 	}
+	for _, cause := range scheduler.LoadCauses() {
+		n.metrics.Gauge("adapter_loads_"+cause.String()+"_total", func() int64 { return n.schedulers.stats().LoadsStarted[cause] })
+	}
+	n.metrics.Gauge("replicas_wanted", func() int64 { return int64(n.schedulers.stats().ReplicasWanted) })
+	n.metrics.Gauge("replicas_held", func() int64 { return int64(n.schedulers.stats().ReplicasHeld) })
 	n.metrics.Gauge("adapter_loads_limit", func() int64 { return int64(n.schedulers.stats().MaxLoads) })
 	n.metrics.Gauge("adapter_load_ms", func() int64 { return n.schedulers.stats().ColdLoad.Milliseconds() })
 	n.metrics.Gauge("adapter_load_kept_ms", func() int64 { return n.schedulers.stats().WarmLoad.Milliseconds() })
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -77,7 +77,7 @@
 	for _, t := range d.TargetsOf(name) {
 		sc.targets[t.ID] = t
 		announced = append(announced, scheduler.AnnouncedTarget{
-			ID: t.ID, Ready: t.State == fleet.TargetReady, SoftwareVersion: t.SoftwareVersion, Resident: residentItems(t.Resident),
+			ID: t.ID, Ready: t.State == fleet.TargetReady, Zone: t.Zone, SoftwareVersion: t.SoftwareVersion, Resident: residentItems(t.Resident),
 		})
 	}
 	work := ss.applyActions(sc, sc.scheduler.SetTargets(now, announced))
@@ -198,6 +198,11 @@
 		for reason, n := range st.Freed {
 			sum.Freed[reason] += n
 		}
+		for cause, n := range st.LoadsStarted {
+			sum.LoadsStarted[cause] += n
+		}
+		sum.ReplicasWanted += st.ReplicasWanted
+		sum.ReplicasHeld += st.ReplicasHeld
 	}
 	return sum
 }
