--- a/coord/scheduler/loadsim_batch_test.go
+++ b/coord/scheduler/loadsim_batch_test.go
@@ -130,6 +130,7 @@
 		o.retriedInTime++
 	default:
 		o.inTime++
+		sim.countSecond(run.request)
 	}
 	delete(sim.openRequests, run.grant.Key)
 	sim.execute(sim.s.Done(sim.now, run.grant.Key, EndedOK))
--- a/coord/scheduler/room_test.go
+++ b/coord/scheduler/room_test.go
@@ -12,7 +12,7 @@
 var pacedFleet = deployment{
 	engines: 90, slots: 11, batch: 16, cachedAdapters: 126, storeConcurrency: 64, loadTime: 288 * time.Millisecond,
 	promptTokensPerMs: 38.7, tokenTime: 5470 * time.Microsecond, adapters: 10_000, zipfExponent: 1.2, zipfOffset: 1.2,
-	simulatesBatch: true, fastPace: 0.7, slowPace: 1.7,
+	simulatesBatch: true, paces: []float64{1.7, 0.7, 0.7},
 }
 
 var pacedLoad = workload{
