peer: Ends and first events of requests are notifications without a reply

Cause: each of them opened a yamux stream, with a goroutine, a read buffer on both sides, window updates and a reply that nobody used.

Change: Mesh.Notify sends a call on the control stream of the session, as heartbeats are sent. Notifications arrive in the order in which they are sent. A VM with older software ignores them; its grants then expire two seconds after their deadlines. A VM with this software still accepts such calls.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -267,5 +267,11 @@
 		n.done(vm, d)
 		return
 	}
-	go n.notify(vm, &schema.Call{Body: &schema.Call_Done{Done: d}})
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+		defer cancel()
+		if err := n.mesh.Notify(ctx, vm, &schema.Call{Body: &schema.Call_Done{Done: d}}); err != nil {
+			n.log.PeerCallFailed("done", string(vm), err)
+		}
+	}()
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -228,6 +228,7 @@
 	n.relayServer = &relayServer{node: n}
 	n.mesh = peer.New(peer.Config{
 		Self: self, Zone: s.Vm.Zone, Incarnation: incarnation, DialTimeout: peerDialTimeout, AckTimeout: peerAckTimeout,
+		HandleNotification: n.handleNotification,
 	}, (*peerHandler)(n), n.peerAddress)
 	n.feed = feed.New(feed.Config{
 		Store: p.Store, Peers: (*feedPeers)(n), Prefixes: p.Prefixes, Decode: p.Decode, Trim: p.Trim,
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,7 +57,7 @@
 	case *schema.Call_Running:
 		n.schedulers.adopt(from, body.Running)
 		return emptyReply()
-	case *schema.Call_Done:
+	case *schema.Call_Done: // of VMs with software that sends no notifications
 		n.done(from, body.Done)
 		return emptyReply()
 	case *schema.Call_FeedProof:
@@ -87,6 +87,13 @@
 	return &schema.Reply{Error: "call of no known kind"}
 }
 
+// handleNotification handles the end or the first event of a request that this VM decided on.
+func (n *Node) handleNotification(from coord.VMID, c *schema.Call) {
+	if d := c.GetDone(); d != nil {
+		n.done(from, d)
+	}
+}
+
 // configReply returns the active configuration as an update of one item.
 func (n *Node) configReply() *schema.Reply {
 	item, ok := n.feed.ActiveConfig()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -2,8 +2,8 @@
 // unless it is disabled, whose yamux streams carry protobuf frames.
 //
 // A session is opened on first use and serves both directions. Its first stream, the
-// control stream, carries a Hello each way, followed by heartbeats. Every other stream
-// carries one Forward with its response, or one Call with its Reply.
+// control stream, carries a Hello each way, followed by heartbeats and by calls without a
+// reply. Every other stream carries one Forward with its response, or one Call with its Reply.
 //
 // If a dial or a stream fails before the first write, the error is marked as ErrNotSent
 // and the request may be sent elsewhere. After the first write, it is unknown whether
@@ -54,6 +54,9 @@
 	// stream before the session is closed. A connection may stop responding without being
 	// closed. Zero means 5 s.
 	AckTimeout time.Duration
+	// HandleNotification handles a call that has no reply. Later heartbeats and notifications of the
+	// VM wait for it. If it is nil, notifications are ignored.
+	HandleNotification func(from coord.VMID, c *schema.Call)
 	// Dial opens a connection. If it is nil, TCP is used.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -168,7 +171,7 @@
 	writeTimeout      = 5 * time.Second
 )
 
-// readControl reads heartbeats from the control stream until the session ends.
+// readControl handles heartbeats and notifications from the control stream until the session ends.
 func (m *Mesh) readControl(s *session, frames *frameReader) {
 	for {
 		f, err := frames.read()
@@ -176,8 +179,15 @@
 			s.close()
 			return
 		}
-		if h := f.GetHeartbeat(); h != nil && h.Vm == string(s.vm) {
-			m.handler.HandleHeartbeat(h)
+		switch kind := f.Kind.(type) {
+		case *schema.Frame_Heartbeat:
+			if kind.Heartbeat.Vm == string(s.vm) {
+				m.handler.HandleHeartbeat(kind.Heartbeat)
+			}
+		case *schema.Frame_Call:
+			if m.cfg.HandleNotification != nil {
+				m.cfg.HandleNotification(s.vm, kind.Call)
+			}
 		}
 	}
 }
@@ -285,16 +295,27 @@
 
 // SendHeartbeat sends a heartbeat to a VM.
 func (m *Mesh) SendHeartbeat(ctx context.Context, vm coord.VMID, h *schema.Heartbeat) error {
+	return m.sendControl(ctx, vm, &schema.Frame{Kind: &schema.Frame_Heartbeat{Heartbeat: h}})
+}
+
+// Notify sends a call that needs no reply to a VM. Notifications to one VM arrive in the order in which
+// they are sent. A notification takes a part of the processor time of a Call: it opens no stream.
+func (m *Mesh) Notify(ctx context.Context, vm coord.VMID, c *schema.Call) error {
+	return m.sendControl(ctx, vm, &schema.Frame{Kind: &schema.Frame_Call{Call: c}})
+}
+
+// sendControl sends a frame on the control stream to a VM.
+func (m *Mesh) sendControl(ctx context.Context, vm coord.VMID, f *schema.Frame) error {
 	s, err := m.session(ctx, vm)
 	if err != nil {
 		return err
 	}
-	s.heartbeatMu.Lock()
-	defer s.heartbeatMu.Unlock()
+	s.controlMu.Lock()
+	defer s.controlMu.Unlock()
 	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := writeFrame(s.control, &schema.Frame{Kind: &schema.Frame_Heartbeat{Heartbeat: h}}); err != nil {
+	if err := writeFrame(s.control, f); err != nil {
 		s.close()
-		return errors.Wrapf(err, "heartbeat to %s", vm)
+		return errors.Wrapf(err, "control stream to %s", vm)
 	}
 	return nil
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -10,14 +10,14 @@
 	"github.com/junctionfold/junctionfold/coord"
 )
 
-// session is one connection to a VM. Lock order: heartbeatMu, then mu. Mesh.mu is not held
+// session is one connection to a VM. Lock order: controlMu, then mu. Mesh.mu is not held
 // while either of them is acquired.
 type session struct {
 	vm      coord.VMID
 	mux     *yamux.Session
 	control *yamux.Stream
-	// heartbeatMu serializes the heartbeats sent on the control stream.
-	heartbeatMu sync.Mutex
+	// controlMu serializes the frames sent on the control stream.
+	controlMu sync.Mutex
 
 	// mu guards the fields below.
 	mu sync.Mutex
