fairshare, servicequeue: Share plain targets between teams

Cause: calls wait in order of priority and age whichever team sends them, so that a team at several times its usual rate delays all others.

The plain queue orders waiting calls by priority, then by the virtual start of their teams, then by age. Its forecasts follow from that order, so that early refusals mostly hit the team beyond its share. A single team, or none, is served as before. Metric: team_shares.

Not included: the queue of model requests.

--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -8,8 +8,8 @@
 //   - A target gets one request more than it has slots, or as many as it has slots once a target
 //     has rejected the extra one (limit.go). It gets no more requests per second than its own
 //     rate limit (rates.go), and a brittle one no more than it has room for (brittle.go).
-//   - Requests that can still meet their soft deadline go first, by priority and age; the others
-//     follow.
+//   - Requests that can still meet their soft deadline go first, by priority, then by the shares of
+//     their teams (coord/fairshare), then by age; the others follow.
 //   - A request whose expected wait is too long for its soft deadline is refused within a quarter of
 //     the time until then, with the time after which the queue will be shorter. One that was kept
 //     waits on, among the others once it is late, until it can no longer be served.
@@ -31,6 +31,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/fairshare"
 	"github.com/junctionfold/junctionfold/coord/overload"
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
 )
@@ -54,6 +55,8 @@
 	Zone string
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
+	// Team is the team that the request is charged to; empty: none.
+	Team string
 	// Exclude lists targets not to use.
 	Exclude []string
 	// SoftwareVersion is the only version of the targets' software that may process the request;
@@ -67,6 +70,8 @@
 	arrived time.Time
 	// late reports whether the last ranking expected the request to miss its soft deadline.
 	late bool
+	// start is the virtual time at which the request's team is due to be served; 0 if only one team waits.
+	start float64
 }
 
 // Action is a decision on a request: a grant of Target, or a refusal if Target is empty.
@@ -104,13 +109,17 @@
 	// testimony tells failures of targets from failures of a VM's paths to them.
 	testimony testimony
 	// guard bounds the requests at brittle targets.
-	guard   *overload.Guard
-	actions []Action
+	guard *overload.Guard
+	// shares divides the targets between teams, in calls.
+	shares *fairshare.Shares
+	// shareBuffer is reused by rank.
+	shareBuffer []fairshare.Waiting
+	actions     []Action
 }
 
 // New returns a Queue without targets.
 func New() *Queue {
-	return &Queue{times: newServiceTimes(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer(), testimony: newTestimony(), guard: overload.NewGuard()}
+	return &Queue{times: newServiceTimes(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer(), testimony: newTestimony(), guard: overload.NewGuard(), shares: fairshare.New()}
 }
 
 // Delays and timeouts of the queue.
@@ -150,6 +159,7 @@
 		q.refuse(&r, ReasonNoTarget, noTargetRetryDelay)
 		return q.takeActions()
 	}
+	q.shares.Arrive(now, r.Team)
 	q.waiting = append(q.waiting, &r)
 	return q.schedule(now)
 }
--- a/coord/servicequeue/schedule.go
+++ b/coord/servicequeue/schedule.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/fairshare"
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
 )
 
 // schedule grants targets to waiting requests and refuses those that cannot be granted in time.
 func (q *Queue) schedule(now time.Time) []Action {
 	if len(q.waiting) == 0 {
+		q.shares.SetWaiting(now, nil)
 		return q.takeActions()
 	}
 	q.rank(now)
@@ -44,21 +46,37 @@
 	return q.takeActions()
 }
 
-// rank sorts waiting requests: those that can meet their soft deadline first, then by priority
-// and age.
+// rank sorts waiting requests: those that can meet their soft deadline first, then by priority,
+// by the shares of teams and by age.
 func (q *Queue) rank(now time.Time) {
 	for _, r := range q.waiting {
 		r.late = q.missesSoftDeadline(now, r, 0)
+		r.start = 0
 	}
-	slices.SortStableFunc(q.waiting, func(a, b *Request) int {
-		switch {
-		case a.late && !b.late:
-			return 1
-		case b.late && !a.late:
-			return -1
-		}
-		return cmp.Or(a.Priority-b.Priority, a.arrived.Compare(b.arrived))
-	})
+	slices.SortStableFunc(q.waiting, compareRanks)
+	q.shareBuffer = q.shareBuffer[:0]
+	for _, r := range q.waiting {
+		q.shareBuffer = append(q.shareBuffer, fairshare.Waiting{Team: r.Team, Work: 1})
+	}
+	starts := q.shares.Starts(now, q.shareBuffer)
+	if starts == nil {
+		return
+	}
+	for i, r := range q.waiting {
+		r.start = starts[i]
+	}
+	slices.SortStableFunc(q.waiting, compareRanks)
+}
+
+// compareRanks returns a negative number if a is to be served before b.
+func compareRanks(a, b *Request) int {
+	switch {
+	case a.late && !b.late:
+		return 1
+	case b.late && !a.late:
+		return -1
+	}
+	return cmp.Or(a.Priority-b.Priority, cmp.Compare(a.start, b.start), a.arrived.Compare(b.arrived))
 }
 
 // missesSoftDeadline reports whether the response to a request granted after the given wait would
@@ -79,6 +97,7 @@
 		return false
 	}
 	q.pacer.Consume(now, id)
+	q.shares.Serve(now, r.Team, 1)
 	q.running[id]++
 	q.grants[r.Key] = grant{target: id, inFlight: q.running[id], grantedAt: now, deadline: r.Deadline}
 	q.emit(Action{Key: r.Key, Target: id})
--- a/coord/servicequeue/simulation_test.go
+++ b/coord/servicequeue/simulation_test.go
@@ -23,6 +23,29 @@
 	// objective is the time within which a response is in time.
 	objective time.Duration
 	counts    callCounts
+	// teamOf draws the team of a caller; nil: none. Calls of burstTeam are counted in burst instead of
+	// counts.
+	teamOf func() string
+	burst  callCounts
+}
+
+// burstTeam is the team that sends more than its share.
+const burstTeam = "burst"
+
+// countsOf returns the counts to which a caller's calls belong.
+func (sim *simulation) countsOf(c *caller) *callCounts {
+	if c.team == burstTeam {
+		return &sim.burst
+	}
+	return &sim.counts
+}
+
+func (sim *simulation) newCaller() *caller {
+	c := &caller{offeredAt: sim.now, attemptAt: sim.now}
+	if sim.teamOf != nil {
+		c.team = sim.teamOf()
+	}
+	return c
 }
 
 // simulatedTarget processes calls in its slots, queues more up to a limit and rejects the rest.
@@ -122,6 +145,7 @@
 	offeredAt, attemptAt time.Time
 	refusals             int
 	refusedEarly         bool
+	team                 string
 }
 
 const (
@@ -135,19 +159,19 @@
 
 func (sim *simulation) recordAnswer(c *caller) {
 	if sim.now.Sub(c.offeredAt) <= sim.objective {
-		sim.counts.inTime++
+		sim.countsOf(c).inTime++
 	} else if c.refusedEarly && sim.now.Sub(c.attemptAt) <= sim.objective {
-		sim.counts.inTimeAgain++
+		sim.countsOf(c).inTimeAgain++
 	} else if sim.now.Sub(c.offeredAt) <= deadline {
-		sim.counts.late++
+		sim.countsOf(c).late++
 	} else {
-		sim.counts.refused++
+		sim.countsOf(c).refused++
 	}
 }
 
 func (sim *simulation) retryOrRefuse(c *caller, retry func(), delay time.Duration) {
 	if c.refusals++; c.refusals > 1 {
-		sim.counts.refused++
+		sim.countsOf(c).refused++
 		return
 	}
 	c.refusedEarly = sim.now.Sub(c.offeredAt) <= time.Duration(earlyShare*float64(sim.objective))
@@ -171,8 +195,9 @@
 		if elapsed := sim.now.Sub(start); elapsed > duration/2 && elapsed < duration/2+2500*time.Millisecond {
 			rate *= 1.5
 		}
-		sim.counts.offered++
-		submit(&caller{offeredAt: sim.now, attemptAt: sim.now})
+		c := sim.newCaller()
+		sim.countsOf(c).offered++
+		submit(c)
 		sim.after(time.Duration(sim.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
 	}
 	sim.after(0, arrive)
@@ -198,7 +223,8 @@
 }
 
 // sharedQueue returns a function that requests targets from one Queue for all VMs, at the leader.
-func (sim *simulation) sharedQueue() func(c *caller) {
+// named reports whether calls name their teams.
+func (sim *simulation) sharedQueue(named bool) func(c *caller) {
 	queue := New()
 	var queueTargets []Target
 	for _, t := range sim.targets {
@@ -213,7 +239,11 @@
 			next++
 			k := Key{VM: "vm", Ticket: next}
 			pending[k] = c
-			apply(queue.Submit(sim.now, Request{Key: k, SoftDeadline: c.attemptAt.Add(sim.objective), Deadline: c.offeredAt.Add(deadline)}))
+			r := Request{Key: k, SoftDeadline: c.attemptAt.Add(sim.objective), Deadline: c.offeredAt.Add(deadline)}
+			if named {
+				r.Team = c.team
+			}
+			apply(queue.Submit(sim.now, r))
 		})
 	}
 	apply = func(acts []Action) {
@@ -318,7 +348,7 @@
 				for _, method := range []string{"queue", "vms"} {
 					sim := newSimulation(seed)
 					sim.targets = sim.targets[:row.targets]
-					submit, sum := sim.sharedQueue, &queue
+					submit, sum := func() func(c *caller) { return sim.sharedQueue(true) }, &queue
 					if method == "vms" {
 						submit, sum = sim.localBalancers, &local
 					}
--- a/coord/servicequeue/slowtarget_test.go
+++ b/coord/servicequeue/slowtarget_test.go
@@ -56,7 +56,7 @@
 				sim := newSimulation(seed)
 				sim.objective = row.objective
 				sim.slowAtTimes(seed)
-				sum.add(sim.run(row.load*simulatedCapacity, 12*time.Second, sim.sharedQueue()))
+				sum.add(sim.run(row.load*simulatedCapacity, 12*time.Second, sim.sharedQueue(true)))
 			}
 			t.Logf("worth %.3f: in time %.3f, again %.3f, late %.3f, refused %.3f", sum.worth(), sum.share(sum.inTime), sum.share(sum.inTimeAgain), sum.share(sum.late), sum.share(sum.refused))
 			assert.Assert(t, sum.worth() >= row.minWorth)
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -38,6 +38,7 @@
 	n.metrics.Map.Set("held_parts", expvar.Func(func() any { return n.quarantine.blockedParts() }))
 	n.metrics.Map.Set("held_contents", expvar.Func(func() any { return n.quarantine.blocked() }))
 	n.metrics.Map.Set("teams", expvar.Func(func() any { return n.quotas.accounts() }))
+	n.metrics.Map.Set("team_shares", expvar.Func(func() any { return n.teamUsage() }))
 	n.metrics.Gauge("scheduler_waiting", func() int64 { return int64(n.schedulers.stats().Waiting) })
 	n.metrics.Gauge("adapter_loads", func() int64 { return int64(n.schedulers.stats().Loads) })
 	for _, reason := range scheduler.FreedByValues() {
--- a/internal/edge/queues.go
+++ b/internal/edge/queues.go
@@ -9,6 +9,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/coord/fairshare"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/coord/servicequeue"
 	"github.com/junctionfold/junctionfold/internal/feed"
@@ -34,6 +35,8 @@
 	// queue takes.
 	targets      map[string]*fleet.Target
 	queueTargets []servicequeue.Target
+	// weights has the weights of teams.
+	weights map[string]float64
 	// revision is the store revision that targets reflects.
 	revision fleet.Revision
 }
@@ -47,6 +50,7 @@
 	}
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
+	weights := teamWeights(d.Config)
 	for name, service := range d.Config.Services {
 		if service.Engine != nil {
 			continue
@@ -56,6 +60,8 @@
 			sq = &serviceQueue{service: name, queue: qs.newQueue(), waiters: waiters{}}
 			qs.services[name] = sq
 		}
+		sq.weights = weights
+		sq.queue.SetTeamWeights(weights)
 		sq.targets, sq.queueTargets, sq.revision = map[string]*fleet.Target{}, nil, d.Revision
 		for _, t := range d.TargetsOf(name) {
 			if t.State == fleet.TargetReady {
@@ -86,6 +92,7 @@
 		qs.deliver(sq, sq.queue.RefuseWaiting(scheduler.ReasonNotLeader))
 		if leading {
 			sq.queue = qs.newQueue()
+			sq.queue.SetTeamWeights(sq.weights)
 			qs.deliver(sq, sq.queue.SetTargets(qs.node.now(), sq.queueTargets))
 			sq.queue.BecomeLeader(qs.node.now())
 		}
@@ -128,7 +135,7 @@
 	}
 	decision := sq.waiters.add(key)
 	r := servicequeue.Request{
-		Key: key, Zone: a.Zone, Priority: int(a.Priority), Exclude: slices.Concat(a.Exclude, a.Resting),
+		Key: key, Zone: a.Zone, Priority: int(a.Priority), Team: a.Team, Exclude: slices.Concat(a.Exclude, a.Resting),
 		SoftwareVersion: a.SoftwareVersion, Deadline: now.Add(time.Duration(a.LeftMs) * time.Millisecond),
 	}
 	if a.PatienceMs != 0 {
@@ -192,3 +199,13 @@
 	}
 	return sum
 }
+
+// addUsage adds the usage by team of each service.
+func (qs *queues) addUsage(out map[string][]fairshare.Usage) {
+	now := qs.node.now()
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	for name, sq := range qs.services {
+		out[name] = sq.queue.Usage(now)
+	}
+}
--- /dev/null
+++ b/internal/edge/teamshares_test.go
@@ -0,0 +1,24 @@
+package edge
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/internal/fleet"
+)
+
+// TestTeamWeights guards against shares by rates in different units, which would give a team whose quota
+// counts tokens a thousand times the share of one whose quota counts requests.
+func TestTeamWeights(t *testing.T) {
+	weights := func(quotas map[string]fleet.Quota) map[string]float64 {
+		var teams []*fleet.Team
+		for name, q := range quotas {
+			teams = append(teams, &fleet.Team{Name: name, Quota: q})
+		}
+		return teamWeights(&fleet.Config{Teams: fleet.NewTeams(teams, true)})
+	}
+	assert.DeepEqual(t, weights(map[string]fleet.Quota{"a": {PerSecond: 5}, "b": {PerSecond: 10}, "c": {ChargeTokens: true}}), map[string]float64{"a": 5, "b": 10})
+	assert.Equal(t, len(weights(map[string]fleet.Quota{"a": {PerSecond: 5}, "b": {PerSecond: 5000, ChargeTokens: true}})), 0)
+	assert.Equal(t, len(teamWeights(&fleet.Config{})), 0)
+}
