scheduler: Share loads and limited targets between teams

Cause: model requests wait by priority, heat and arrival whichever team sends them, so that the loads for a team at several times its rate delay all others.

Change: waiting requests are ordered by lateness, priority, the virtual start of their teams, heat and arrival. Work is counted in tokens of prompt and output. Requests carry the team of Admit. A single team, or none, is served as before. A new leader starts with equal counters. team_shares covers services with engines.

Limit: a request whose adapter an engine holds is still granted at once, also if the engine's batch is full. Shares act only on requests that wait.

--- a/coord/scheduler/loadsim_test.go
+++ b/coord/scheduler/loadsim_test.go
@@ -28,6 +28,8 @@
 	// zipfExponent and zipfOffset describe the adapters' popularity. With 1.2 and 3 the most
 	// popular one gets 6 of 100 requests.
 	zipfExponent, zipfOffset float64
+	// namesTeams makes the name of a request's kind that of its team.
+	namesTeams bool
 }
 
 // requestKind is a kind of request.
@@ -256,8 +258,12 @@
 	if !r.retriedAt.IsZero() {
 		since = r.retriedAt
 	}
+	team := ""
+	if sim.deployment.namesTeams {
+		team = r.kind.name
+	}
 	sim.execute(sim.s.Submit(sim.now, Request{
-		Key: key, Ref: r.ref, PromptTokens: r.promptTokens, OutputTokens: r.outputTokens, Priority: r.kind.priority, Exclude: exclude,
+		Key: key, Team: team, Ref: r.ref, PromptTokens: r.promptTokens, OutputTokens: r.outputTokens, Priority: r.kind.priority, Exclude: exclude,
 		Objective: max(since.Add(r.kind.objective).Sub(sim.now), time.Millisecond), Deadline: r.submittedAt.Add(r.kind.deadline),
 		FirstEventDeadline: since.Add(max(2*time.Second, 4*r.kind.objective)),
 	}))
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -207,6 +207,7 @@
 	priority, _ := s.priorityAndDelay(now, t, r)
 	prompt := t.engine.Begin(now, s.speed, t.uncachedTokens(r), priority)
 	s.pacer.Consume(now, t.id)
+	s.shares.Serve(now, r.Team, r.work())
 	t.running++
 	t.recentGrants.add(now)
 	g := &grant{
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -22,7 +22,7 @@
 // reports.go the orders that change adapter slots and the reports that verify them, freed.go the
 // evidence that frees slots, health.go failing targets, witness.go failures that show a fault of a VM's
 // path, software.go the software versions of targets, limited.go targets that limit their request rate,
-// brittle.go targets that crash when they reject too many requests.
+// brittle.go targets that crash when they reject too many requests, shares.go the shares of teams.
 package scheduler
 
 import (
@@ -32,6 +32,7 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/enginecost"
+	"github.com/junctionfold/junctionfold/coord/fairshare"
 	"github.com/junctionfold/junctionfold/coord/loadlimit"
 	"github.com/junctionfold/junctionfold/coord/loadtime"
 	"github.com/junctionfold/junctionfold/coord/overload"
@@ -92,6 +93,8 @@
 	freed        [freedByCount]int64
 	// judge tells failures of targets from failures of a VM's paths to them.
 	judge *witness.Judge
+	// shares divides the service between teams, in tokens.
+	shares *fairshare.Shares
 }
 
 // maxSearchesPerRound bounds the work of one round. A search looks at every target, and fewer loads
@@ -117,6 +120,7 @@
 		judge:             witness.New(),
 		guard:             overload.NewGuard(),
 		exhausted:         map[string]capacity{},
+		shares:            fairshare.New(),
 	}
 }
 
@@ -144,6 +148,7 @@
 	if gained {
 		s.pacer.Reset(now)
 		s.guard.Reset(now)
+		s.shares.Reset()
 		s.evictionBlockedUntil = now.Add(runningReportTimeout)
 		s.unreportedVMs = make(map[coord.VMID]bool, len(others))
 		for _, vm := range others {
@@ -160,6 +165,7 @@
 			s.refuse(r, ReasonNotLeader, 0)
 		}
 		s.waiting = nil
+		s.shares.SetWaiting(now, nil)
 	}
 	return s.runRound(now)
 }
@@ -208,6 +214,7 @@
 		return s.takeActions()
 	}
 	s.addHeat(now, r.Ref)
+	s.shares.Arrive(now, r.Team)
 	if !s.place(now, &r) {
 		s.enqueue(&r)
 	}
@@ -218,22 +225,29 @@
 func (s *Scheduler) enqueue(r *Request) { s.waiting = append(s.waiting, r) }
 
 // rank sorts the waiting requests. Requests that can still meet their objective come first, ordered
-// by priority, by the heat of their adapter and by arrival, followed by the late ones in the same
-// order.
+// by priority, by the shares of teams, by the heat of their adapter and by arrival, followed by the late
+// ones in the same order.
 func (s *Scheduler) rank(now time.Time) {
 	for _, r := range s.waiting {
 		r.late = r.missesObjective(now, s.coldLoadTime.Value())
 		r.heat = s.heatOf(now, r.Ref)
+		r.shareStart = 0
 	}
-	slices.SortStableFunc(s.waiting, func(a, b *Request) int {
-		if a.late != b.late {
-			if a.late {
-				return 1
-			}
-			return -1
+	slices.SortStableFunc(s.waiting, compareRanks)
+	if s.assignShares(now) {
+		slices.SortStableFunc(s.waiting, compareRanks)
+	}
+}
+
+// compareRanks returns a negative number if a is to be served before b.
+func compareRanks(a, b *Request) int {
+	if a.late != b.late {
+		if a.late {
+			return 1
 		}
-		return cmp.Or(a.Priority-b.Priority, cmp.Compare(b.heat, a.heat), a.arrivedAt.Compare(b.arrivedAt))
-	})
+		return -1
+	}
+	return cmp.Or(a.Priority-b.Priority, cmp.Compare(a.shareStart, b.shareStart), cmp.Compare(b.heat, a.heat), a.arrivedAt.Compare(b.arrivedAt))
 }
 
 // missesObjective reports whether the first event can no longer arrive within the objective if the
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -33,7 +33,9 @@
 	OutputTokens int
 	// Priority is the request's priority class; 0 is the most urgent.
 	Priority int
-	Parts    []coord.PromptPart
+	// Team is the team that the request is charged to; empty: none.
+	Team  string
+	Parts []coord.PromptPart
 	// Exclude lists targets not to use, unless a request there was rejected because the adapter's
 	// load was unfinished.
 	Exclude []string
@@ -55,9 +57,10 @@
 	lastResort bool
 	// awaitedSlot is the slot whose load the request waits for, once its prompt is counted there.
 	awaitedSlot *slot
-	// late and heat are the sort keys of the last ranking.
-	late bool
-	heat float64
+	// late, heat and shareStart are the sort keys of the last ranking. shareStart is the virtual time at
+	// which the request's team is due to be served; 0 if only one team waits.
+	late             bool
+	heat, shareStart float64
 }
 
 // Ending is how a granted request ended.
--- a/internal/edge/queues.go
+++ b/internal/edge/queues.go
@@ -9,7 +9,6 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/balance"
-	"github.com/junctionfold/junctionfold/coord/fairshare"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/coord/servicequeue"
 	"github.com/junctionfold/junctionfold/internal/feed"
@@ -199,13 +198,3 @@
 	}
 	return sum
 }
-
-// addUsage adds the usage by team of each service.
-func (qs *queues) addUsage(out map[string][]fairshare.Usage) {
-	now := qs.node.now()
-	qs.mu.Lock()
-	defer qs.mu.Unlock()
-	for name, sq := range qs.services {
-		out[name] = sq.queue.Usage(now)
-	}
-}
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -71,6 +71,7 @@
 		sc.scheduler.SetLease(now, ss.fencingToken)
 	}
 	sc.scheduler.Configure(cfg)
+	sc.scheduler.SetTeamWeights(teamWeights(d.Config))
 	sc.targets = map[string]*fleet.Target{}
 	sc.revision = d.Revision
 	var announced []scheduler.AnnouncedTarget
@@ -231,7 +232,7 @@
 	r := scheduler.Request{
 		Key: key, Ref: coord.AdapterRef{Model: a.Model, Adapter: a.Adapter},
 		PromptTokens: int(a.PromptTokens), OutputTokens: int(a.OutputTokens),
-		Priority: int(a.Priority), Exclude: a.Exclude, BackedOff: a.Resting, SoftwareVersion: a.SoftwareVersion,
+		Priority: int(a.Priority), Team: a.Team, Exclude: a.Exclude, BackedOff: a.Resting, SoftwareVersion: a.SoftwareVersion,
 		Objective:          time.Duration(a.AimMs) * time.Millisecond,
 		Deadline:           now.Add(time.Duration(a.LeftMs) * time.Millisecond),
 		FirstEventDeadline: now.Add(time.Duration(a.PatienceMs) * time.Millisecond),
--- a/internal/edge/teamshares.go
+++ b/internal/edge/teamshares.go
@@ -30,5 +30,26 @@
 func (n *Node) teamUsage() map[string][]fairshare.Usage {
 	out := map[string][]fairshare.Usage{}
 	n.queues.addUsage(out)
+	n.schedulers.addUsage(out)
 	return out
 }
+
+// addUsage adds the usage by team of each plain service.
+func (qs *queues) addUsage(out map[string][]fairshare.Usage) {
+	now := qs.node.now()
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	for name, sq := range qs.services {
+		out[name] = sq.queue.Usage(now)
+	}
+}
+
+// addUsage adds the usage by team of each service with engines.
+func (ss *schedulers) addUsage(out map[string][]fairshare.Usage) {
+	now := ss.node.now()
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	for name, sc := range ss.services {
+		out[name] = sc.scheduler.TeamUsage(now)
+	}
+}
--- a/internal/edge/teamshares_test.go
+++ b/internal/edge/teamshares_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/schema"
 )
 
 // TestTeamWeights guards against shares by rates in different units, which would give a team whose quota
@@ -22,3 +25,9 @@
 	assert.Equal(t, len(weights(map[string]fleet.Quota{"a": {PerSecond: 5}, "b": {PerSecond: 5000, ChargeTokens: true}})), 0)
 	assert.Equal(t, len(teamWeights(&fleet.Config{})), 0)
 }
+
+// TestModelRequestsNameTheirTeams guards against schedulers that put all requests in one share.
+func TestModelRequestsNameTheirTeams(t *testing.T) {
+	r := requestFromProto(time.Now(), scheduler.Key{}, &schema.Admit{Team: "a"})
+	assert.Equal(t, r.Team, "a")
+}
