edge: Loops of a VM tick together

Cause: the tick, the probes of targets and the measurement of timers ran every 20 ms at times of their own, which woke an idle process 150 times a second.

Change: waitForTick waits for the next multiple of the interval, the same for all loops of a VM. The measurement of timers uses the lateness of these ticks.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -170,7 +170,9 @@
 	connectedVMs atomic.Int64
 	// heartbeatDue makes the next heartbeat round run at once.
 	heartbeatDue chan struct{}
-	draining     atomic.Bool
+	// tickOrigin is the time from which ticks are counted.
+	tickOrigin time.Time
+	draining   atomic.Bool
 	// heartbeatsInFlight holds the VMs with a heartbeat in flight, at most one for each.
 	heartbeatsInFlight sync.Map
 
@@ -186,7 +188,7 @@
 	n := &Node{
 		settings: s, activeSettings: s, log: l, platform: p, clock: nodeClock, now: nodeClock.Now, metrics: metrics,
 		orders: pond.NewPool(orderWorkers), reports: pond.NewPool(reportWorkers), loggedDirectory: &feed.Directory{},
-		heartbeatDue: make(chan struct{}, 1),
+		heartbeatDue: make(chan struct{}, 1), tickOrigin: time.Now(),
 	}
 	self := coord.VMID(s.Vm.Id)
 	n.startedAt = n.now()
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -11,13 +11,9 @@
 	"github.com/junctionfold/junctionfold/coord/loadshed"
 )
 
-const (
-	// delayProbeInterval is the time between two measurements of how late timers are.
-	delayProbeInterval = 20 * time.Millisecond
-	// connectionsPerMB bounds the open connections of callers by the memory of the VM. They take up to 32 kB
-	// each, a quarter of the memory in all.
-	connectionsPerMB = 8
-)
+// connectionsPerMB bounds the open connections of callers by the memory of the VM. They take up to 32 kB
+// each, a quarter of the memory in all.
+const connectionsPerMB = 8
 
 // overloadControl closes new connections of callers unread while this VM has more work than processor time
 // and others have room, and those beyond maxOpen. Lock order: no other lock is acquired while
@@ -36,16 +32,14 @@
 	return &overloadControl{node: n, maxOpen: connectionsPerMB * memoryMB, controller: loadshed.New(n.now())}
 }
 
-// run measures the delay of timers until the context ends.
+// run measures the delay of ticks until the context ends.
 func (o *overloadControl) run(ctx context.Context) {
 	for {
-		due := time.Now().Add(delayProbeInterval)
-		select {
-		case <-ctx.Done():
+		late, ok := o.node.waitForTick(ctx)
+		if !ok {
 			return
-		case <-time.After(delayProbeInterval):
 		}
-		o.observe(time.Since(due))
+		o.observe(late)
 	}
 }
 
--- a/internal/edge/reachprobe.go
+++ b/internal/edge/reachprobe.go
@@ -15,13 +15,9 @@
 
 // probeLoop probes targets, one at a time, while there are broken paths, until the context ends.
 func (r *reachability) probeLoop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		if _, ok := r.node.waitForTick(ctx); !ok {
 			return
-		case <-ticker.C:
 		}
 		r.checkSilence()
 		r.probe(ctx)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -123,16 +123,27 @@
 	n.relayServer.wait(ctx)
 }
 
+// waitForTick waits for the next multiple of tickInterval since n.tickOrigin, or until the context ends.
+// All loops of a VM thus run in one wake-up of the process, which takes more processor time than most
+// of their work. late is the time from the tick to the end of the wait.
+func (n *Node) waitForTick(ctx context.Context) (late time.Duration, ok bool) {
+	due := n.tickOrigin.Add(time.Since(n.tickOrigin).Truncate(tickInterval) + tickInterval)
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return 0, false
+	case <-timer.C:
+		return time.Since(due), true
+	}
+}
+
 // tickLoop runs periodic work until the context ends.
 func (n *Node) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	var prunedAt time.Time
 	for {
-		select {
-		case <-ctx.Done():
+		if _, ok := n.waitForTick(ctx); !ok {
 			return
-		case <-ticker.C:
 		}
 		n.checkSuspension()
 		n.schedulers.tick()
