loadlimit: Tell a wrong load time from too many concurrent loads

Cause: where the first estimate of the load time (250 ms) was below the real time (288 ms), every load counted as late and the limit of concurrent loads shrank. Answers that a VM handled late made load times appear shorter, and the margin of readyAt kept trials from ever lowering the estimate.

Change: the limit compares the times of late loads before and after a shrink by a quarter; if they did not fall, it undoes the shrink and reports the observed time, to which the estimate is raised. Only loads that ran beside about as many others as the limit allows count. Growth that no loads test within 1 s is reverted, and the limit grows only while a failed trial has shown that the estimate is not far too long. Loads whose order was answered later than usual are not measured, trials leave out the margin, and the first trials are an eighth shorter.

TestLoadResultsAdjustLoadLimit lets loads take their time: its loads took none, and the limit no longer grows while trials succeed. The model of the loadlimit tests reports durations and loads in progress, with unchanged bounds.

--- a/coord/loadlimit/loadlimit_test.go
+++ b/coord/loadlimit/loadlimit_test.go
@@ -31,6 +31,7 @@
 	at    time.Time
 	start StartedLoad
 	late  bool
+	took  time.Duration
 }
 
 type outcomeQueue []outcome
@@ -74,12 +75,15 @@
 			if late {
 				result.late++
 			}
-			heap.Push(&outcomes, outcome{x.began.Add(fullSpeedLoadTime + margin + outcomeDelay), x.start, late})
+			heap.Push(&outcomes, outcome{x.began.Add(fullSpeedLoadTime + margin + outcomeDelay), x.start, late, now.Sub(x.began)})
 		}
 		inProgress = remaining
 		for len(outcomes) > 0 && !outcomes[0].at.After(now) {
 			x := heap.Pop(&outcomes).(outcome)
 			l.End(now, x.start, x.late)
+			if x.late {
+				l.ObserveDuration(x.start, x.took)
+			}
 		}
 		for waiting >= 1 && len(inProgress) < l.Max() {
 			waiting--
@@ -88,6 +92,7 @@
 		if waiting >= 1 {
 			l.ObserveFull()
 		}
+		l.Advance(now, len(inProgress), fullSpeedLoadTime)
 		result.highestLimit = max(result.highestLimit, l.Max())
 	}
 	result.finalLimit = l.Max()
@@ -152,14 +157,18 @@
 	l := New(16)
 	now := time.Unix(0, 0)
 	for range 500 {
+		l.Advance(now, l.Max(), fullSpeedLoadTime)
+		began := l.Begin(now)
 		now = now.Add(time.Second)
-		l.End(now, l.Begin(now), true)
+		l.End(now, began, true)
 	}
 	assert.Equal(t, l.Max(), 4)
 	l = New(4)
 	for range 500 {
+		l.Advance(now, l.Max(), fullSpeedLoadTime)
+		began := l.Begin(now)
 		now = now.Add(time.Second)
-		l.End(now, l.Begin(now), true)
+		l.End(now, began, true)
 	}
 	assert.Equal(t, l.Max(), minLimit)
 	l.SetInitial(4)
@@ -175,6 +184,7 @@
 	for range b.N {
 		now = now.Add(time.Millisecond)
 		l.ObserveFull()
+		l.Advance(now, l.Max(), fullSpeedLoadTime)
 		l.End(now, l.Begin(now), false)
 		if l.Max() > 1000 {
 			l = New(16)
--- a/coord/loadtime/loadtime.go
+++ b/coord/loadtime/loadtime.go
@@ -40,11 +40,15 @@
 	// loads then has a request rejected because of a trial.
 	minTrialInterval = 4
 	maxTrialInterval = 96
-	// minTrialReduction is the initial fraction of the estimate by which a trial shortens it.
-	// It doubles with each lowering of the estimate, up to maxTrialReduction, and halves with
+	// minTrialReduction is the smallest fraction of the estimate by which a trial shortens it. The
+	// first trials use maxTightReduction, which shows soon whether the prior is far too long. It
+	// doubles with each lowering of the estimate, up to maxTrialReduction, and halves with
 	// each failed trial. Five lowerings take 600 ms below 290 ms.
 	minTrialReduction = 0.03
 	maxTrialReduction = 0.25
+	// maxTightReduction is the reduction of a failed trial up to which the estimate is tight. A
+	// load time that is an eighth shorter hides that an eighth too many loads are in progress.
+	maxTightReduction = 0.125
 	// requiredSuccesses is the number of consecutive trials that must succeed before the
 	// estimate is lowered. Load times vary, and one fast load says little about the others.
 	requiredSuccesses = 3
@@ -73,16 +77,31 @@
 	// longest time among them.
 	consecutiveSuccesses int
 	longestSuccess       time.Duration
+	// tight reports that a load has shown to take nearly as long as the estimate or longer since
+	// the estimate was last lowered.
+	tight bool
 }
 
 // New returns an Estimate with a prior.
 func New(prior time.Duration) *Estimate {
-	return &Estimate{value: prior, trialInterval: minTrialInterval, trialReduction: minTrialReduction}
+	return &Estimate{value: prior, trialInterval: minTrialInterval, trialReduction: maxTightReduction}
 }
 
 // Value returns the expected time.
 func (e *Estimate) Value() time.Duration { return e.value }
 
+// IsTight reports whether the estimate is known to be at most maxTightReduction too long. Loads
+// that finish in time say nothing about how much longer they may take if it is not.
+func (e *Estimate) IsTight() bool { return e.tight }
+
+// RaiseTo raises the estimate to an observed time. As loads that took longer than expected were
+// also more than intended, the time may be too long, and trials start anew.
+func (e *Estimate) RaiseTo(d time.Duration) {
+	e.value = min(max(e.value, d), maxEstimate)
+	e.consecutiveSuccesses, e.longestSuccess, e.consecutiveLate = 0, 0, 0
+	e.trialReduction, e.trialInterval, e.tight = maxTightReduction, minTrialInterval, false
+}
+
 // Next returns the time after which to send the first requests for a load that begins now.
 // It is the expected time, or less if the load is a trial.
 func (e *Estimate) Next() time.Duration {
@@ -102,6 +121,7 @@
 		e.raise(load)
 		return
 	}
+	e.tight = e.tight || e.trialReduction <= maxTightReduction
 	if e.trialReduction = max(e.trialReduction/2, minTrialReduction); e.trialReduction == minTrialReduction {
 		e.trialInterval = min(2*e.trialInterval, maxTrialInterval)
 	}
@@ -115,6 +135,7 @@
 	}
 	step := min(initialRaise*float64(uint(1)<<min(e.consecutiveLate, 8)), maxRaise)
 	e.consecutiveLate++
+	e.tight = true
 	e.lastLateLoad = load
 	e.value = min(time.Duration((1+step)*float64(e.value)), maxEstimate)
 }
@@ -124,7 +145,7 @@
 // rejected, or 0 if there was none.
 func (e *Estimate) ObserveRun(load uint64, rejectedAfter, after time.Duration) {
 	switch {
-	case rejectedAfter > e.value:
+	case rejectedAfter >= e.value:
 		e.lastLateLoad = 0
 		e.raise(load)
 	case rejectedAfter > 0: // rejected during a trial, or before the estimate was raised
@@ -146,6 +167,7 @@
 		return
 	}
 	e.value = max(e.longestSuccess, minEstimate)
+	e.tight = false
 	e.consecutiveSuccesses, e.longestSuccess = 0, 0
 	e.trialReduction = min(2*e.trialReduction, maxTrialReduction)
 }
--- a/coord/scheduler/burst_test.go
+++ b/coord/scheduler/burst_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/coord"
 )
 
 func burstConfig(initialLimit int) Config {
@@ -22,7 +24,8 @@
 // simulation, over 12 s, the shares of requests in time and of requests refused after a quarter of
 // their objective or more are 0.721 and 0.305 with a constant limit of 16, 0.812 and
 // 0.167 with 24, 0.924 and 0.046 with 32; with the learnt limit 0.887 and 0.073 from 16, 0.917 and
-// 0.052 from 24, 0.938 and 0.035 from 32.
+// 0.052 from 24, 0.938 and 0.035 from 32. The bounds are those of one seed; the result of single
+// seeds varies by several hundredths, so that the sum over four is tested.
 func TestBurstOfNewAdapters(t *testing.T) {
 	for _, row := range []struct {
 		initialLimit   int
@@ -31,7 +34,7 @@
 	}{
 		{16, 0.82, 0.13}, {24, 0.87, 0.09}, {32, 0.90, 0.06},
 	} {
-		r := runLoadSim(largeFleet, burstConfig(row.initialLimit), burst, 8*time.Second, 1, nil)
+		r := runLoadSims(largeFleet, burstConfig(row.initialLimit), burst, 8*time.Second, 4)
 		got := r.total()
 		t.Logf("initial limit %d: %v", row.initialLimit, r)
 		assert.Assert(t, ratio(got.inTime, got.submitted) > row.minInTime)
@@ -66,11 +69,13 @@
 }
 
 // TestLoadResultsAdjustLoadLimit checks that the timing of the first request of each load reaches
-// the load limit.
+// the load limit. Loads take as long as initially expected, so that trials fail: while the estimate
+// may be far too long, the limit does not grow.
 func TestLoadResultsAdjustLoadLimit(t *testing.T) {
 	cfg := config(40)
 	cfg.MaxLoads = 4
 	h := newHarness(t, cfg, nil, nil, nil, nil)
+	began := map[coord.AdapterRef]time.Time{}
 	for range 12 {
 		for range 8 {
 			h.submit("n" + time.Duration(h.ticket).String())
@@ -79,8 +84,13 @@
 			for _, a := range h.drain() {
 				switch a.Kind {
 				case ActLoad:
+					began[a.Ref] = h.now
 					h.answerOrder(a, OrderAccepted)
 				case ActGrant:
+					if h.now.Sub(began[a.Ref]) < initialColdLoadTime {
+						h.collect(h.s.Done(h.now, a.Key, EndedMisrouted))
+						continue
+					}
 					h.s.FirstEvent(h.now, a.Key)
 				}
 			}
--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -100,7 +100,7 @@
 		s.observeLoadOnTime(g)
 		g.confirmAdapter()
 	}
-	s.loadLimit.End(now, g.startedLoad, late)
+	s.countLoadTiming(now, g, late)
 	g.startedLoad = loadlimit.StartedLoad{}
 }
 
--- a/coord/scheduler/loads.go
+++ b/coord/scheduler/loads.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/loadlimit"
 )
 
 const (
@@ -50,7 +51,7 @@
 func (s *Scheduler) observeLateLoad(g *grant) bool {
 	sl := g.slot
 	if !s.measuresLoad(g) {
-		return true
+		return false // the load may have begun long after its order
 	}
 	elapsed := g.grantedAt.Sub(sl.startedAt)
 	sl.rejectedAfter = max(sl.rejectedAfter, elapsed)
@@ -58,7 +59,7 @@
 		return elapsed >= s.warmLoadTime.Value()
 	}
 	late := elapsed >= s.coldLoadTime.Value()
-	if !sl.contended && !sl.cacheMissed {
+	if (!sl.contended || !late) && !sl.cacheMissed {
 		s.coldLoadTime.ObserveRejection(sl.loadNumber, elapsed)
 	}
 	return late
@@ -70,7 +71,9 @@
 	if !s.measuresLoad(g) || sl.confirmed || sl.cacheMissed {
 		return
 	}
-	elapsed := g.grantedAt.Sub(sl.startedAt)
+	elapsed := g.grantedAt.Sub(sl.startedAt) + sl.answerLatency
+	s.loadLimit.ObserveDuration(sl.lateLoad, (sl.rejectedAfter+elapsed)/2)
+	sl.lateLoad = loadlimit.StartedLoad{}
 	switch {
 	case !sl.fromStore:
 		s.warmLoadTime.ObserveRun(sl.loadNumber, sl.rejectedAfter, elapsed)
@@ -79,6 +82,54 @@
 	}
 }
 
+// observeStoreFull records that a load has to wait for the load limit. While the estimate of the
+// load time may be far too long, loads that finish in time do not show that the store serves more.
+func (s *Scheduler) observeStoreFull() {
+	if s.coldLoadTime.IsTight() {
+		s.loadLimit.ObserveFull()
+	}
+}
+
+// countLoadTiming counts a load as late or on time for the load limit, which may show that loads
+// take longer than estimated whatever their number is.
+func (s *Scheduler) countLoadTiming(now time.Time, g *grant, late bool) {
+	if !s.measuresLoad(g) {
+		return
+	}
+	if late {
+		g.slot.lateLoad = g.startedLoad
+	}
+	s.loadLimit.End(now, g.startedLoad, late)
+	if d, overdue := s.loadLimit.Overdue(); overdue {
+		s.coldLoadTime.RaiseTo(d)
+	}
+}
+
+// nextColdLoadTime returns the time after which to send the first request for a load from the
+// store, without loadMargin. A trial leaves out that margin: it would otherwise take as long as the
+// estimate, which is then never lowered.
+func (s *Scheduler) nextColdLoadTime() time.Duration {
+	next := s.coldLoadTime.Next()
+	if next < s.coldLoadTime.Value() {
+		return max(next-loadMargin, 0)
+	}
+	return next
+}
+
+// isMeasurable reports whether the answer to a load order came soon enough to show when the load
+// began. A VM short of CPU time handles answers late, which makes loads appear shorter than they
+// are.
+func (s *Scheduler) isMeasurable(latency time.Duration) bool {
+	if latency < s.orderLatency {
+		s.orderLatency = latency
+	}
+	s.orderLatency += (latency - s.orderLatency) / orderLatencyDecay
+	return latency <= s.orderLatency+loadMargin
+}
+
+// orderLatencyDecay is the number of answers over which the lowest latency of orders is forgotten.
+const orderLatencyDecay = 64
+
 // measuresLoad reports whether a request was granted after a load that this VM ordered, and whether
 // its slot still holds the result of that load.
 func (s *Scheduler) measuresLoad(g *grant) bool {
--- a/coord/scheduler/loadsim_engine_test.go
+++ b/coord/scheduler/loadsim_engine_test.go
@@ -73,7 +73,8 @@
 }
 
 func (sim *loadSim) answerOrder(a Action, result OrderResult) {
-	sim.schedule(messageDelay, func() { sim.execute(sim.s.OrderAnswered(sim.now, a.Target, a.Kind == ActUnload, a.Ref, result)) })
+	delay := messageDelay + time.Duration(sim.rng.Float64()*float64(sim.deployment.answerDelay))
+	sim.schedule(delay, func() { sim.execute(sim.s.OrderAnswered(sim.now, a.Target, a.Kind == ActUnload, a.Ref, result)) })
 }
 
 func (sim *loadSim) handleLoadOrder(a Action, e *simEngine) {
--- a/coord/scheduler/loadsim_test.go
+++ b/coord/scheduler/loadsim_test.go
@@ -28,6 +28,8 @@
 	// zipfExponent and zipfOffset describe the adapters' popularity. With 1.2 and 3 the most
 	// popular one gets 6 of 100 requests.
 	zipfExponent, zipfOffset float64
+	// answerDelay is the longest extra delay of the answer to an order; each one is random.
+	answerDelay time.Duration
 }
 
 // requestKind is a kind of request.
@@ -90,18 +92,22 @@
 
 func (r *result) total() (t outcome) {
 	for _, o := range r.byKind {
-		t.submitted += o.submitted
-		t.inTime += o.inTime
-		t.late += o.late
-		t.refused += o.refused
-		t.retriedInTime += o.retriedInTime
-		t.failed += o.failed
-		t.refusedLate += o.refusedLate
-		t.longestRefusedWait = max(t.longestRefusedWait, o.longestRefusedWait)
+		t.add(o)
 	}
 	return t
 }
 
+func (o *outcome) add(x *outcome) {
+	o.submitted += x.submitted
+	o.inTime += x.inTime
+	o.late += x.late
+	o.refused += x.refused
+	o.retriedInTime += x.retriedInTime
+	o.failed += x.failed
+	o.refusedLate += x.refusedLate
+	o.longestRefusedWait = max(o.longestRefusedWait, x.longestRefusedWait)
+}
+
 // score rates the responses that callers got: a late response counts a tenth, and one in time at
 // the second attempt about half.
 func (o *outcome) score() float64 {
@@ -144,6 +150,8 @@
 	cumulativePopularity []float64 // of adapters, by rank
 	lastTicket           uint64
 	result               *result
+	onStep               func() // called in each step; nil: none
+	firstAdapter         int    // the most popular adapter; changes shift the demand
 }
 
 const messageDelay = time.Millisecond // one-way network delay between VMs and engines
@@ -186,6 +194,21 @@
 	return sim.result
 }
 
+// runLoadSims returns the sum of the results of simulations with several seeds.
+func runLoadSims(d deployment, cfg Config, requestKinds []requestKind, duration time.Duration, seeds uint64) *result {
+	sum := runLoadSim(d, cfg, requestKinds, duration, 1, nil)
+	for seed := uint64(2); seed <= seeds; seed++ {
+		r := runLoadSim(d, cfg, requestKinds, duration, seed, nil)
+		for name, o := range r.byKind {
+			sum.byKind[name].add(o)
+		}
+		sum.storeLoads += r.storeLoads
+		sum.retries += r.retries
+		sum.rejectedOrders += r.rejectedOrders
+	}
+	return sum
+}
+
 func (sim *loadSim) announced() []AnnouncedTarget {
 	var out []AnnouncedTarget
 	for id, e := range sim.engines {
@@ -213,6 +236,9 @@
 		if onStep != nil {
 			onStep()
 		}
+		if sim.onStep != nil {
+			sim.onStep()
+		}
 		sim.advanceLoads()
 		ms := sim.now.UnixMilli()
 		due := sim.callbacks[ms]
@@ -242,7 +268,7 @@
 	rank, _ := slices.BinarySearch(sim.cumulativePopularity, sim.rng.Float64()*sim.cumulativePopularity[len(sim.cumulativePopularity)-1])
 	sampleTokens := func(mean float64) int { return max(int(mean*min(sim.rng.ExpFloat64()*0.7+0.3, 4)), 1) }
 	r := &simRequest{
-		kind: k, ref: ref(fmt.Sprintf("a%d", min(rank, len(sim.cumulativePopularity)-1))), submittedAt: sim.now, promptTokens: sampleTokens(k.prompt), outputTokens: sampleTokens(k.output),
+		kind: k, ref: ref(fmt.Sprintf("a%d", (sim.firstAdapter+min(rank, sim.deployment.adapters-1))%sim.deployment.adapters)), submittedAt: sim.now, promptTokens: sampleTokens(k.prompt), outputTokens: sampleTokens(k.output),
 	}
 	sim.result.byKind[k.name].submitted++
 	sim.result.perSecond[len(sim.result.perSecond)-1][1]++
--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/coord/loadlimit"
 )
 
 // OrderResult is a target's answer to an order.
@@ -93,9 +94,10 @@
 	s.loadCount++
 	sl.loadNumber = s.loadCount
 	sl.startedAt, sl.rejectedAfter, sl.rejected, sl.cacheMissed = time.Time{}, 0, false, false
+	sl.lateLoad = loadlimit.StartedLoad{}
 	sl.expectedDuration = s.warmLoadTime.Value()
 	if sl.fromStore {
-		sl.expectedDuration = s.coldLoadTime.Next()
+		sl.expectedDuration = s.nextColdLoadTime()
 		sl.contended = s.storeLoads > s.cfg.MaxLoads/2
 	}
 	sl.readyAt = now.Add(sl.expectedDuration + loadMargin)
@@ -181,7 +183,9 @@
 	case OrderAccepted:
 		sl.acknowledged = true
 		if latency < maxOrderLatency { // otherwise it waited for a connection or for a busy VM
-			sl.startedAt = now
+			if s.isMeasurable(latency) {
+				sl.startedAt, sl.answerLatency = now, latency
+			}
 			sl.readyAt = coord.Later(sl.readyAt, now.Add(sl.expectedDuration))
 			sl.initialReadyAt = sl.readyAt
 		}
--- a/coord/scheduler/replicas.go
+++ b/coord/scheduler/replicas.go
@@ -117,7 +117,7 @@
 	var lowestCost time.Duration
 	loadLimitReached := s.storeLoads >= s.loadLimit.Max()
 	if loadLimitReached {
-		s.loadLimit.ObserveFull()
+		s.observeStoreFull()
 	}
 	adapterHash := rendezvous.Hash(r.Ref.String())
 	for _, id := range s.targetIDs {
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -72,7 +72,9 @@
 	// that of an adapter that the engine has cached. loadCount counts the loads.
 	coldLoadTime, warmLoadTime *loadtime.Estimate
 	loadCount                  uint64
-	nextModelLoad              time.Time
+	// orderLatency is about the lowest latency of the last orders to load.
+	orderLatency  time.Duration
+	nextModelLoad time.Time
 	// pacer keeps the requests to targets within their announced rates. rateWaiters is the number
 	// of requests that wait for a rate limit or a brittle target, counted anew in each round. retryDelays spreads out
 	// the retries of refused callers.
@@ -104,6 +106,7 @@
 		cfg:               cfg,
 		targets:           map[string]*target{},
 		speed:             enginecost.NewSpeed(),
+		orderLatency:      maxOrderLatency,
 		loadLimit:         loadlimit.New(cfg.MaxLoads),
 		coldLoadTime:      loadtime.New(initialColdLoadTime),
 		warmLoadTime:      loadtime.New(initialWarmLoadTime),
@@ -283,6 +286,7 @@
 		return s.takeActions() // there are no waiting requests and no orders to issue
 	}
 	s.lastRoundAt = now
+	s.loadLimit.Advance(now, s.storeLoads, s.coldLoadTime.Value())
 	for _, id := range s.targetIDs {
 		s.maintainTarget(now, s.targets[id])
 	}
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -41,9 +41,10 @@
 	// Rejections do not change it.
 	initialReadyAt time.Time
 	// startedAt is when the load order was answered, as far as that indicates when the load began;
-	// zero if unknown. loadNumber identifies the load, and expectedDuration is its expected
+	// zero if unknown, and answerLatency the time from the order until then. loadNumber identifies the load, and expectedDuration is its expected
 	// duration.
 	startedAt        time.Time
+	answerLatency    time.Duration
 	loadNumber       uint64
 	expectedDuration time.Duration
 	// contended reports that so many other loads were in progress at its start that all of them may
@@ -74,6 +75,9 @@
 	// startedLoad is the start of a load from the store that no request has shown to be on time or
 	// late yet; the zero value if there is none.
 	startedLoad loadlimit.StartedLoad
+	// lateLoad is the start of a load that was found to be late and whose duration is not known
+	// yet; the zero value if there is none.
+	lateLoad loadlimit.StartedLoad
 }
 
 // target is the state of one engine.
