--- a/coord/scheduler/loadsim_test.go
+++ b/coord/scheduler/loadsim_test.go
@@ -39,6 +39,8 @@
 	paces []float64
 	// namesTeams makes the name of a request's kind that of its team.
 	namesTeams bool
+	// answerDelay is the longest extra delay of the answer to an order; each one is random.
+	answerDelay time.Duration
 }
 
 // requestKind is a kind of request.
@@ -106,19 +108,23 @@
 
 func (r *result) total() (t outcome) {
 	for _, o := range r.byKind {
-		t.submitted += o.submitted
-		t.inTime += o.inTime
-		t.late += o.late
-		t.paused += o.paused
-		t.refused += o.refused
-		t.retriedInTime += o.retriedInTime
-		t.failed += o.failed
-		t.refusedLate += o.refusedLate
-		t.longestRefusedWait = max(t.longestRefusedWait, o.longestRefusedWait)
+		t.add(o)
 	}
 	return t
 }
 
+func (o *outcome) add(x *outcome) {
+	o.submitted += x.submitted
+	o.inTime += x.inTime
+	o.late += x.late
+	o.paused += x.paused
+	o.refused += x.refused
+	o.retriedInTime += x.retriedInTime
+	o.failed += x.failed
+	o.refusedLate += x.refusedLate
+	o.longestRefusedWait = max(o.longestRefusedWait, x.longestRefusedWait)
+}
+
 // score rates the responses that callers got: a late response counts a tenth, and one in time at
 // the second attempt about half.
 func (o *outcome) score() float64 {
@@ -164,6 +170,7 @@
 	rankShift  int
 	lastTicket uint64
 	result     *result
+	onStep     func() // called in each step; nil: none
 }
 
 const messageDelay = time.Millisecond // one-way network delay between VMs and engines
@@ -213,6 +220,21 @@
 	return sim.result
 }
 
+// runLoadSims returns the sum of the results of simulations with several seeds.
+func runLoadSims(d deployment, cfg Config, requestKinds []requestKind, duration time.Duration, seeds uint64) *result {
+	sum := runLoadSim(d, cfg, requestKinds, duration, 1, nil)
+	for seed := uint64(2); seed <= seeds; seed++ {
+		r := runLoadSim(d, cfg, requestKinds, duration, seed, nil)
+		for name, o := range r.byKind {
+			sum.byKind[name].add(o)
+		}
+		sum.storeLoads += r.storeLoads
+		sum.retries += r.retries
+		sum.rejectedOrders += r.rejectedOrders
+	}
+	return sum
+}
+
 func (sim *loadSim) announced() []AnnouncedTarget {
 	var out []AnnouncedTarget
 	for id, e := range sim.engines {
@@ -240,6 +262,9 @@
 		if onStep != nil {
 			onStep()
 		}
+		if sim.onStep != nil {
+			sim.onStep()
+		}
 		sim.advanceLoads()
 		sim.advanceBatches()
 		ms := sim.now.UnixMilli()
--- a/coord/scheduler/replicas.go
+++ b/coord/scheduler/replicas.go
@@ -121,7 +121,7 @@
 	var lowestCost time.Duration
 	loadLimitReached := s.storeLoads >= s.loadLimit.Max()
 	if loadLimitReached {
-		s.loadLimit.ObserveFull()
+		s.observeStoreFull()
 	}
 	adapterHash := rendezvous.Hash(r.Ref.String())
 	for _, t := range s.targetList {
