edge: Timers of a VM end at ticks; cheaper heartbeats and calls

Cause: the loops of the feed and of heartbeats woke an idle process at times of their own. Heartbeat counts that a VM knew already were merged in full, the size of each frame was computed twice, and each call allocated two read buffers of 4 KB.

Change: delays of 100 ms and more end at the nearest tick. Known counts are skipped, sizes are reused, and the buffers of calls are pooled.

--- a/coord/roster/gossip.go
+++ b/coord/roster/gossip.go
@@ -107,6 +107,9 @@
 			unknown = unknown || heartbeat.Digest != self
 			continue
 		}
+		if heartbeat.Count <= m.Heartbeat {
+			continue // as most are: several VMs relay each count
+		}
 		e := m.Entry
 		e.Heartbeat = heartbeat.Count
 		if change, changed := r.mergeEntry(now, e); changed {
@@ -133,8 +136,10 @@
 		}
 		delete(r.forgotten, e.ID)
 	}
-	r.seenAddresses[e.Address] = true
 	m := r.members[e.ID]
+	if m == nil || m.Address != e.Address {
+		r.seenAddresses[e.Address] = true
+	}
 	if m == nil {
 		m = &Member{Entry: e, LastHeartbeat: now, State: stateOf(e), changedAt: now, digest: e.digest()}
 		r.members[e.ID] = m
--- a/coord/scheduler/software.go
+++ b/coord/scheduler/software.go
@@ -39,7 +39,7 @@
 // ObserveCopy records that the announced targets are current as of a time. Announcements of targets that
 // restarted sufficiently long before are those of their present software.
 func (s *Scheduler) ObserveCopy(currentAt time.Time) {
-	for _, t := range s.targets {
+	for _, t := range s.targetList {
 		if !t.restartedAt.IsZero() && !currentAt.Before(t.restartedAt.Add(announcementDelay)) {
 			t.restartedAt = time.Time{}
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -237,7 +237,7 @@
 		ApplyWithin:   time.Duration(s.Times.ConfigApplyMs) * time.Millisecond,
 		DrainWithin:   time.Duration(s.Times.DrainMs) * time.Millisecond,
 		ConfirmWithin: maxKeyAge(s.Times),
-		OnChange:      n.onDirectory, OnRemoved: n.onTargetsRemoved, Log: l, Now: n.now,
+		OnChange:      n.onDirectory, OnRemoved: n.onTargetsRemoved, Log: l, Now: n.now, Align: n.alignToTick,
 	})
 	n.pool = hop.New(func() { metrics.Dials.Add(1) })
 	n.pool.Now = n.now
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -18,7 +18,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(n.currentHeartbeatInterval()):
+		case <-time.After(n.alignToTick(n.currentHeartbeatInterval())):
 		case <-n.heartbeatDue:
 		}
 		n.runHeartbeatRound()
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -123,11 +123,28 @@
 	n.relayServer.wait(ctx)
 }
 
-// waitForTick waits for the next multiple of tickInterval since n.tickOrigin, or until the context ends.
-// All loops of a VM thus run in one wake-up of the process, which takes more processor time than most
-// of their work. late is the time from the tick to the end of the wait.
+// minAlignedDelay is the shortest delay that alignToTick changes: by a tenth at most.
+const minAlignedDelay = 5 * tickInterval
+
+// nextTick returns the first multiple of tickInterval since n.tickOrigin that is more than a delay after
+// now. All loops of a VM thus run in one wake-up of the process, which takes more processor time than
+// most of their work.
+func (n *Node) nextTick(delay time.Duration) time.Time {
+	return n.tickOrigin.Add((time.Since(n.tickOrigin) + delay).Truncate(tickInterval) + tickInterval)
+}
+
+// alignToTick moves the end of a delay to the nearest tick, unless the delay is short.
+func (n *Node) alignToTick(delay time.Duration) time.Duration {
+	if delay < minAlignedDelay {
+		return delay
+	}
+	return time.Until(n.nextTick(delay - tickInterval/2))
+}
+
+// waitForTick waits for the next tick, or until the context ends. late is the time from the tick to the
+// end of the wait.
 func (n *Node) waitForTick(ctx context.Context) (late time.Duration, ok bool) {
-	due := n.tickOrigin.Add(time.Since(n.tickOrigin).Truncate(tickInterval) + tickInterval)
+	due := n.nextTick(0)
 	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
 	select {
--- a/internal/feed/confirmation.go
+++ b/internal/feed/confirmation.go
@@ -46,7 +46,7 @@
 		delay := f.confirmOnce(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(delay):
+		case <-time.After(f.cfg.align(delay)):
 		}
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -103,6 +103,15 @@
 	OnRemoved func(ids []string)
 	Log       *events.Log
 	Now       func() time.Time
+	// Align moves the end of a delay, so that it falls on other work of the process; nil: it does not.
+	Align func(delay time.Duration) time.Duration
+}
+
+func (c *Config) align(delay time.Duration) time.Duration {
+	if c.Align == nil {
+		return delay
+	}
+	return c.Align(delay)
 }
 
 // Feed keeps one VM's copy of the store. Lock order: Feed.notify before Feed.mu.
@@ -181,7 +190,7 @@
 		delay := f.step(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(delay):
+		case <-time.After(f.cfg.align(delay)):
 		}
 	}
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,22 @@
 	}
 }
 
+// readBuffers has the buffers of streams that carry a single frame each way, as calls do.
+var readBuffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
+
+// readSingle returns the only frame of a stream, or its first one if nothing follows before it is
+// handled.
+func readSingle(r io.Reader) (*schema.Frame, error) {
+	buffer := readBuffers.Get().(*bufio.Reader)
+	buffer.Reset(r)
+	defer func() {
+		buffer.Reset(nil)
+		readBuffers.Put(buffer)
+	}()
+	f := frameReader{r: buffer, opts: protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}}
+	return f.read()
+}
+
 // read returns the next frame. It returns an error for a frame without a kind.
 func (f *frameReader) read() (*schema.Frame, error) {
 	frame := &schema.Frame{}
@@ -52,7 +69,7 @@
 	size := proto.Size(frame)
 	buf := make([]byte, 0, size+maxPrefixBytes)
 	buf = binary.AppendUvarint(buf, uint64(size))
-	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, frame)
+	buf, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buf, frame)
 	if err != nil {
 		return errors.Wrap(err, "encode frame")
 	}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -23,8 +23,7 @@
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetReadDeadline(time.Now().Add(incomingTimeout))
 	defer s.trackStream(stream)()
-	frames := newFrameReader(stream)
-	first, err := frames.read()
+	first, err := readSingle(stream) // the other side sends nothing else before the response
 	if err != nil {
 		return
 	}
@@ -124,7 +123,7 @@
 	if err := writeFrame(stream, &schema.Frame{Kind: &schema.Frame_Call{Call: c}}); err != nil {
 		return nil, errors.Wrapf(err, "call %s", s.vm)
 	}
-	f, err := newFrameReader(stream).read()
+	f, err := readSingle(stream)
 	if err != nil {
 		return nil, errors.Wrapf(err, "reply of %s", s.vm)
 	}
