enginecost, scheduler: Learn the decode pace of each engine

Cause: All engines were expected to free their batch places at the same rate, and to be occupied equally by the adapters that they hold. In a deployment where a third of the engines take 1.7 and the others 0.7 of the usual time per step, slow engines got as many adapters as fast ones.

Change: enginecost.Pace learns the stream time per announced output token of each engine relative to the service, with decaying evidence; deviations within 10% count as noise of output lengths. It scales the expected wait for a batch place, the expected run time, and the cost of recent grants in the choice of an engine for a load. The actual output of a stream is not reported to the scheduler, so the pace is per announced token. TestMeanStreamTimeConverges calls Pace.ObserveStream, which replaces Speed.ObserveStream; its bounds are unchanged.

--- a/coord/enginecost/enginecost_test.go
+++ b/coord/enginecost/enginecost_test.go
@@ -226,9 +226,9 @@
 }
 
 func TestMeanStreamTimeConverges(t *testing.T) {
-	s := NewSpeed()
+	s, p := NewSpeed(), &Pace{}
 	for range 200 {
-		s.ObserveStream(5 * time.Second)
+		p.ObserveStream(at(0), s, 0, 5*time.Second)
 	}
 	assert.Assert(t, s.MeanStreamTime() > 4500*time.Millisecond && s.MeanStreamTime() < 5*time.Second)
 }
--- a/coord/enginecost/speed.go
+++ b/coord/enginecost/speed.go
@@ -22,6 +22,11 @@
 	timePerToken medianEstimate
 	overhead     medianEstimate
 	meanStreamMs float64
+	// meanOutput is the mean announced output of streams, in tokens, and meanLogTimePerToken the mean
+	// natural logarithm of their times in ms over announced tokens; 0 before the first stream. streams
+	// counts the streams with a known output.
+	meanOutput, meanLogTimePerToken float64
+	streams                         int
 }
 
 // NewSpeed returns a Speed with the priors.
@@ -44,11 +49,6 @@
 // MeanStreamTime returns the mean time from the first event of a stream to its end.
 func (s *Speed) MeanStreamTime() time.Duration { return duration(s.meanStreamMs) }
 
-// ObserveStream records the time from the first event of a stream to its end.
-func (s *Speed) ObserveStream(took time.Duration) {
-	s.meanStreamMs += streamTimeWeight * (ms(took) - s.meanStreamMs)
-}
-
 // observePrefill updates the estimates with a first event that came tookMs after the engine
 // began to prefill the given tokens. It updates the estimate of the larger part of the expected
 // time. It updates the overhead only if the prefill began as soon as the request was sent,
--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -14,6 +14,8 @@
 	target *target
 	ref    coord.AdapterRef
 	tokens int
+	// output is the announced output in tokens; 0 for adopted requests.
+	output int
 	// priority is the engine priority; 0, the most urgent, for adopted requests.
 	priority int
 	// pendingPrompt is the part of the prompt that the target has to prefill. It is nil after the
@@ -51,7 +53,7 @@
 		s.recordLoadTiming(now, g, false)
 	}
 	if ending == EndedOK && !g.firstEventAt.IsZero() {
-		s.speed.ObserveStream(now.Sub(g.firstEventAt))
+		g.target.pace.ObserveStream(now, s.speed, g.output, now.Sub(g.firstEventAt))
 	}
 	switch ending {
 	case EndedMisrouted, EndedBusy, EndedNoConnection:
--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -22,7 +22,7 @@
 // expectedDelay returns the expected time to the first event of r at t.
 func (s *Scheduler) expectedDelay(now time.Time, t *target, r *Request) time.Duration {
 	_, firstEvent := s.priorityAndDelay(now, t, r)
-	return firstEvent + s.capacityWait(t, r)
+	return firstEvent + s.capacityWait(now, t, r)
 }
 
 // uncachedTokens returns the number of prompt tokens that t has not cached.
@@ -202,7 +202,7 @@
 	s.pacer.Consume(now, t.id)
 	t.recentGrants.add(now)
 	g := &grant{
-		target: t, ref: r.Ref, tokens: r.PromptTokens + r.OutputTokens, priority: priority,
+		target: t, ref: r.Ref, tokens: r.PromptTokens + r.OutputTokens, output: r.OutputTokens, priority: priority,
 		pendingPrompt: prompt, deadline: r.Deadline, grantedAt: now, inFlight: t.running + 1,
 	}
 	t.addRun(g)
--- a/coord/scheduler/replicas.go
+++ b/coord/scheduler/replicas.go
@@ -25,7 +25,7 @@
 	// evictCostPerRequest is the cost of evicting an adapter for each recent request for it.
 	evictCostPerRequest = 40 * time.Millisecond
 	// targetCostPerRequest is the cost of loading an adapter at a target for each recent request
-	// granted there: the target's adapters will be requested again.
+	// granted there, at an engine of usual pace: the target's adapters will be requested again.
 	targetCostPerRequest = 3 * time.Millisecond
 	// tieBreakSpan is the range of the hash that breaks ties between equal targets. All VMs compute
 	// the same hash.
@@ -126,7 +126,7 @@
 			continue
 		}
 		d := s.expectedDelay(now, t, r) + s.expectedLoadTime(t, r.Ref)
-		cost := d + time.Duration(t.recentGrants.valueAt(now)*float64(targetCostPerRequest))
+		cost := d + s.recentGrantsCost(now, t)
 		cost += s.speed.PrefillTime(t.pendingPromptTokens()) + s.rateCost(t)
 		cost += time.Duration(rendezvous.Weight(t.idHash, adapterHash) % uint64(tieBreakSpan))
 		if best != nil && cost >= lowestCost {
--- a/coord/scheduler/room.go
+++ b/coord/scheduler/room.go
@@ -52,7 +52,7 @@
 
 // capacityWait returns the expected wait for running requests to end if the batch or the memory of
 // t is full. Requests that already wait for a place at t are served first.
-func (s *Scheduler) capacityWait(t *target, r *Request) time.Duration {
+func (s *Scheduler) capacityWait(now time.Time, t *target, r *Request) time.Duration {
 	shortage := 0.0 // missing capacity, as a fraction of the whole capacity
 	if batch := s.cfg.Batch; batch > 0 && t.running >= batch {
 		shortage = float64(t.running-batch+1+t.placeWaiters) / float64(batch)
@@ -60,7 +60,15 @@
 	if memory := maxCacheFill * float64(s.cfg.CacheTokens); memory > 0 {
 		shortage = max(shortage, float64(t.tokens+r.PromptTokens+r.OutputTokens)/memory-1)
 	}
-	return time.Duration(shortage * float64(s.speed.MeanStreamTime()))
+	if shortage <= 0 {
+		return 0
+	}
+	return time.Duration(shortage * t.pace.Ratio(now, s.speed) * float64(s.speed.MeanStreamTime()))
+}
+
+// expectedRunTime returns the expected time from the first event of r to its end at t.
+func (s *Scheduler) expectedRunTime(now time.Time, t *target, r *Request) time.Duration {
+	return time.Duration(t.pace.Ratio(now, s.speed) * float64(s.speed.RunTime(r.OutputTokens)))
 }
 
 // placeWaitObjectives bounds the wait for a batch place, in objectives. Beyond it the request is
@@ -88,6 +96,13 @@
 	return r.arrivedAt.Add(min(placeWaitObjectives*r.Objective, callerWait/2))
 }
 
+// recentGrantsCost returns the cost of loading another adapter at t because requests for the adapters
+// of t will come again. A slow engine is occupied longer by each of them.
+func (s *Scheduler) recentGrantsCost(now time.Time, t *target) time.Duration {
+	recent := t.pace.Ratio(now, s.speed) * t.recentGrants.valueAt(now)
+	return time.Duration(recent * float64(targetCostPerRequest))
+}
+
 // replicaChoice is a replica that is considered for a request.
 type replicaChoice struct {
 	target *target
--- a/coord/scheduler/room_test.go
+++ b/coord/scheduler/room_test.go
@@ -96,6 +96,29 @@
 	h := newHarness(t, config(1), []string{"x"}, []string{})
 	h.submitUrgent(1, 8)
 	h.drain()
+	full := h.s.targets["t0"]
+	alone := h.s.capacityWait(h.now, full, &Request{})
 	h.submitUrgent(0, 1)
 	assert.Equal(t, h.expectActions(ActLoad)[0].Target, "t1")
+	assert.Equal(t, h.s.capacityWait(h.now, full, &Request{}), 2*alone)
+}
+
+// TestExpectedRunTimeFollowsPaceOfEngine checks that the ends of streams reach the pace of their engine,
+// and that a slow engine with a full batch is expected to have a place later than a fast one.
+func TestExpectedRunTimeFollowsPaceOfEngine(t *testing.T) {
+	h := newHarness(t, config(1), []string{"x"}, []string{"y"})
+	for range 6 {
+		slow, fast := h.submit("x"), h.submit("y")
+		h.s.FirstEvent(h.now, slow)
+		h.s.FirstEvent(h.now, fast)
+		h.advance(time.Second)
+		h.collect(h.s.Done(h.now, fast, EndedOK))
+		h.advance(time.Second)
+		h.collect(h.s.Done(h.now, slow, EndedOK))
+	}
+	x, y := h.s.targets["t0"], h.s.targets["t1"]
+	r := &Request{OutputTokens: 50}
+	assert.Assert(t, h.s.expectedRunTime(h.now, x, r) > 3*h.s.expectedRunTime(h.now, y, r)/2)
+	x.running, y.running = 8, 8
+	assert.Assert(t, h.s.capacityWait(h.now, x, r) > 3*h.s.capacityWait(h.now, y, r)/2)
 }
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -122,6 +122,8 @@
 	runningByPriority [lowestPriority + 1]int
 	// engine models the prompts that the engine has to prefill and its speed.
 	engine enginecost.Engine
+	// pace is the engine's decode pace.
+	pace enginecost.Pace
 
 	// readReportAt is when to read the target's report next; zero if no read is needed.
 	readReportAt time.Time
