--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -106,7 +106,7 @@
 	if err == nil {
 		return d, false, unknownLeaderTimeout
 	}
-	n.sendDone(leader, &schema.Done{Ticket: a.Ticket, Service: r.Service, Ending: schema.Ending_ENDING_ABANDONED, Plain: r.Plain})
+	n.callDone(leader, &schema.Done{Ticket: a.Ticket, Service: r.Service, Ending: schema.Ending_ENDING_ABANDONED, Plain: r.Plain})
 	if ctx.Err() == nil {
 		n.log.SchedulerUnresponsive(r.Request.ID, string(leader), err)
 	}
@@ -227,7 +227,7 @@
 	n.sendDone(coord.VMID(d.DecidedBy), done)
 	// A leader that did not make the decision was notified that the request runs.
 	if leader := *n.leader.Load(); leader != "" && string(leader) != d.DecidedBy {
-		n.sendDone(leader, done)
+		n.callDone(leader, done)
 	}
 }
 
@@ -262,6 +262,17 @@
 	})
 }
 
+// callDone reports the end of a request that another VM may not know yet: the message about it was a
+// call, which a notification could overtake. The VM would then keep the request until its deadline.
+func (n *Node) callDone(vm coord.VMID, d *schema.Done) {
+	if vm == coord.VMID(n.settings.Vm.Id) {
+		n.done(vm, d)
+		return
+	}
+	go n.notify(vm, &schema.Call{Body: &schema.Call_Done{Done: d}})
+}
+
+// sendDone reports the end or the first event of a request to the VM that decided on it.
 func (n *Node) sendDone(vm coord.VMID, d *schema.Done) {
 	if vm == coord.VMID(n.settings.Vm.Id) {
 		n.done(vm, d)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,7 +57,7 @@
 	case *schema.Call_Running:
 		n.schedulers.adopt(from, body.Running)
 		return emptyReply()
-	case *schema.Call_Done: // of VMs with software that sends no notifications
+	case *schema.Call_Done: // see callDone
 		n.done(from, body.Done)
 		return emptyReply()
 	case *schema.Call_FeedProof:
