edge: Metrics of grants to full batches and of target pace

Cause: Operators could not see when requests were granted to engines without a free batch place, or which engines are expected to be slow.

Change: grants_over_batch_total, grants_preempting_total and the map target_pace.

--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -197,6 +197,7 @@
 }
 
 func (s *Scheduler) grant(now time.Time, t *target, r *Request) {
+	s.countOverBatch(now, t, r)
 	priority, _ := s.priorityAndDelay(now, t, r)
 	prompt := t.engine.Begin(now, s.speed, t.uncachedTokens(r), priority)
 	s.pacer.Consume(now, t.id)
--- a/coord/scheduler/room.go
+++ b/coord/scheduler/room.go
@@ -36,6 +36,29 @@
 	return priority
 }
 
+// countOverBatch counts a grant to a full batch for metrics.
+func (s *Scheduler) countOverBatch(now time.Time, t *target, r *Request) {
+	if s.hasRoomFor(now, t, r) {
+		return
+	}
+	s.overBatch++
+	if s.wouldPreempt(now, t, r) {
+		s.preempting++
+	}
+}
+
+// Paces returns the decode pace of the ready targets whose pace differs from the usual one, as the
+// ratio of their stream times to the usual ones.
+func (s *Scheduler) Paces(now time.Time) map[string]float64 {
+	paces := map[string]float64{}
+	for id, t := range s.targets {
+		if ratio := t.pace.Ratio(now, s.speed); t.ready && ratio != 1 {
+			paces[id] = ratio
+		}
+	}
+	return paces
+}
+
 // addRun counts a running request.
 func (t *target) addRun(g *grant) {
 	t.running++
--- a/coord/scheduler/room_test.go
+++ b/coord/scheduler/room_test.go
@@ -65,8 +65,11 @@
 	assert.Equal(t, h.expectActions(ActGrant)[0].Key.Ticket, uint64(9))
 	h.advance(placeWaitObjectives*800*time.Millisecond - time.Millisecond)
 	h.expectActions()
+	assert.Equal(t, h.s.Stats().OverBatch, int64(0))
 	h.advance(time.Millisecond)
 	assert.Equal(t, h.expectActions(ActGrant)[0].Key.Ticket, uint64(10))
+	assert.Equal(t, h.s.Stats().OverBatch, int64(1))
+	assert.Equal(t, h.s.Stats().Preempting, int64(1))
 }
 
 // TestEngineQueuesEquallyUrgentRequest checks that a request that preempts no run is left to the queue
@@ -118,6 +121,7 @@
 	}
 	x, y := h.s.targets["t0"], h.s.targets["t1"]
 	r := &Request{OutputTokens: 50}
+	assert.Equal(t, len(h.s.Paces(h.now)), 2)
 	assert.Assert(t, h.s.expectedRunTime(h.now, x, r) > 3*h.s.expectedRunTime(h.now, y, r)/2)
 	x.running, y.running = 8, 8
 	assert.Assert(t, h.s.capacityWait(h.now, x, r) > 3*h.s.capacityWait(h.now, y, r)/2)
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -90,6 +90,8 @@
 	searchesLeft int
 	actions      []Action
 	freed        [freedByCount]int64
+	// overBatch counts the grants to full batches, and preempting those that preempted a run.
+	overBatch, preempting int64
 	// judge tells failures of targets from failures of a VM's paths to them.
 	judge *witness.Judge
 }
@@ -325,12 +327,15 @@
 	ColdLoad, WarmLoad time.Duration
 	// Freed counts the freed adapter slots by the evidence that freed them.
 	Freed [freedByCount]int64
+	// OverBatch counts the grants to engines whose batch was full, and Preempting those of them that
+	// were expected to preempt a run that had been granted in time.
+	OverBatch, Preempting int64
 }
 
 // Stats returns a summary.
 func (s *Scheduler) Stats() Stats {
 	return Stats{
 		Waiting: len(s.waiting), Running: len(s.grants), Loads: s.storeLoads, MaxLoads: s.loadLimit.Max(), ColdLoad: s.coldLoadTime.Value(),
-		WarmLoad: s.warmLoadTime.Value(), Freed: s.freed,
+		WarmLoad: s.warmLoadTime.Value(), Freed: s.freed, OverBatch: s.overBatch, Preempting: s.preempting,
 	}
 }
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -39,6 +39,9 @@
 	n.metrics.Map.Set("held_contents", expvar.Func(func() any { return n.quarantine.blocked() }))
 	n.metrics.Map.Set("teams", expvar.Func(func() any { return n.quotas.accounts() }))
 	n.metrics.Gauge("scheduler_waiting", func() int64 { return int64(n.schedulers.stats().Waiting) })
+	n.metrics.Gauge("grants_over_batch_total", func() int64 { return n.schedulers.stats().OverBatch })
+	n.metrics.Gauge("grants_preempting_total", func() int64 { return n.schedulers.stats().Preempting })
+	n.metrics.Map.Set("target_pace", expvar.Func(func() any { return n.schedulers.paces() }))
 	n.metrics.Gauge("adapter_loads", func() int64 { return int64(n.schedulers.stats().Loads) })
 	for _, reason := range scheduler.FreedByValues() {
 		n.metrics.Gauge("places_freed_by_"+reason.String(), func() int64 { return n.schedulers.stats().Freed[reason] })
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -195,6 +196,8 @@
 		sum.Loads += st.Loads
 		sum.MaxLoads += st.MaxLoads
 		sum.ColdLoad, sum.WarmLoad = max(sum.ColdLoad, st.ColdLoad), max(sum.WarmLoad, st.WarmLoad)
+		sum.OverBatch += st.OverBatch
+		sum.Preempting += st.Preempting
 		for reason, n := range st.Freed {
 			sum.Freed[reason] += n
 		}
@@ -202,6 +205,18 @@
 	return sum
 }
 
+// paces returns the decode pace of the targets of all services that differ from the usual one.
+func (ss *schedulers) paces() map[string]float64 {
+	now := ss.node.now()
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	all := map[string]float64{}
+	for _, sc := range ss.services {
+		maps.Copy(all, sc.scheduler.Paces(now))
+	}
+	return all
+}
+
 func runAll(work []func()) {
 	for _, f := range work {
 		f()
