--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -107,6 +107,8 @@
 	searchesLeft int
 	actions      []Action
 	freed        [freedByCount]int64
+	// overBatch counts the grants to full batches, and preempting those that preempted a run.
+	overBatch, preempting int64
 	// judge tells failures of targets from failures of a VM's paths to them.
 	judge *witness.Judge
 	// shares divides the service between teams, in tokens.
@@ -375,6 +377,9 @@
 	// ReplicasHeld is the number of replicas of the adapters that need more than one engine, and
 	// ReplicasWanted the number that they need.
 	ReplicasHeld, ReplicasWanted int
+	// OverBatch counts the grants to engines whose batch was full, and Preempting those of them that
+	// were expected to preempt a run that had been granted in time.
+	OverBatch, Preempting int64
 }
 
 // Stats returns a summary.
@@ -384,5 +389,6 @@
 		Waiting: len(s.waiting), Running: len(s.grants), Loads: s.storeLoads, MaxLoads: s.loadLimit.Max(), ColdLoad: s.coldLoadTime.Value(),
 		WarmLoad: s.warmLoadTime.Value(), Freed: s.freed,
 		LoadsStarted: s.loadsStarted, ReplicasWanted: wanted, ReplicasHeld: held,
+		OverBatch: s.overBatch, Preempting: s.preempting,
 	}
 }
