--- a/coord/scheduler/loadsim_test.go
+++ b/coord/scheduler/loadsim_test.go
@@ -238,7 +238,7 @@
 func (sim *loadSim) announced() []AnnouncedTarget {
 	var out []AnnouncedTarget
 	for id, e := range sim.engines {
-		if !e.unresponsive {
+		if !e.unresponsive && !e.crashed {
 			out = append(out, AnnouncedTarget{ID: id, Ready: true, Zone: e.zone, Resident: []ResidentItem{{Ref: base}}})
 		}
 	}
--- a/coord/scheduler/replicas.go
+++ b/coord/scheduler/replicas.go
@@ -125,19 +125,17 @@
 	}
 	adapterHash := rendezvous.Hash(r.Ref.String())
 	for _, t := range s.targetList {
-		if loadLimitReached && !t.isCached(r.Ref) || s.cached(now, t).inTransit >= maxInTransit || !s.usable(now, t, r) || !t.canLoad(r.Ref) {
+		cost, ok := time.Duration(0), true
+		if extraCost != nil {
+			cost, ok = extraCost(t)
+		}
+		if !ok || loadLimitReached && !t.isCached(r.Ref) || s.cached(now, t).inTransit >= maxInTransit || !s.usable(now, t, r) || !t.canLoad(r.Ref) {
 			continue
 		}
 		d := s.expectedDelay(now, t, r) + s.expectedLoadTime(t, r.Ref)
-		cost := d + s.recentGrantsCost(now, t)
+		cost += d + s.recentGrantsCost(now, t)
 		cost += s.speed.PrefillTime(s.cached(now, t).pendingPromptTokens) + s.rateCost(t)
 		cost += time.Duration(rendezvous.Weight(t.idHash, adapterHash) % uint64(tieBreakSpan))
-		if extraCost != nil {
-			extra, ok := extraCost(t)
-			if cost += extra; !ok {
-				continue
-			}
-		}
 		if best != nil && cost >= lowestCost {
 			continue
 		}
