--- a/coord/scheduler/loadlimit_sim_test.go
+++ b/coord/scheduler/loadlimit_sim_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,20 +47,22 @@
 func TestWrongLoadTimeKeepsLoadLimit(t *testing.T) {
 	for _, loadTime := range []time.Duration{125, 200, 250, 288, 400, 500} {
 		for i, delay := range []time.Duration{0, 100} {
-			d := busyStoreFleet
-			d.loadTime, d.answerDelay = loadTime*time.Millisecond, delay*time.Millisecond
-			var below, above runOutside
-			r := runLoadSim(d, busyStoreConfig(d.storeConcurrency), contendedWorkload, 8*time.Second, uint64(i)+1, func(sim *loadSim, _ int) {
-				sim.rankShift += 1000 // keeps loads waiting
-				sim.onStep = func() {
-					limit := sim.s.loadLimit.Max()
-					below.observe(20*limit < 19*d.storeConcurrency)
-					above.observe(4*limit > 5*d.storeConcurrency)
-				}
+			t.Run(fmt.Sprintf("%dms_delay_%dms", loadTime, delay), func(t *testing.T) {
+				d := busyStoreFleet
+				d.loadTime, d.answerDelay = loadTime*time.Millisecond, delay*time.Millisecond
+				var below, above runOutside
+				r := runLoadSim(d, busyStoreConfig(d.storeConcurrency), contendedWorkload, 8*time.Second, uint64(i)+1, func(sim *loadSim, _ int) {
+					sim.rankShift += 1000 // keeps loads waiting
+					sim.onStep = func() {
+						limit := sim.s.loadLimit.Max()
+						below.observe(20*limit < 19*d.storeConcurrency)
+						above.observe(4*limit > 5*d.storeConcurrency)
+					}
+				})
+				t.Logf("%v, delay %v: below for %v, above for %v; %v", d.loadTime, d.answerDelay, below.longest, above.longest, r)
+				assert.Check(t, below.longest <= 2*time.Second)
+				assert.Check(t, above.longest <= 2*time.Second)
 			})
-			t.Logf("%v, delay %v: below for %v, above for %v; %v", d.loadTime, d.answerDelay, below.longest, above.longest, r)
-			assert.Check(t, below.longest <= 2*time.Second)
-			assert.Check(t, above.longest <= 2*time.Second)
 		}
 	}
 }
