scheduler: Forecast the load queue and refuse hopeless requests at once

Cause: requests behind a load queue that outlasts their callers waited to the callers' limit (1,474 refusals after 2,365 ms at the median in one deployment) and could not use the time to return.

Change: each round forecasts the end of the loads that wait for the load limit. A request that arrives when its forecast is 1.5 times as long as its caller waits is refused within a quarter of its objective, with Retry-After from the forecast. verdict_refused carries forecast_ms.

--- a/coord/scheduler/place.go
+++ b/coord/scheduler/place.go
@@ -109,6 +109,7 @@
 	}
 	if replica == nil {
 		s.loadFirstReplica(now, r)
+		s.forecastLoad(now, r.Ref)
 		return false
 	}
 	if replicaDelay > replicateAboveDelay {
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -75,6 +75,7 @@
 	// orderLatency is about the lowest latency of the last orders to load.
 	orderLatency  time.Duration
 	nextModelLoad time.Time
+	forecast      loadForecast
 	// pacer keeps the requests to targets within their announced rates. rateWaiters is the number
 	// of requests that wait for a rate limit or a brittle target, counted anew in each round. retryDelays spreads out
 	// the retries of refused callers.
@@ -106,6 +107,7 @@
 		cfg:               cfg,
 		targets:           map[string]*target{},
 		speed:             enginecost.NewSpeed(),
+		forecast:          loadForecast{},
 		orderLatency:      maxOrderLatency,
 		loadLimit:         loadlimit.New(cfg.MaxLoads),
 		coldLoadTime:      loadtime.New(initialColdLoadTime),
@@ -294,6 +296,7 @@
 	s.searchesLeft = maxSearchesPerRound
 	s.rateWaiters = 0
 	clear(s.exhausted)
+	clear(s.forecast)
 	s.replicateOverloaded(now)
 	remaining := s.waiting[:0]
 	blocked := map[coord.AdapterRef]bool{}
@@ -301,6 +304,9 @@
 		// If one request for an adapter that may use any target cannot be placed, the next one cannot be
 		// placed either.
 		if blocked[r.Ref] && s.rateWaiters == 0 && now.Before(r.FirstEventDeadline) && !r.avoidsTargets() || !s.place(now, r) {
+			if s.refuseByForecast(now, r) {
+				continue
+			}
 			remaining = append(remaining, r)
 			blocked[r.Ref] = blocked[r.Ref] || !r.avoidsTargets()
 		}
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -128,6 +128,9 @@
 	ExpectedOrders *uint64
 	RetryAfter     time.Duration
 	Reason         string
+	// Forecast is the time to the first event that a refused request would have waited, as far as
+	// the load queue determines it; 0: unknown.
+	Forecast time.Duration
 	// FencingToken is the fencing token of the lease under which an order was decided. The order
 	// must not be sent under another lease: another holder may have filled the target's slots in
 	// between (TestInvariantsDuringLeaderChanges).
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -281,7 +281,7 @@
 			sc.deliver(a, ss.node.limitPair(a.Target), ss.node.feed.Age())
 			if a.Reason != scheduler.ReasonNotLeader {
 				st := sc.scheduler.Stats()
-				ss.node.log.SchedulerRefused(string(a.Key.VM), a.Key.Ticket, sc.service, a.Reason, st.Waiting, st.Loads, st.MaxLoads)
+				ss.node.log.SchedulerRefused(string(a.Key.VM), a.Key.Ticket, sc.service, a.Reason, st.Waiting, st.Loads, st.MaxLoads, a.Forecast)
 			}
 		case scheduler.ActLoad, scheduler.ActUnload:
 			if t := sc.targets[a.Target]; t != nil {
--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -140,10 +140,12 @@
 }
 
 // SchedulerRefused records, on the VM that runs the scheduler, that a request was refused. peer
-// and ticket identify the request.
-func (l *Log) SchedulerRefused(peer string, ticket uint64, service, reason string, waiting, loads, maxLoads int) {
+// and ticket identify the request; forecast is the time to its first event if it had waited, 0 if
+// unknown.
+func (l *Log) SchedulerRefused(peer string, ticket uint64, service, reason string, waiting, loads, maxLoads int, forecast time.Duration) {
 	l.info("verdict_refused", log.Fields{
 		"peer": peer, "ticket": ticket, "service": service, "reason": reason, "waiting": waiting, "loads": loads, "max_loads": maxLoads,
+		"forecast_ms": forecast.Milliseconds(),
 	})
 }
 
