--- a/coord/scheduler/burst_test.go
+++ b/coord/scheduler/burst_test.go
@@ -37,6 +37,7 @@
 	} {
 		for _, seeds := range []uint64{1, 4} {
 			t.Run(fmt.Sprintf("limit_%d_seeds_%d", row.initialLimit, seeds), func(t *testing.T) {
+				t.Parallel()
 				r := runLoadSims(largeFleet, burstConfig(row.initialLimit), burst, 8*time.Second, seeds)
 				got := r.total()
 				t.Logf("initial limit %d: %v", row.initialLimit, r)
--- a/coord/scheduler/demand_test.go
+++ b/coord/scheduler/demand_test.go
@@ -31,6 +31,7 @@
 // added one after another: an adapter then needs seconds to get the engines for its requests.
 // Without loads by demand, 0.92 of the requests in the two seconds after a shift were in time.
 func TestDemandShift(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 3; seed++ {
 		r := runLoadSim(contendedFleet, contendedConfig(), contended, 10*time.Second, seed, func(sim *loadSim, second int) {
 			if second == 4 || second == 8 {
@@ -116,6 +117,7 @@
 // against loads of adapters with few requests before those of adapters with many: with the reverse
 // order, 0.98 of the requests of one second are in time.
 func TestLossOfQuarterOfEngines(t *testing.T) {
+	t.Parallel()
 	const lossAt = 6
 	r := runLoadSim(contendedFleet, contendedConfig(), contended.scaled(2.0/3), 10*time.Second, 1, func(sim *loadSim, second int) {
 		if second != lossAt {
--- a/coord/scheduler/loadlimit_sim_test.go
+++ b/coord/scheduler/loadlimit_sim_test.go
@@ -48,6 +48,7 @@
 	for _, loadTime := range []time.Duration{125, 200, 250, 288, 400, 500} {
 		for i, delay := range []time.Duration{0, 100} {
 			t.Run(fmt.Sprintf("%dms_delay_%dms", loadTime, delay), func(t *testing.T) {
+				t.Parallel()
 				d := busyStoreFleet
 				d.loadTime, d.answerDelay = loadTime*time.Millisecond, delay*time.Millisecond
 				var below, above runOutside
--- a/coord/scheduler/room_test.go
+++ b/coord/scheduler/room_test.go
@@ -32,6 +32,7 @@
 // without pauses when full engines were only charged an expected wait, and 130 and 0.861 with the
 // rules of room.go.
 func TestRunsAreSeldomPreempted(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 2; seed++ {
 		r := runLoadSim(pacedFleet, pacedConfig, pacedLoad.scaled(1.4), 10*time.Second, seed, nil)
 		got := r.total()
