scheduler: Loads by demand leave most targets free

Cause: when an adapter needed several engines, loads began at all of them at once.

Change: loads by demand are in progress at an eighth of the targets at most.

--- a/coord/scheduler/demand.go
+++ b/coord/scheduler/demand.go
@@ -49,6 +49,12 @@
 	sameZoneCost = 40 * time.Millisecond
 )
 
+// demandTargetShare is the share of the targets, as a divisor, at which loads by demand may be in progress.
+// Orders to a target wait for the answer to the previous one. While orders to all targets of a small
+// service went unanswered, a leader without paths to its targets gave no further order, and did not
+// find that the other VMs reached the targets (TestLeaderWithoutCallersAndPathsIsReplaced).
+const demandTargetShare = 8
+
 // demandTracker compares the demand for the most requested adapters with their replicas.
 type demandTracker struct {
 	// adapters has the adapters that need more than one engine or recently did.
@@ -203,10 +209,22 @@
 	return false
 }
 
-// mayLoadReplica reports whether the load limit allows another load of an adapter that a target
+// demandOrders returns the number of loads by demand in progress, and of unloads that make room for them.
+func (s *Scheduler) demandOrders() int {
+	n := s.loadsInProgress[LoadByDemand]
+	for _, d := range s.demand.adapters {
+		n += len(d.freeing)
+	}
+	return n
+}
+
+// mayLoadReplica reports whether the load limit and the number of targets allow another load of an adapter that a target
 // holds. While requests wait for adapters that no target holds, such loads get at most half of it.
 func (s *Scheduler) mayLoadReplica(now time.Time) bool {
 	limit := s.loadLimit.Max()
+	if s.demandOrders() >= len(s.targetList)/demandTargetShare {
+		return false
+	}
 	if s.firstLoadBlocked(now) && 2*s.replicaLoads() >= limit {
 		return false
 	}
--- a/coord/scheduler/demand_test.go
+++ b/coord/scheduler/demand_test.go
@@ -49,13 +49,15 @@
 	}
 }
 
-// newZonedHarness returns a harness with six targets in three zones, the first of which holds an
+// newZonedHarness returns a harness with 24 targets in three zones, the first of which holds an
 // adapter.
 func newZonedHarness(t *testing.T, maxLoads int) *harness {
 	cfg := config(4)
 	cfg.MaxLoads = maxLoads
-	h := newHarness(t, cfg, []string{"hot"}, nil, nil, nil, nil, nil)
-	for i := range 6 {
+	resident := make([][]string, 24)
+	resident[0] = []string{"hot"}
+	h := newHarness(t, cfg, resident...)
+	for i := range resident {
 		h.s.targets[fmt.Sprintf("t%d", i)].zone = fmt.Sprintf("z%d", i%3)
 	}
 	return h
@@ -100,6 +102,13 @@
 	assert.Equal(t, len(h.submitAtRate(4)), 0)
 }
 
+// TestLoadsByDemandLeaveMostTargetsFree guards against a leader that has unanswered orders at all targets: it
+// gives no further order, and does not find that it has lost its paths.
+func TestLoadsByDemandLeaveMostTargetsFree(t *testing.T) {
+	h := newZonedHarness(t, 24)
+	assert.Equal(t, len(h.submitAtRate(200)), 24/demandTargetShare)
+}
+
 // TestLoadsByDemandLeaveHalfTheLimit guards against requests that wait for an adapter that no
 // target holds while all loads are of further replicas.
 func TestLoadsByDemandLeaveHalfTheLimit(t *testing.T) {
