scheduler, enginecost, fairshare: One decay each, waiting requests counted once

Cause: three counts of a request rate and two weights of evidence each spelled out the same decay; hasRoomFor took two parameters that it did not use; Starts went over the requests to find out whether they are of one team, and then counted them by team again.

Change: heat.remaining and decayedEvidence serve all of them, hasBatchPlace takes the target alone, and the count by team tells whether there is one. Decisions stay as they are.

--- a/coord/enginecost/engine.go
+++ b/coord/enginecost/engine.go
@@ -139,10 +139,15 @@
 
 // evidenceAt returns the decayed weight of the engine's own time per token, in observations.
 func (e *Engine) evidenceAt(now time.Time) float64 {
-	if e.evidenceWeight == 0 {
+	return decayedEvidence(e.evidenceWeight, now.Sub(e.lastObserved))
+}
+
+// decayedEvidence returns what is left of the weight of observations of a given age.
+func decayedEvidence(weight float64, age time.Duration) float64 {
+	if weight == 0 {
 		return 0
 	}
-	return e.evidenceWeight * math.Exp2(-float64(now.Sub(e.lastObserved))/float64(evidenceHalfLife))
+	return weight * math.Exp2(-float64(age)/float64(evidenceHalfLife))
 }
 
 // timePerToken returns the estimated time per token of the engine in ms.
--- a/coord/enginecost/pace.go
+++ b/coord/enginecost/pace.go
@@ -56,10 +56,7 @@
 
 // weightAt returns the decayed weight of the engine's own observations.
 func (p *Pace) weightAt(now time.Time) float64 {
-	if p.weight == 0 {
-		return 0
-	}
-	return p.weight * math.Exp2(-float64(now.Sub(p.observedAt))/float64(evidenceHalfLife))
+	return decayedEvidence(p.weight, now.Sub(p.observedAt))
 }
 
 // Ratio returns the expected ratio of the engine's stream times to the usual ones.
--- a/coord/fairshare/order.go
+++ b/coord/fairshare/order.go
@@ -18,15 +18,14 @@
 // with a lower start are to be served first. The requests of one team are to be given in the order in which
 // they are to be served. The result is nil if all of them have the same team, or none.
 func (s *Shares) Starts(now time.Time, requests []Waiting) []float64 {
-	if isOneTeam(requests) {
-		s.setWaitingOf(now, requests)
-		return nil
-	}
 	waiting := map[string]int{}
 	for _, r := range requests {
 		waiting[r.Team]++
 	}
 	s.SetWaiting(now, waiting)
+	if len(waiting) <= 1 {
+		return nil
+	}
 	next := make(map[string]float64, len(waiting))
 	for team := range waiting {
 		next[team] = s.startOf(s.find(team))
@@ -39,19 +38,6 @@
 	return starts
 }
 
-func isOneTeam(requests []Waiting) bool {
-	return !slices.ContainsFunc(requests, func(r Waiting) bool { return r.Team != requests[0].Team })
-}
-
-// setWaitingOf records the waiting requests of one team, which may be none.
-func (s *Shares) setWaitingOf(now time.Time, requests []Waiting) {
-	waiting := map[string]int{}
-	if len(requests) > 0 {
-		waiting[requests[0].Team] = len(requests)
-	}
-	s.SetWaiting(now, waiting)
-}
-
 // Usage is what a team was served, for operators.
 type Usage struct {
 	Team string
--- a/coord/scheduler/heat.go
+++ b/coord/scheduler/heat.go
@@ -19,16 +19,21 @@
 // duration of a stream, and well below the duration of a shift in demand.
 const heatHalfLife = 10 * time.Second
 
+// remaining returns the part of a count that is left since the last request.
+func (h *heat) remaining(now time.Time, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(now.Sub(h.updatedAt)) / float64(halfLife))
+}
+
 func (h *heat) valueAt(now time.Time) float64 {
-	return h.value * math.Exp2(-float64(now.Sub(h.updatedAt))/float64(heatHalfLife))
+	return h.value * h.remaining(now, heatHalfLife)
 }
 
 func (h *heat) recentAt(now time.Time) float64 {
-	return h.recent * math.Exp2(-float64(now.Sub(h.updatedAt))/float64(demandHalfLife))
+	return h.recent * h.remaining(now, demandHalfLife)
 }
 
 func (h *heat) burstAt(now time.Time) float64 {
-	return h.burst * math.Exp2(-float64(now.Sub(h.updatedAt))/float64(burstHalfLife))
+	return h.burst * h.remaining(now, burstHalfLife)
 }
 
 // ratePerSecond returns the current request rate: the mean of the last seconds, or, if it is
--- a/coord/scheduler/room.go
+++ b/coord/scheduler/room.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// hasRoomFor reports whether the batch of t has a place for r now. A run beyond the batch is queued
+// hasBatchPlace reports whether the batch of t has a free place. A run beyond the batch is queued
 // by the engine, or preempts a less urgent run.
-func (s *Scheduler) hasRoomFor(_ time.Time, t *target, _ *Request) bool {
+func (s *Scheduler) hasBatchPlace(t *target) bool {
 	return s.cfg.Batch <= 0 || t.running < s.cfg.Batch
 }
 
@@ -12,7 +12,7 @@
 // The preempted request is prefilled again, which its caller sees as a pause. Requests that were late
 // when they were granted don't count: a pause makes no difference to their callers.
 func (s *Scheduler) wouldPreempt(now time.Time, t *target, r *Request) bool {
-	if s.hasRoomFor(now, t, r) {
+	if s.hasBatchPlace(t) {
 		return false
 	}
 	least := t.leastUrgentInBatch(s.cfg.Batch)
@@ -38,7 +38,7 @@
 
 // countOverBatch counts a grant to a full batch for metrics.
 func (s *Scheduler) countOverBatch(now time.Time, t *target, r *Request) {
-	if s.hasRoomFor(now, t, r) {
+	if s.hasBatchPlace(t) {
 		return
 	}
 	s.overBatch++
@@ -138,7 +138,7 @@
 }
 
 func (s *Scheduler) newReplicaChoice(now time.Time, t *target, r *Request, delay time.Duration) replicaChoice {
-	return replicaChoice{target: t, delay: delay, hasRoom: s.hasRoomFor(now, t, r), preempts: s.wouldPreempt(now, t, r)}
+	return replicaChoice{target: t, delay: delay, hasRoom: s.hasBatchPlace(t), preempts: s.wouldPreempt(now, t, r)}
 }
 
 // isBetterThan reports whether a replica is preferred to another one. A replica with room is preferred
