--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 )
 
@@ -39,6 +40,7 @@
 	n.metrics.Map.Set("held_contents", expvar.Func(func() any { return n.quarantine.blocked() }))
 	n.metrics.Map.Set("teams", expvar.Func(func() any { return n.quotas.accounts() }))
 	n.metrics.Map.Set("team_shares", expvar.Func(func() any { return n.teamUsage() }))
+	n.metrics.Gauge("leading", n.leads)
 	n.metrics.Gauge("scheduler_waiting", func() int64 { return int64(n.schedulers.stats().Waiting) })
 	n.metrics.Gauge("grants_over_batch_total", func() int64 { return n.schedulers.stats().OverBatch })
 	n.metrics.Gauge("grants_preempting_total", func() int64 { return n.schedulers.stats().Preempting })
@@ -66,3 +68,11 @@
 		return 0
 	})
 }
+
+// leads returns 1 if this VM is the leader, or else 0.
+func (n *Node) leads() int64 {
+	if *n.leader.Load() == coord.VMID(n.settings.Vm.Id) {
+		return 1
+	}
+	return 0
+}
