edge, vmload: Measure how much of its limits a VM uses

Cause: the only sign of overload is the least delay of timers. The log cannot tell a processor that is too slow from a link, memory or connections that are used up, nor whether the leader is the VM concerned.

Change: vmload measures processor time against the VM's share, bytes on the link (traffic counts those of callers, targets and other VMs), live memory, callers' connections, and the mean delay of goroutines from the runtime's histogram. The settings take the link's bandwidth and the descriptors; both are optional. Connections of callers are also bounded by descriptors. No decision changes yet.

--- a/coord/loadshed/loadshed.go
+++ b/coord/loadshed/loadshed.go
@@ -70,12 +70,15 @@
 	return &Controller{windowStart: now, least: -1, peers: map[coord.VMID]peerReport{}}
 }
 
+// IsSampleDue reports whether the current window ends now.
+func (c *Controller) IsSampleDue(now time.Time) bool { return now.Sub(c.windowStart) >= window }
+
 // Observe records by how much a timer was late.
 func (c *Controller) Observe(now time.Time, delay time.Duration) {
 	if c.least < 0 || delay < c.least {
 		c.least = max(delay, 0)
 	}
-	if now.Sub(c.windowStart) >= window {
+	if c.IsSampleDue(now) {
 		c.endWindow(now)
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -223,7 +223,7 @@
 	n.queues = newQueues(n)
 	n.quotas = newQuotas(n, s.Quota)
 	n.quarantine = newContentQuarantine(n)
-	n.overload = newOverloadControl(n, int(s.Vm.MemoryMb))
+	n.overload = newOverloadControl(n, s.Vm)
 	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
 	n.origins = newOrigins(n)
 	n.reachability = newReachability(n)
@@ -244,6 +244,7 @@
 	if p.DialTarget != nil {
 		n.pool.Dial = p.DialTarget
 	}
+	n.pool.Dial = n.overload.traffic.Dial(n.pool.Dial)
 	n.gateway = gateway.New(gateway.Config{
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: newTransport(n, n.pool),
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -9,30 +9,79 @@
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/loadshed"
+	"github.com/junctionfold/junctionfold/internal/traffic"
+	"github.com/junctionfold/junctionfold/internal/vmload"
+	"github.com/junctionfold/junctionfold/schema"
 )
 
-// connectionsPerMB bounds the open connections of callers by the memory of the VM. They take up to 32 kB
-// each, a quarter of the memory in all.
-const connectionsPerMB = 8
+// Shares of the limits of a VM that callers may take.
+const (
+	// connectionsPerMB bounds the open connections of callers by the memory of the VM. They take up to 32 kB
+	// each, a quarter of the memory in all.
+	connectionsPerMB = 8
+	// reservedFDs is the number of file descriptors for files, other VMs, the store and idle connections to
+	// targets. Each connection of a caller may need another one to a target.
+	reservedFDs      = 600
+	fdsPerConnection = 2
+	// liveMemoryShare is the share of the memory that live data may take. The rest is for garbage that is
+	// not collected yet.
+	liveMemoryShare = 0.5
+	// bytesPerMbit is the size of a Mbit.
+	bytesPerMbit = 1e6 / 8
+)
 
-// overloadControl closes new connections of callers unread while this VM has more work than processor time
-// and others have room, and those beyond maxOpen. Lock order: no other lock is acquired while
+// overloadControl closes new connections of callers unread while a limit of this VM is reached and others have
+// room, and those beyond the limit of connections. Lock order: no other lock is acquired while
 // overloadControl.mu is held.
 type overloadControl struct {
 	node    *Node
 	maxOpen int
+	// traffic counts the bytes of callers, targets and the store.
+	traffic traffic.Counter
 
 	mu         sync.Mutex
 	controller *loadshed.Controller
-	open       int
-	closed     int64
+	meter      *vmload.Meter
+	// load is the last measurement.
+	load   vmload.Load
+	open   int
+	closed int64
+}
+
+func newOverloadControl(n *Node, vm *schema.EdgeVM) *overloadControl {
+	o := &overloadControl{node: n, maxOpen: maxCallerConnections(vm), controller: loadshed.New(n.now())}
+	readProcess := vmload.NewProcessReader()
+	o.meter = vmload.New(n.now(), vmload.Limits{
+		Cores: vm.CpuShare * vm.CpuCores, LinkBytesPerSecond: vm.LinkMbps * bytesPerMbit,
+		MemoryBytes: liveMemoryShare * float64(vm.MemoryMb) * (1 << 20), Connections: o.maxOpen,
+	}, func() vmload.Counters {
+		c := readProcess()
+		c.LinkIn, c.LinkOut = o.linkBytes()
+		return c
+	})
+	return o
+}
+
+// maxCallerConnections returns how many connections of callers may be open.
+func maxCallerConnections(vm *schema.EdgeVM) int {
+	limit := connectionsPerMB * int(vm.MemoryMb)
+	if vm.MaxFds > 0 {
+		limit = min(limit, max(int(vm.MaxFds)-reservedFDs, fdsPerConnection)/fdsPerConnection)
+	}
+	return limit
 }
 
-func newOverloadControl(n *Node, memoryMB int) *overloadControl {
-	return &overloadControl{node: n, maxOpen: connectionsPerMB * memoryMB, controller: loadshed.New(n.now())}
+// linkBytes returns the bytes that this VM has received and sent on its link.
+func (o *overloadControl) linkBytes() (in, out int64) {
+	in, out = o.traffic.LinkBytes()
+	if o.node.mesh == nil {
+		return in, out
+	}
+	peersIn, peersOut := o.node.mesh.LinkBytes()
+	return in + peersIn, out + peersOut
 }
 
-// run measures the delay of ticks until the context ends.
+// run measures the load until the context ends.
 func (o *overloadControl) run(ctx context.Context) {
 	for {
 		late, ok := o.node.waitForTick(ctx)
@@ -43,20 +92,31 @@
 	}
 }
 
+// observe records the delay of a timer, and measures the load if that is due.
 func (o *overloadControl) observe(delay time.Duration) {
 	o.mu.Lock()
 	wasClosing := o.controller.IsClosing()
+	if now := o.node.now(); o.controller.IsSampleDue(now) {
+		o.load = o.meter.Measure(now, o.open)
+	}
 	o.controller.Observe(o.node.now(), delay)
-	isClosing, closed := o.controller.IsClosing(), o.closed
+	isClosing, closed, load := o.controller.IsClosing(), o.closed, o.load
 	o.mu.Unlock()
 	switch {
 	case isClosing && !wasClosing:
-		o.node.log.OverloadBegan(delay)
+		o.node.log.OverloadBegan(delay, load, o.node.leads() == 1)
 	case wasClosing && !isClosing:
-		o.node.log.OverloadEnded(closed)
+		o.node.log.OverloadEnded(closed, load)
 	}
 }
 
+// currentLoad returns the last measurement.
+func (o *overloadControl) currentLoad() vmload.Load {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.load
+}
+
 // isOverloaded reports whether this VM has more work than processor time.
 func (o *overloadControl) isOverloaded() bool {
 	o.mu.Lock()
@@ -119,7 +179,7 @@
 			return nil, err
 		}
 		if l.control.admit() {
-			return conn, nil
+			return l.control.traffic.Conn(conn), nil
 		}
 		_ = conn.Close() // nothing was read, and the caller tries another VM
 	}
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/schema"
 )
 
 // overloadedNode returns a VM whose timers were late for two seconds, with new connections meanwhile. The other
@@ -15,7 +17,7 @@
 func overloadedNode(t *testing.T, peerOverloaded bool) *Node {
 	t.Helper()
 	n, now := disconnectedNode(t)
-	n.overload = newOverloadControl(n, 200)
+	n.overload = newOverloadControl(n, &schema.EdgeVM{MemoryMb: 200})
 	for range 40 {
 		*now = now.Add(50 * time.Millisecond)
 		n.overload.recordPeer("b", peerOverloaded)
@@ -73,7 +75,7 @@
 // TestConnectionsAreBoundedByMemory guards against a VM that exceeds its memory because of open connections.
 func TestConnectionsAreBoundedByMemory(t *testing.T) {
 	n, _ := disconnectedNode(t)
-	n.overload = newOverloadControl(n, 16)
+	n.overload = newOverloadControl(n, &schema.EdgeVM{MemoryMb: 16})
 	for range 16 * connectionsPerMB {
 		assert.Assert(t, n.overload.admit())
 		n.overload.connectionChanged(nil, http.StateNew)
--- a/internal/events/vm.go
+++ b/internal/events/vm.go
@@ -1,9 +1,12 @@
 package events
 
 import (
+	"math"
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/junctionfold/junctionfold/internal/vmload"
 )
 
 // Suspended records that this VM was suspended, and for how long.
@@ -16,18 +19,33 @@
 	l.warn("suspensions_unseen", log.Fields{"error": errorText(err)})
 }
 
-// OverloadBegan records that this VM begins to close new connections of callers unread, because its timers
-// are late.
-func (l *Log) OverloadBegan(delay time.Duration) {
-	l.warn("overload_began", log.Fields{"delay_ms": delay.Milliseconds()})
+// OverloadBegan records that this VM begins to close new connections of callers unread, and which limit is the
+// closest to being reached. timerDelay is by how much a timer was late.
+func (l *Log) OverloadBegan(timerDelay time.Duration, load vmload.Load, leading bool) {
+	fields := loadFields(load)
+	fields["timer_delay_ms"], fields["leading"] = timerDelay.Milliseconds(), leading
+	l.warn("overload_began", fields)
 }
 
 // OverloadEnded records that this VM accepts all new connections again, and how many it has closed since it
 // started.
-func (l *Log) OverloadEnded(closed int64) {
-	l.info("overload_ended", log.Fields{"closed_total": closed})
+func (l *Log) OverloadEnded(closed int64, load vmload.Load) {
+	fields := loadFields(load)
+	fields["closed_total"] = closed
+	l.info("overload_ended", fields)
+}
+
+func loadFields(load vmload.Load) log.Fields {
+	limit, _ := load.MostUsed()
+	return log.Fields{
+		"limit": limit, "queue_delay_ms": load.QueueDelay.Milliseconds(),
+		"processor_pct": percent(load.Processor), "link_pct": percent(load.Link),
+		"memory_pct": percent(load.Memory), "connections_pct": percent(load.Connections),
+	}
 }
 
+func percent(share float64) int { return int(math.Round(100 * share)) }
+
 // PathBroken records that this VM cannot reach a target that another VM reaches.
 func (l *Log) PathBroken(target string) { l.warn("path_broken", log.Fields{"target": target}) }
 
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -22,6 +22,9 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// lingerSetter is implemented by TCP connections and their wrappers.
+type lingerSetter interface{ SetLinger(seconds int) error }
+
 // OmitFraming makes net/http send a response without a length and without chunks. It must be called
 // before the head is written.
 func OmitFraming(h http.Header) { h.Set("Transfer-Encoding", "identity") }
@@ -29,7 +32,7 @@
 // ResetOnClose sets whether closing the caller's connection resets it, also if the kernel closes it
 // because this process ends. It has no effect without WithConn.
 func ResetOnClose(ctx context.Context, reset bool) {
-	tcp, ok := ctx.Value(connKey{}).(*net.TCPConn)
+	tcp, ok := ctx.Value(connKey{}).(lingerSetter)
 	if !ok {
 		return
 	}
@@ -46,7 +49,7 @@
 	if err != nil {
 		return // the connection is already closed
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(lingerSetter); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is already closed
 	}
 	_ = conn.Close()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
-	"net"
 	"sync"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -79,21 +77,3 @@
 
 // maxPrefixBytes is the size of the longest length prefix.
 const maxPrefixBytes = binary.MaxVarintLen64
-
-// countingConn counts the bytes read from and written to a connection.
-type countingConn struct {
-	net.Conn
-	in, out *atomic.Int64
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.in.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.out.Add(int64(n))
-	return n, err
-}
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -32,7 +32,7 @@
 func (m *Mesh) handshake(conn net.Conn, expected coord.VMID) (*session, error) {
 	_ = conn.SetDeadline(time.Now().Add(m.cfg.DialTimeout))
 	dialled := expected != ""
-	secured, err := m.startTLS(&countingConn{Conn: conn, in: &m.bytesIn, out: &m.bytesOut}, dialled)
+	secured, err := m.startTLS(m.traffic.Conn(conn), dialled)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -19,12 +19,12 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/traffic"
 	"github.com/junctionfold/junctionfold/schema"
 )
 
@@ -75,7 +75,7 @@
 	allSessions map[*session]struct{}
 	closed      bool
 
-	bytesIn, bytesOut atomic.Int64
+	traffic traffic.Counter
 }
 
 // New returns a Mesh. resolve returns the peer address of a VM, or "" if it is unknown.
@@ -98,7 +98,10 @@
 
 // Bytes returns the number of bytes read and written on all sessions, including TLS
 // overhead.
-func (m *Mesh) Bytes() (in, out int64) { return m.bytesIn.Load(), m.bytesOut.Load() }
+func (m *Mesh) Bytes() (in, out int64) { return m.traffic.Bytes() }
+
+// LinkBytes is Bytes with the headers of the packets.
+func (m *Mesh) LinkBytes() (in, out int64) { return m.traffic.LinkBytes() }
 
 // Sessions returns the number of open sessions.
 func (m *Mesh) Sessions() int {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -70,6 +70,7 @@
 	p.checkAddress("store", "address", s.Store.Address)
 	p.checkIntRanges([]intRange{
 		{"vm", "memory_mb", int64(s.Vm.MemoryMb), 16, 1 << 20},
+		{"vm", "max_fds", int64(s.Vm.MaxFds), 0, 1 << 24},
 		{"times", "drain_ms", int64(s.Times.DrainMs), 100, 600_000},
 		{"times", "config_apply_ms", int64(s.Times.ConfigApplyMs), 100, 600_000},
 		{"times", "revoke_ms", int64(s.Times.RevokeMs), 0, 600_000},
@@ -78,6 +79,7 @@
 	p.checkFloatRanges([]floatRange{
 		{"vm", "cpu_share", s.Vm.CpuShare, 0.001, 1024},
 		{"vm", "cpu_cores", s.Vm.CpuCores, 0.001, 1024},
+		{"vm", "link_mbps", s.Vm.LinkMbps, 0, 1e6},
 		{"times", "grace_s", s.Times.GraceS, 0.5, 3600},
 		{"retry", "ratio", s.Retry.Ratio, 0, 10},
 		{"retry", "slack", s.Retry.Slack, 0, 1e6},
