servicequeue: Calls of overloaded VMs neither hold targets nor count as slow

Cause: a VM that reads responses late reports the ends of its calls late. The leader took the slots of the targets for used until then (18 of 18 running, 131 waiting), and the time that the responses waited at that VM for the targets' own (work_ms up to 105 where calls take some ms), so that the forecast refused everybody's calls.

Change: a VM says in its reports of ends whether it is overloaded. The leader doesn't learn from such durations, and releases a slot after the time that marks a hung call, as it does for VMs without paths.

Model requests still hold their engine until a late end is reported, and their durations still count for the pace of engines.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -151,6 +151,9 @@
 func (b *Balancer) Done(now time.Time, id string, ending Ending, duration time.Duration) Effect {
 	s := b.state(id)
 	before := *s
+	if duration == 0 {
+		duration = s.latency
+	}
 	s.running = max(s.running-1, 0)
 	switch ending {
 	case OK:
--- a/coord/servicequeue/cutfleet_test.go
+++ b/coord/servicequeue/cutfleet_test.go
@@ -14,14 +14,18 @@
 
 // cutFleet simulates a fleet of which some VMs lose their paths to all targets.
 type cutFleet struct {
-	rng     *rand.Rand
-	queue   *Queue
-	vms     int
-	cutVMs  int
-	isCut   bool
-	ending  balance.Ending // of requests of VMs that are cut off
-	after   time.Duration  // until that ending
-	running []cutRequest
+	rng    *rand.Rand
+	queue  *Queue
+	vms    int
+	cutVMs int
+	isCut  bool
+	ending balance.Ending // of requests of VMs that are cut off
+	after  time.Duration  // until that ending
+	// cutShare is the share of the requests that VMs that are cut off get; 0: as many as each of the others.
+	cutShare float64
+	// overloaded is set if they are not cut off, but slow, and report that.
+	overloaded bool
+	running    []cutRequest
 	// sent and served count the requests of the other VMs from 3 s after some have been cut off.
 	sent, served int
 	isCounting   bool
@@ -69,7 +73,12 @@
 	}
 	f.running = remaining
 	for _, r := range ended {
-		f.carryOut(now, f.queue.Done(now, r.key, r.ending, now.Sub(r.sentAt)))
+		duration := now.Sub(r.sentAt)
+		if f.overloaded && f.isCut && f.isCutVM(r.key.VM) {
+			f.queue.ReportOverload(now, r.key.VM)
+			duration = 0
+		}
+		f.carryOut(now, f.queue.Done(now, r.key, r.ending, duration))
 		if r.counted {
 			f.served++
 		}
@@ -78,7 +87,11 @@
 
 func (f *cutFleet) submit(now time.Time) {
 	f.next++
-	key := Key{VM: coord.VMID(fmt.Sprint(f.rng.IntN(f.vms))), Ticket: f.next}
+	vm := f.rng.IntN(f.vms)
+	if f.cutShare > 0 && f.rng.Float64() < f.cutShare {
+		vm = f.rng.IntN(f.cutVMs)
+	}
+	key := Key{VM: coord.VMID(fmt.Sprint(vm)), Ticket: f.next}
 	if f.isCounting && !f.isCutVM(key.VM) {
 		f.sent++
 	}
@@ -131,3 +144,24 @@
 		}
 	}
 }
+
+// TestOverloadedVMsLeaveTheTargetsToTheOthers guards against requests whose responses were read late, at a VM
+// that gets most of them, and that hold the targets' slots or make the targets seem slow.
+func TestOverloadedVMsLeaveTheTargetsToTheOthers(t *testing.T) {
+	const servedShare = 0.95
+	for _, fleet := range []struct {
+		vms, overloaded, targets int
+		perStep                  float64
+	}{{7, 1, 3, 0.3}, {7, 1, 3, 1.2}, {66, 5, 5, 1.5}, {72, 3, 3, 1.2}, {408, 10, 40, 15}} {
+		for _, after := range []time.Duration{300 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprint(fleet, after), func(t *testing.T) {
+				f := &cutFleet{
+					rng: rand.New(rand.NewPCG(1, 2)), queue: New(), vms: fleet.vms, cutVMs: fleet.overloaded, cutShare: 0.5,
+					ending: balance.OK, after: after, overloaded: true,
+				}
+				share := f.play(fleet.targets, fleet.perStep)
+				assert.Assert(t, share >= servedShare, "%.3f of %d", share, f.sent)
+			})
+		}
+	}
+}
--- a/coord/servicequeue/queue.go
+++ b/coord/servicequeue/queue.go
@@ -26,6 +26,7 @@
 package servicequeue
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -108,6 +109,8 @@
 	retryDelays ratelimit.RetryDelays
 	// testimony tells failures of targets from failures of a VM's paths to them.
 	testimony testimony
+	// overloadedVMs holds the time of the last report of each VM that was overloaded.
+	overloadedVMs map[coord.VMID]time.Time
 	// guard bounds the requests at brittle targets.
 	guard *overload.Guard
 	// shares divides the targets between teams, in calls.
@@ -119,7 +122,7 @@
 
 // New returns a Queue without targets.
 func New() *Queue {
-	return &Queue{times: newServiceTimes(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer(), testimony: newTestimony(), guard: overload.NewGuard(), shares: fairshare.New()}
+	return &Queue{times: newServiceTimes(), running: map[string]int{}, grants: map[Key]grant{}, balancer: balance.New(), pacer: ratelimit.NewPacer(), testimony: newTestimony(), overloadedVMs: map[coord.VMID]time.Time{}, guard: overload.NewGuard(), shares: fairshare.New()}
 }
 
 // Delays and timeouts of the queue.
@@ -167,7 +170,8 @@
 // TargetOf returns the target at which a request runs; empty: none.
 func (q *Queue) TargetOf(key Key) string { return q.grants[key].target }
 
-// Done records the end of a granted request and its duration, or withdraws a waiting request.
+// Done records the end of a granted request and its duration, or withdraws a waiting request. A duration of 0
+// is unknown.
 func (q *Queue) Done(now time.Time, key Key, ending balance.Ending, duration time.Duration) []Action {
 	q.waiting = slices.DeleteFunc(q.waiting, func(r *Request) bool { return r.Key == key })
 	g, granted := q.grants[key]
@@ -247,6 +251,7 @@
 	q.releaseHung(now)
 	q.balancer.ExpireIdle(now)
 	q.testimony.expire(now)
+	maps.DeleteFunc(q.overloadedVMs, func(vm coord.VMID, _ time.Time) bool { return !q.isOverloaded(now, vm) })
 	q.times.expire(now)
 	return q.schedule(now)
 }
--- a/coord/servicequeue/witness.go
+++ b/coord/servicequeue/witness.go
@@ -86,8 +86,19 @@
 // hungAfter returns the time after its grant at which a request of an unreliable VM is taken as hung.
 func (q *Queue) hungAfter() time.Duration { return hungServiceTimes * q.times.p90() }
 
-// releaseHung releases the targets of hung requests. A late request is a failure of its VM for the
-// judgement of the VM, and none of the target.
+// overloadMemory is how long a VM counts as overloaded after its last report.
+const overloadMemory = time.Second
+
+// ReportOverload records that a VM is overloaded, so that it reports the ends of its requests late.
+func (q *Queue) ReportOverload(now time.Time, vm coord.VMID) { q.overloadedVMs[vm] = now }
+
+func (q *Queue) isOverloaded(now time.Time, vm coord.VMID) bool {
+	reported, known := q.overloadedVMs[vm]
+	return known && now.Sub(reported) <= overloadMemory
+}
+
+// releaseHung releases the targets of hung requests, and of late ones of overloaded VMs, which have ended at
+// their targets. A late request is a failure of its VM for the judgement of the VM, and none of the target.
 func (q *Queue) releaseHung(now time.Time) {
 	hungAfter := q.hungAfter()
 	var late []Key
@@ -106,7 +117,7 @@
 		}
 	}
 	for _, key := range late {
-		if q.testimony.judge.Unreliable(now, key.VM) {
+		if q.testimony.judge.Unreliable(now, key.VM) || q.isOverloaded(now, key.VM) {
 			g := q.grants[key]
 			q.release(key, g)
 			q.balancer.Done(now, g.target, balance.Abandoned, 0)
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -267,7 +267,7 @@
 	}
 	(*Node)(ad).sendDone(coord.VMID(d.DecidedBy), &schema.Done{
 		Ticket: d.Ticket, Service: d.Service, Ending: protoPlainEndings[ending], Plain: true,
-		TookMs: float64(took) / float64(time.Millisecond),
+		TookMs: float64(took) / float64(time.Millisecond), Overloaded: (*Node)(ad).overload.isOverloaded(),
 	})
 }
 
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -33,6 +33,7 @@
 	n.running = newRunningRequests(n.now)
 	n.leader.Store(new(coord.VMID))
 	n.roster = roster.New(roster.Config{Start: at}, roster.Entry{ID: "a"})
+	n.overload = newOverloadControl(n, n.settings.Vm, nil)
 	n.quotas = newQuotas(n, &schema.EdgeQuota{})
 	n.queues, n.schedulers, n.quarantine = newQueues(n), newSchedulers(n), newContentQuarantine(n)
 	replicas, err := lru.New[replicaKey, lastReplica](maxLastReplicas)
--- a/internal/edge/queues.go
+++ b/internal/edge/queues.go
@@ -162,8 +162,12 @@
 	}
 	target := sq.queue.TargetOf(key)
 	delete(sq.waiters, key)
-	took := time.Duration(d.TookMs * float64(time.Millisecond))
-	qs.deliver(sq, sq.queue.Done(qs.node.now(), key, ending, took))
+	now, took := qs.node.now(), time.Duration(d.TookMs*float64(time.Millisecond))
+	if d.Overloaded {
+		sq.queue.ReportOverload(now, from)
+		took = 0 // most of it passed at that VM
+	}
+	qs.deliver(sq, sq.queue.Done(now, key, ending, took))
 	qs.mu.Unlock()
 	qs.node.recordReport(from, target, d.Ending)
 }
