gateway, hop: Granted requests may use a target's slots whatever the share of a VM is

What callers may see: requests that the leader granted are not run (no_connection) at the VM that most callers use.

Cause: the connections that a target accepts are shared evenly by the VMs: 6 of 510 at 66 VMs, 2 at 408, where an engine takes 12 requests at once. A VM with nine in ten callers gets most grants for a popular adapter's engine.

Change: a VM keeps open as many connections as its share; for a request that a leader granted it may open others, up to the target's slots and the reserve of a tenth, and closes them after use. The leader bounds the requests at a target, so that the sum stays within what the target accepts: shares of 0.9 and the slots. Requests without a leader keep the share.

Weighed: shares by measured demand, exchanged in heartbeats (late by a second, and their sum is not bounded while they change); a limit in each grant (one more field that a leader must account for).

Conclusion: read and tested; that it had a part in the incident was not seen.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -209,7 +209,7 @@
 
 func decisionFromProto(r *gateway.AdmitRequest, ticket uint64, from coord.VMID, v *schema.Verdict) gateway.Decision {
 	return gateway.Decision{
-		Service: r.Service, Ticket: ticket, DecidedBy: string(from),
+		Service: r.Service, Ticket: ticket, DecidedBy: string(from), ByLeader: true,
 		Target: v.Target, Address: v.Address, SoftwareVersion: v.SoftwareVersion, AdapterVersion: v.AdapterVersion, Priority: int(v.Priority),
 		RetryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, Reason: v.Reason, OverQuota: v.OverQuota,
 		StoreCopy:      events.StoreCopy{Revision: fleet.Revision(v.FeedRevision), Age: time.Duration(v.FeedAgeMs) * time.Millisecond},
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -64,8 +64,10 @@
 	Ticket  uint64
 	// DecidedBy is the VM that made the decision.
 	DecidedBy string
-	Target    string
-	Address   string
+	// ByLeader is set if that VM decided as the leader, which bounds the requests at the target.
+	ByLeader bool
+	Target   string
+	Address  string
 	// SoftwareVersion is the version of the target's software in StoreCopy; empty: unknown.
 	SoftwareVersion string
 	AdapterVersion  int64
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,7 +40,7 @@
 	}
 	encode()
 	resp, err := x.g.cfg.Pool.Do(ctx, &hop.Request{
-		Key: d.target, Address: d.address, MaxConns: x.g.maxConnections(x.service),
+		Key: d.target, Address: d.address, MaxConns: x.maxConnections(d.target), KeepConns: x.g.maxConnections(x.service),
 		Method: x.r.Method, Path: x.requestTarget, Host: x.r.Host, Header: h, Body: x.body,
 		AckTimeout: x.g.cfg.DrainBounds.InFlight,
 		BeforeSend: func() error {
@@ -89,7 +89,20 @@
 // are not known yet.
 const connectionReserve = 0.1
 
-// maxConnections returns how many connections this VM may open to one target: its share, but at
+// maxConnections returns how many connections this VM may open to a target for this request; 0: no limit. Callers
+// are not spread evenly over the VMs, so that the share of a VM may be too small. The leader bounds the requests
+// at a target by its slots; for those that it granted, connections beyond the share come from the reserve.
+func (x *exchange) maxConnections(target string) int {
+	share := x.g.maxConnections(x.service)
+	t := x.g.cfg.Directory.Directory().Targets[target]
+	if share == 0 || !x.decision.ByLeader || t == nil {
+		return share
+	}
+	reserve := int(connectionReserve * float64(x.service.MaxConnections))
+	return share + min(t.Slots, reserve)
+}
+
+// maxConnections returns how many connections this VM may keep open to one target: its share, but at
 // least 2; 0: no limit.
 func (g *Gateway) maxConnections(s *fleet.Service) int {
 	usable := float64(s.MaxConnections) * (1 - connectionReserve)
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -89,7 +89,9 @@
 	// MaxConns is the number of connections that this VM may have open to the target;
 	// 0 means no limit.
 	MaxConns int
-	Method   string
+	// KeepConns is the number of them that may stay open without a request; 0 means no limit.
+	KeepConns int
+	Method    string
 	// Path is the request target, unchanged from the caller's request.
 	Path   string
 	Host   string
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -474,3 +475,35 @@
 		}
 	}
 }
+
+// TestConnectionsBeyondTheShareAreNotKept guards against a VM that keeps more connections open than its share of
+// those that a target accepts.
+func TestConnectionsBeyondTheShareAreNotKept(t *testing.T) {
+	const requests, share = 3, 1
+	var arrived sync.WaitGroup
+	arrived.Add(requests)
+	tgt := newFakeTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req, body, ok := readRequest(r)
+		if !ok {
+			return
+		}
+		arrived.Done()
+		arrived.Wait()
+		_, _ = io.WriteString(c, responseText(req.Header.Get("Id"), body))
+		_, _, _ = readRequest(r) // waits until the client closes the connection
+	})
+	p := New(nil)
+	var ended sync.WaitGroup
+	for i := range requests {
+		r := newRequest(tgt, itoa(i), "a")
+		r.MaxConns, r.KeepConns = requests, share
+		ended.Go(func() {
+			_, err := do(t, p, r)
+			assert.Check(t, err)
+		})
+	}
+	ended.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(t, p.targets["t"].open, share)
+}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -57,6 +57,8 @@
 	key     string
 	expires time.Time
 	closed  bool // guarded by Pool.mu
+	// keep is the KeepConns of the last request.
+	keep int
 	// ackTimeoutSet is true while the ack timeout of a request is set on the connection
 	// in place of defaultAckTimeout.
 	ackTimeoutSet atomic.Bool
@@ -79,6 +81,7 @@
 		if c == nil {
 			return p.dial(ctx, r)
 		}
+		c.keep = r.KeepConns
 		if c.isIdleAndOpen(p.Now()) {
 			return c, nil
 		}
@@ -119,7 +122,7 @@
 		p.releaseSlot(r.Key)
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", r.Key), ErrUnreachable)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), key: r.Key}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), key: r.Key, keep: r.KeepConns}, nil
 }
 
 // dialTimeout returns the timeout of a connection attempt for a request with the given context.
@@ -318,12 +321,25 @@
 	p.putIdle(c)
 }
 
-// putIdle returns a connection to the pool, unless it has been closed in the meantime.
+// putIdle returns a connection to the pool, unless it has been closed in the meantime. It closes the connection
+// if more are open than may stay so.
 func (p *Pool) putIdle(c *conn) {
+	if !p.keepIdle(c) {
+		p.discard(c)
+	}
+}
+
+// keepIdle returns a connection to the pool, and reports whether it did or the connection has been closed.
+func (p *Pool) keepIdle(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !c.closed {
-		t := p.targets[c.key]
-		t.idle = append(t.idle, c)
+	if c.closed {
+		return true
+	}
+	t := p.targets[c.key]
+	if c.keep > 0 && t.open > c.keep {
+		return false
 	}
+	t.idle = append(t.idle, c)
+	return true
 }
