loadshed, gateway: An overloaded VM closes open connections after a response

Cause: only new connections were closed.

Change: while closing new connections was not enough in the last window and others have room, responses close their connection, as during a drain; the caller's next one is subject to shedding.

--- a/coord/loadshed/loadshed.go
+++ b/coord/loadshed/loadshed.go
@@ -8,6 +8,8 @@
 // processor that is slower than was told. While one of them is too high, the rate of accepted connections
 // falls in steps. It rises again while both are low, until all connections are accepted.
 //
+// While that is not enough, open connections are closed after a response as well.
+//
 // Connections are closed only as far as others have room: a VM that knows of no VM with room accepts all,
 // since a caller that is turned away everywhere is not served at all. It never closes all of them, so that
 // it notices when it can serve more.
@@ -44,6 +46,9 @@
 	increase = 0.03
 	// minAccepted is the least share of the new connections that is accepted.
 	minAccepted = 0.03
+	// roomFactor bounds the share of the connections that is closed, as a multiple of the share of the others
+	// that have room.
+	roomFactor = 1.5
 	// rateMemory is the time constant of the measured rates.
 	rateMemory = 500 * time.Millisecond
 	// peerMemory is how long the report of another VM counts.
@@ -145,6 +150,13 @@
 // IsClosing reports whether the accepted rate is limited.
 func (c *Controller) IsClosing() bool { return c.limit > 0 }
 
+// IsRetiring reports whether connections are to be closed after the next response, because closing new ones was
+// not enough in the last window: callers keep connections open for many requests.
+func (c *Controller) IsRetiring(now time.Time) bool {
+	_, withRoom := c.countPeers(now)
+	return withRoom > 0 && c.limit > 0 && c.overloadedWindows >= onsetWindows
+}
+
 // Accept reports whether a new connection is to be accepted.
 func (c *Controller) Accept(now time.Time) bool {
 	c.arrivals++
@@ -160,9 +172,17 @@
 }
 
 // acceptedShare returns the share of the new connections to accept. All are accepted if no other VM has
-// room, and as few as the limit says if half of the others have.
+// room, and as few as the limit says if most of the others have.
 func (c *Controller) acceptedShare(now time.Time) float64 {
-	known, withRoom := 0, 0
+	known, withRoom := c.countPeers(now)
+	if withRoom == 0 {
+		return 1
+	}
+	return max(c.limit/c.rate, 1-roomFactor*float64(withRoom)/float64(known), minAccepted)
+}
+
+// countPeers returns how many other VMs have reported of late, and how many of them have room.
+func (c *Controller) countPeers(now time.Time) (known, withRoom int) {
 	for vm, p := range c.peers {
 		switch {
 		case now.Sub(p.at) > peerMemory:
@@ -174,8 +194,5 @@
 			withRoom++
 		}
 	}
-	if withRoom == 0 {
-		return 1
-	}
-	return max(c.limit/c.rate, 1-2*float64(withRoom)/float64(known), minAccepted)
+	return known, withRoom
 }
--- a/coord/loadshed/simulation_test.go
+++ b/coord/loadshed/simulation_test.go
@@ -92,7 +92,7 @@
 func (s *simulation) run(d time.Duration) {
 	for end := start.Add(d); s.now.Before(end); s.now = s.now.Add(step) {
 		if s.rng.Float64() < s.perSec*step.Seconds() {
-			s.connect(s.balance(nil), s.now, 1, s.phase())
+			s.connect(s.balance(nil), s.now, 1, s.requests, s.phase())
 		}
 		due := s.later
 		s.later = nil
@@ -127,26 +127,20 @@
 	}
 }
 
-// connect opens a connection for a caller that began at a time.
-func (s *simulation) connect(vm *simVM, begun time.Time, try, phase int) {
+// connect opens a connection for a number of requests of a caller that began at a time.
+func (s *simulation) connect(vm *simVM, begun time.Time, try, requests, phase int) {
 	vm.arrive(s.now, closeWork, func(now time.Time) {
 		if vm.controller.Accept(now) {
-			s.request(vm, begun, s.requests, phase)
+			s.request(vm, begun, requests, phase)
 			return
 		}
 		s.closed++
-		s.retry(vm, begun, try, phase)
-	})
-}
-
-func (s *simulation) retry(closedBy *simVM, begun time.Time, try, phase int) {
-	if try >= maxTries {
-		if phase >= 0 {
+		if try < maxTries {
+			s.after(5*time.Millisecond, func() { s.connect(s.balance(vm), begun, try+1, requests, phase) })
+		} else if phase >= 0 {
 			s.lost[phase]++
 		}
-		return
-	}
-	s.after(5*time.Millisecond, func() { s.connect(s.balance(closedBy), begun, try+1, phase) })
+	})
 }
 
 // request sends a request over an open connection, and the next one once it is served.
@@ -158,9 +152,14 @@
 		if phase >= 0 && now.Sub(begun) <= callerPatience {
 			s.served[phase]++
 		}
-		if left > 1 {
-			s.after(thinkTime, func() { s.request(vm, s.now, left-1, s.phase()) })
+		if left == 1 {
+			return
+		}
+		if vm.controller.IsRetiring(now) {
+			s.after(thinkTime, func() { s.connect(s.balance(nil), s.now, 1, left-1, s.phase()) })
+			return
 		}
+		s.after(thinkTime, func() { s.request(vm, s.now, left-1, s.phase()) })
 	})
 }
 
@@ -228,19 +227,25 @@
 	return func(vms []*simVM) { vms[0].cores /= factor }
 }
 
+// turnsSlow makes the first VM slower from the start of the event on.
+func turnsSlow(vms []*simVM) {
+	vms[0].slowAt, vms[0].slowCores = start.Add(eventStart), vms[0].cores/20
+}
+
 var fleetCases = map[string]fleetCase{
-	"a region of seven VMs":                {cores: repeated(0.4, 7), perSec: 110, hot: firstVMs(1)},
-	"a zone of twelve":                     {cores: repeated(0.2, 12), perSec: 100, hot: firstVMs(1)},
-	"a zone of twelve, fine slices":        {cores: repeated(0.2, 12), perSec: 100, hot: firstVMs(1), change: inCycles(cycleFine)},
-	"a zone of twelve, quota":              {cores: repeated(0.2, 12), perSec: 100, hot: firstVMs(1), change: inCycles(cycleQuota)},
-	"VMs of several capacities":            {cores: []float64{0.2, 0.8, 0.4, 0.2, 0.8, 0.4}, perSec: 120, hot: firstVMs(1)},
-	"two VMs":                              {cores: []float64{0.4, 0.8}, perSec: 60, hot: firstVMs(1)},
-	"long connections":                     {cores: repeated(0.2, 12), perSec: 10, requests: longConnection, hot: firstVMs(1)},
-	"long connections, another VM in turn": {cores: repeated(0.2, 12), perSec: 10, requests: longConnection, hot: inTurn(2 * time.Second)},
-	"three of twelve":                      {cores: repeated(0.2, 12), perSec: 100, hot: firstVMs(3)},
-	"another VM every two seconds":         {cores: repeated(0.2, 12), perSec: 100, hot: inTurn(2 * time.Second)},
-	"a VM slower than its settings":        {cores: repeated(0.4, 12), perSec: 100, hot: firstVMs(1), change: slower(3)},
-	"a VM slower than its settings, quota": {cores: repeated(0.4, 12), perSec: 100, hot: firstVMs(1), change: func(vms []*simVM) { slower(3)(vms); inCycles(cycleQuota)(vms) }},
+	"a region of seven VMs":                 {cores: repeated(0.4, 7), perSec: 110, hot: firstVMs(1)},
+	"a zone of twelve":                      {cores: repeated(0.2, 12), perSec: 100, hot: firstVMs(1)},
+	"a zone of twelve, fine slices":         {cores: repeated(0.2, 12), perSec: 100, hot: firstVMs(1), change: inCycles(cycleFine)},
+	"a zone of twelve, quota":               {cores: repeated(0.2, 12), perSec: 100, hot: firstVMs(1), change: inCycles(cycleQuota)},
+	"VMs of several capacities":             {cores: []float64{0.2, 0.8, 0.4, 0.2, 0.8, 0.4}, perSec: 120, hot: firstVMs(1)},
+	"two VMs":                               {cores: []float64{0.4, 0.8}, perSec: 60, hot: firstVMs(1)},
+	"long connections":                      {cores: repeated(0.2, 12), perSec: 10, requests: longConnection, hot: firstVMs(1)},
+	"long connections, another VM in turn":  {cores: repeated(0.2, 12), perSec: 10, requests: longConnection, hot: inTurn(2 * time.Second)},
+	"a VM with open connections turns slow": {cores: repeated(0.4, 3), perSec: 5, requests: longConnection, hot: firstVMs(0), change: turnsSlow},
+	"three of twelve":                       {cores: repeated(0.2, 12), perSec: 100, hot: firstVMs(3)},
+	"another VM every two seconds":          {cores: repeated(0.2, 12), perSec: 100, hot: inTurn(2 * time.Second)},
+	"a VM slower than its settings":         {cores: repeated(0.4, 12), perSec: 100, hot: firstVMs(1), change: slower(3)},
+	"a VM slower than its settings, quota":  {cores: repeated(0.4, 12), perSec: 100, hot: firstVMs(1), change: func(vms []*simVM) { slower(3)(vms); inCycles(cycleQuota)(vms) }},
 }
 
 // TestFleetServesWhileMostConnectionsGoToFewVMs guards against a VM that reads all requests of most new
@@ -252,6 +257,7 @@
 			t.Parallel()
 			for seed := range uint64(10) {
 				s := c.simulate(seed)
+				t.Logf("seed %d: %.2f before, %.2f in the event, %d lost, %d closed", seed, s.share(0), s.share(1), s.lost[1], s.closed)
 				assert.Check(t, s.share(1) >= minShare*s.share(0), "seed %d: %.2f of the requests are served, before %.2f", seed, s.share(1), s.share(0))
 				assert.Check(t, s.lost[1] <= s.read[1]/100, "seed %d: %d callers were turned away everywhere", seed, s.lost[1])
 			}
--- a/coord/loadshed/simvm_test.go
+++ b/coord/loadshed/simvm_test.go
@@ -31,7 +31,10 @@
 	// cores is what the VM has, and toldCores what its settings say.
 	cores, toldCores float64
 	// cycle is the time in which it gets its processor time at once, at the speed of a core; 0: evenly.
-	cycle      time.Duration
+	cycle time.Duration
+	// slowCores is what it has from slowAt on; 0: no less.
+	slowAt     time.Time
+	slowCores  float64
 	controller *Controller
 
 	ready    []*task
@@ -56,11 +59,15 @@
 
 // budget returns the processor time that the VM gets in a step.
 func (vm *simVM) budget(now time.Time) time.Duration {
+	cores := vm.cores
+	if vm.slowCores > 0 && !now.Before(vm.slowAt) {
+		cores = vm.slowCores
+	}
 	if vm.cycle == 0 {
-		return time.Duration(vm.cores * float64(step))
+		return time.Duration(cores * float64(step))
 	}
 	inCycle := now.Sub(start) % vm.cycle
-	return min(max(time.Duration(vm.cores*float64(vm.cycle))-inCycle, 0), step)
+	return min(max(time.Duration(cores*float64(vm.cycle))-inCycle, 0), step)
 }
 
 // advance lets the VM work for a step.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -253,7 +253,7 @@
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		VMs:   func() int { return int(n.vmCount.Load()) }, ConnectedVMs: func() int { return int(n.connectedVMs.Load()) },
 		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
-		OnNotice: n.handleNotice, RateLimits: (*limitedTargets)(n), Origins: n.origins, CheckSuspension: n.checkSuspension, Log: l, Metrics: metrics, Now: n.now,
+		OnNotice: n.handleNotice, RateLimits: (*limitedTargets)(n), Origins: n.origins, CheckSuspension: n.checkSuspension, RetiresConnections: n.overload.retiring.Load, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
 	return n, n.listen()
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/loadshed"
@@ -37,6 +38,8 @@
 	maxOpen int
 	// traffic counts the bytes of callers, targets and the store.
 	traffic traffic.Counter
+	// retiring is set while responses close their connections.
+	retiring atomic.Bool
 
 	mu         sync.Mutex
 	controller *loadshed.Controller
@@ -104,6 +107,7 @@
 	o.load = o.meter.Measure(now, o.open)
 	_, use := o.load.MostUsed()
 	o.controller.Observe(now, loadshed.Sample{QueueDelay: o.load.QueueDelay, Use: use})
+	o.retiring.Store(o.controller.IsRetiring(now))
 	isClosing, closed, load := o.controller.IsClosing(), o.closed, o.load
 	o.mu.Unlock()
 	switch {
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -68,6 +68,18 @@
 	return 1
 }
 
+// TestOverloadedVMRetiresOpenConnections guards against a VM that stays overloaded by requests over connections that
+// callers keep open.
+func TestOverloadedVMRetiresOpenConnections(t *testing.T) {
+	assert.Assert(t, overloadedNode(t, false).overload.retiring.Load())
+	n, now := disconnectedNode(t)
+	for range 40 {
+		*now = now.Add(50 * time.Millisecond)
+		n.overload.admit()
+	}
+	assert.Assert(t, !n.overload.retiring.Load(), "a VM without load")
+}
+
 // TestOverloadedVMServesWhileOthersAreOverloaded guards against callers that are turned away by all VMs.
 func TestOverloadedVMServesWhileOthersAreOverloaded(t *testing.T) {
 	n := overloadedNode(t, true)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,9 @@
 	Origins Origins
 	// RateLimits reports which targets only the leader may choose.
 	RateLimits RateLimits
+	// RetiresConnections reports whether responses are to close the callers' connections, because this VM is
+	// overloaded.
+	RetiresConnections func() bool
 	// CheckSuspension checks whether this VM was suspended. From then on Now and all ages include
 	// the suspension.
 	CheckSuspension func()
@@ -186,7 +189,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	if g.draining.Load() {
+	if g.draining.Load() || g.cfg.RetiresConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	g.cfg.CheckSuspension()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -267,7 +267,7 @@
 	x := &fixture{directory: &fixedDirectory{dir: dir}, admission: &fixedAdmission{}, origins: &fixedOrigins{found: map[string]origin.Origin{}}}
 	x.gateway = New(Config{
 		VM: "vm", Zone: "z-a", Codec: testCodec{}, Directory: x.directory, Admission: x.admission, Pool: hop.New(nil),
-		CheckSuspension: func() {}, RateLimits: fixedRateLimits{}, Origins: x.origins,
+		CheckSuspension: func() {}, RetiresConnections: func() bool { return false }, RateLimits: fixedRateLimits{}, Origins: x.origins,
 		OnNotice: func(target string, notice fleet.Notice, _ *Decision) {
 			if notice.Backoff > 0 {
 				x.gateway.RecordBackoff(target, notice.Backoff)
