edge: The leader closes new connections earlier than other VMs

Cause: all VMs wait for the leader's decisions, and its own callers compete with these for its processor.

Change: 0.8 of a limit counts as full use at the leader.

Test: TestLeaderIsOverloadedEarlier.

A handover of the leadership was not built: the next leader waits for a lease of 3 s, in which nothing is loaded, and VMs may overload one after the other.

--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -105,19 +105,31 @@
 	}
 	wasClosing := o.controller.IsClosing()
 	o.load = o.meter.Measure(now, o.open)
-	_, use := o.load.MostUsed()
-	o.controller.Observe(now, loadshed.Sample{QueueDelay: o.load.QueueDelay, Use: use})
+	leading := o.node.leads() == 1
+	o.controller.Observe(now, sampleOf(o.load, leading))
 	o.retiring.Store(o.controller.IsRetiring(now))
 	isClosing, closed, load := o.controller.IsClosing(), o.closed, o.load
 	o.mu.Unlock()
 	switch {
 	case isClosing && !wasClosing:
-		o.node.log.OverloadBegan(load, o.node.leads() == 1)
+		o.node.log.OverloadBegan(load, leading)
 	case wasClosing && !isClosing:
 		o.node.log.OverloadEnded(closed, load)
 	}
 }
 
+// leaderUse is the use of a limit that counts as full use at the leader: the decisions for all VMs wait there.
+const leaderUse = 0.8
+
+// sampleOf returns the sample of a load.
+func sampleOf(load vmload.Load, leading bool) loadshed.Sample {
+	_, use := load.MostUsed()
+	if leading {
+		use /= leaderUse
+	}
+	return loadshed.Sample{QueueDelay: load.QueueDelay, Use: use}
+}
+
 // currentLoad returns the last measurement.
 func (o *overloadControl) currentLoad() vmload.Load {
 	o.mu.Lock()
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -80,6 +80,13 @@
 	assert.Assert(t, !n.overload.retiring.Load(), "a VM without load")
 }
 
+// TestLeaderIsOverloadedEarlier guards against a leader whose callers leave it no time for the decisions of all VMs.
+func TestLeaderIsOverloadedEarlier(t *testing.T) {
+	load := vmload.Load{Processor: 0.75}
+	assert.Equal(t, sampleOf(load, false).Use, 0.75)
+	assert.Assert(t, sampleOf(load, true).Use > 0.9)
+}
+
 // TestOverloadedVMServesWhileOthersAreOverloaded guards against callers that are turned away by all VMs.
 func TestOverloadedVMServesWhileOthersAreOverloaded(t *testing.T) {
 	n := overloadedNode(t, true)
