scheduler: Streams of overloaded VMs don't count for the pace of engines

Cause: as for plain calls, the leader took the first events and ends that an overloaded VM reports late for those of the engine, and learnt a pace from them by which it places everybody's requests.

Change: the reports of first events and ends say that the VM is overloaded, and nothing is learnt from them.

Test: TestLateReportsLeaveThePaceOfEngines; without the word the engine counts as slow after six streams.

--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -123,6 +123,15 @@
 	}
 }
 
+// ReportsLate records that the VM of a request reports its first event and its end late, because it is
+// overloaded. Nothing is learned from the durations of the request.
+func (s *Scheduler) ReportsLate(now time.Time, key Key) {
+	if g := s.grants[key]; g != nil {
+		s.dropPrompt(now, g)
+		g.firstEventAt = time.Time{}
+	}
+}
+
 // TargetOf returns the target at which a request runs; empty: none.
 func (s *Scheduler) TargetOf(key Key) string {
 	if g := s.grants[key]; g != nil {
--- a/coord/scheduler/room_test.go
+++ b/coord/scheduler/room_test.go
@@ -127,3 +127,28 @@
 	x.running, y.running = 8, 8
 	assert.Assert(t, h.s.capacityWait(h.now, x, r) > 3*h.s.capacityWait(h.now, y, r)/2)
 }
+
+// TestLateReportsLeaveThePaceOfEngines guards against engines that seem slow because an overloaded VM reports the ends
+// of their streams late.
+func TestLateReportsLeaveThePaceOfEngines(t *testing.T) {
+	for _, overloaded := range []bool{false, true} {
+		h := newHarness(t, config(1), []string{"x"}, []string{"y"})
+		for range 6 {
+			late, inTime := h.submit("x"), h.submit("y")
+			h.s.FirstEvent(h.now, inTime)
+			h.advance(time.Second)
+			h.collect(h.s.Done(h.now, inTime, EndedOK))
+			if overloaded {
+				h.s.ReportsLate(h.now, late)
+			}
+			h.s.FirstEvent(h.now, late)
+			h.advance(5 * time.Second)
+			if overloaded {
+				h.s.ReportsLate(h.now, late)
+			}
+			h.collect(h.s.Done(h.now, late, EndedOK))
+		}
+		_, isPaced := h.s.Paces(h.now)["t0"]
+		assert.Equal(t, isPaced, !overloaded)
+	}
+}
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -232,7 +232,7 @@
 	if ending == scheduler.EndedOK && !g.begunAt.IsZero() && d.DecidedBy != n.settings.Vm.Id {
 		n.quarantine.survived(g.begunAt, grantedParts(g.grant))
 	}
-	done := &schema.Done{Ticket: d.Ticket, Service: d.Service, Ending: protoEndings[ending]}
+	done := &schema.Done{Ticket: d.Ticket, Service: d.Service, Ending: protoEndings[ending], Overloaded: n.overload.isOverloaded()}
 	n.sendDone(coord.VMID(d.DecidedBy), done)
 	// A leader that did not make the decision was notified that the request runs.
 	if leader := *n.leader.Load(); leader != "" && string(leader) != d.DecidedBy {
@@ -255,7 +255,7 @@
 	n := (*Node)(ad)
 	n.running.begin(d.Ticket)
 	n.sendDone(coord.VMID(d.DecidedBy), &schema.Done{
-		Ticket: d.Ticket, Service: d.Service, Ending: schema.Ending_ENDING_FIRST_EVENT,
+		Ticket: d.Ticket, Service: d.Service, Ending: schema.Ending_ENDING_FIRST_EVENT, Overloaded: n.overload.isOverloaded(),
 	})
 }
 
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -280,6 +280,9 @@
 	}
 	target := sc.scheduler.TargetOf(key)
 	var work []func()
+	if d.Overloaded {
+		sc.scheduler.ReportsLate(now, key)
+	}
 	if d.Ending == schema.Ending_ENDING_FIRST_EVENT {
 		sc.scheduler.FirstEvent(now, key)
 	} else {
