--- a/Makefile
+++ b/Makefile
@@ -67,10 +67,11 @@
 soak: build
 	$(GO) run ./platform/soak -bin $(BIN)/junctionfold -seed $(SEED) -for $(FOR)
 
-# Runs one seed, and one with a load balancer that overloads a VM, briefly, for CI.
+# Runs one seed, and two with a load balancer that overloads a VM, briefly, for CI.
 soak-short: build
 	$(GO) run ./platform/soak -bin $(BIN)/junctionfold -seed 2 -for 5s
 	$(GO) run ./platform/soak -bin $(BIN)/junctionfold -seed 1 -for 1s -only balancer_
+	$(GO) run ./platform/soak -bin $(BIN)/junctionfold -seed 4 -for 1s -only hot_
 
 # Runs the seeds that violated a guarantee before, from deploy/soak-seeds.txt.
 soak-regressions: build
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -36,7 +36,7 @@
 type overloadControl struct {
 	node    *Node
 	maxOpen int
-	// traffic counts the bytes of callers, targets and the store.
+	// traffic counts the bytes of callers and targets.
 	traffic traffic.Counter
 	// retiring is set while responses close their connections.
 	retiring atomic.Bool
--- a/internal/vmload/vmload.go
+++ b/internal/vmload/vmload.go
@@ -28,11 +28,8 @@
 	Processor, Link, Memory, Connections float64
 }
 
-// Names of the limits, and of a long queue delay, in logs.
-const (
-	Processor, Link, Memory, Connections = "processor", "link", "memory", "connections"
-	QueueDelay                           = "queue_delay"
-)
+// Names of the limits in logs.
+const Processor, Link, Memory, Connections = "processor", "link", "memory", "connections"
 
 // MostUsed returns the name and the use of the limit that is closest to being reached.
 func (l Load) MostUsed() (name string, use float64) {
