--- a/coord/loadshed/simulation_test.go
+++ b/coord/loadshed/simulation_test.go
@@ -38,21 +38,17 @@
 	// requests is the number of requests of a connection.
 	requests int
 	// hot returns the VMs that get most new connections.
-	hot   func(now time.Time) []*simVM
-	later []event
+	hot func(now time.Time) []*simVM
+	// later holds what happens in later steps.
+	later map[time.Time][]func()
 	// served and read count requests that a VM read, by whether the event was on, and lost the callers that
 	// gave up.
 	served, read, lost [2]int
 	closed             int
 }
 
-type event struct {
-	at  time.Time
-	run func()
-}
-
 func newSimulation(seed uint64, cores []float64, perSec float64) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, 3)), now: start, perSec: perSec, requests: shortConnection}
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, 3)), now: start, perSec: perSec, requests: shortConnection, later: map[time.Time][]func(){}}
 	for i, c := range cores {
 		s.vms = append(s.vms, newSimVM(fmt.Sprint("vm", i), c))
 	}
@@ -94,15 +90,10 @@
 		if s.rng.Float64() < s.perSec*step.Seconds() {
 			s.connect(s.balance(nil), s.now, 1, s.requests, s.phase())
 		}
-		due := s.later
-		s.later = nil
-		for _, e := range due {
-			if e.at.After(s.now) {
-				s.later = append(s.later, e)
-				continue
-			}
-			e.run()
+		for _, run := range s.later[s.now] {
+			run()
 		}
+		delete(s.later, s.now)
 		for _, vm := range s.vms {
 			vm.advance(s.now)
 		}
@@ -113,7 +104,8 @@
 }
 
 func (s *simulation) after(d time.Duration, run func()) {
-	s.later = append(s.later, event{s.now.Add(d), run})
+	at := s.now.Add(d)
+	s.later[at] = append(s.later[at], run)
 }
 
 // exchange sends the reports of the VMs to each other.
