--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/junctionfold/junctionfold/internal/fleet"
 )
 
 // packetOverhead is the size in bytes of the headers that a read or write has at least on the link.
@@ -31,7 +33,7 @@
 func (c *Counter) Conn(conn net.Conn) *Conn { return &Conn{Conn: conn, counter: c} }
 
 // Dial returns a dial function whose connections are counted.
-func (c *Counter) Dial(dial func(context.Context, *net.Dialer, string) (net.Conn, error)) func(context.Context, *net.Dialer, string) (net.Conn, error) {
+func (c *Counter) Dial(dial fleet.DialFunc) fleet.DialFunc {
 	return func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
 		conn, err := dial(ctx, d, address)
 		if err != nil {
