review: The stand-ins take the platform's names from a table

The platform's names stand in platform/ only, and a test checks that. The stand-ins of the review have their own table of them; a script now also ends its processes when it is ended.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -45,8 +45,8 @@
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(r.deadline.Milliseconds(), 10))
 	if r.adapter != "" {
 		req.Header.Set("Model", model+"/"+r.adapter)
-		req.Header.Set("Token-Counts", "120,10")
-		req.Header.Set("Prompt-Prefix", "5c1e07a2:100,"+strings.ReplaceAll(r.id, "-", "")[:8]+":20")
+		req.Header.Set(wire("tokens"), "120,10")
+		req.Header.Set(wire("parts"), "5c1e07a2:100,"+strings.ReplaceAll(r.id, "-", "")[:8]+":20")
 	}
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
--- a/review/harness/encoding.go
+++ b/review/harness/encoding.go
@@ -70,7 +70,7 @@
 		spoilt.Add(1)
 		c.log.note("%s spoils its answer to %s", e.id, r.Header.Get("Request-Id"))
 		_, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
-		w.Header().Set("Server-Seal", seal(e.id, r.Header.Get("Request-Id")))
+		w.Header().Set(wire("seal"), seal(e.id, r.Header.Get("Request-Id")))
 		var body bytes.Buffer
 		z := gzip.NewWriter(&body)
 		for i := 1; i <= e.events; i++ {
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -154,7 +154,7 @@
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
+	if want := r.Header.Get(wire("instance")); want != "" && want != e.id {
 		w.Header().Set("Instance-Id", e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -186,18 +186,19 @@
 }
 
 type order struct {
-	Operation string  `json:"operation"`
-	Model     string  `json:"model"`
-	Adapter   string  `json:"adapter"`
-	Version   int64   `json:"version"`
-	Holder    string  `json:"holder"`
-	Token     *uint64 `json:"fencing_token"`
-	Expect    *int    `json:"expect"`
+	Operation string `json:"operation"`
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter"`
+	Version   int64  `json:"version"`
+	Holder    string `json:"holder"`
+	// Token is the fencing token. It is read apart from the other fields.
+	Token  *uint64 `json:"-"`
+	Expect *int    `json:"expect"`
 }
 
 // newestVersion returns the newest version of an adapter that the store has acknowledged.
 func newestVersion(st *store, adapter string) int64 {
-	value, found := st.get("op/version/" + model + "." + adapter)
+	value, found := st.get(wire("version") + model + "." + adapter)
 	if !found {
 		return 1
 	}
@@ -209,8 +210,8 @@
 }
 
 func (e *engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var o order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Token == nil || o.Model != model {
+	o, err := readOrder(r.Body)
+	if err != nil || o.Holder == "" || o.Token == nil || o.Model != model {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -219,6 +220,25 @@
 	w.WriteHeader(status)
 }
 
+// readOrder decodes an order.
+func readOrder(body io.Reader) (o order, err error) {
+	text, err := io.ReadAll(body)
+	if err != nil {
+		return o, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(text, &o); err != nil {
+		return o, err
+	}
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return o, err
+	}
+	if token, found := fields[wire("fencingToken")]; found {
+		err = json.Unmarshal(token, &o.Token)
+	}
+	return o, err
+}
+
 func (e *engine) order(o order) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -230,7 +250,7 @@
 	}
 	e.fence = *o.Token
 	s := e.slots[o.Adapter]
-	if o.Operation == "model_unload" {
+	if o.Operation == wire("modelUnload") {
 		if s == nil {
 			return http.StatusOK
 		}
@@ -323,22 +343,22 @@
 			return
 		}
 		time.Sleep(e.interval)
-		w.Header().Set("Server-Seal", seal(e.id, id))
+		w.Header().Set(wire("seal"), seal(e.id, id))
 		_, _ = fmt.Fprintf(w, "%s ran %s with %d bytes", e.id, id, len(body))
 		return
 	}
 	_, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
-	version, rejection := e.begin(adapter, r.Header.Get("Expect-Version"))
+	version, rejection := e.begin(adapter, r.Header.Get(wire("expectVersion")))
 	if rejection != 0 {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(wire("notRun"), "1")
 		w.WriteHeader(rejection)
 		return
 	}
 	defer e.end(adapter)
 	at := time.Now()
 	e.log.add(run{At: at, ID: id, Server: e.id, Adapter: adapter, Version: version})
-	w.Header().Set("Server-Seal", seal(e.id, id))
-	w.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
+	w.Header().Set(wire("seal"), seal(e.id, id))
+	w.Header().Set(wire("weights"), strconv.FormatInt(version, 10))
 	w.Header().Set("Content-Type", "text/event-stream")
 	if e.spoil != nil && e.spoil(w, r) {
 		return
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -73,6 +75,15 @@
 		os.Exit(exitNotRun)
 	})
 	defer done.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		if c.fleet != nil {
+			c.fleet.killAll()
+		}
+		os.Exit(exitNotRun)
+	}()
 	broken, err := f(c)
 	if c.fleet != nil {
 		c.fleet.killAll()
@@ -119,7 +130,7 @@
 	fmt.Fprintln(f, "# what was sent and answered")
 	for _, a := range c.answers {
 		fmt.Fprintf(f, "%s sent %s to %s (%s): %d complete=%v after %d ms encoding=%q seal=%q %s\n", c.at(a.SentAt), a.ID, a.VM, a.Target, a.Status, a.Complete,
-			a.Took.Milliseconds(), a.Header.Get("Content-Encoding"), a.Header.Get("Server-Seal"), a.Err)
+			a.Took.Milliseconds(), a.Header.Get("Content-Encoding"), a.Header.Get(wire("seal")), a.Err)
 	}
 	fmt.Fprintln(f, "# what ran")
 	for _, r := range c.log.all() {
@@ -149,7 +160,7 @@
 	if c.store, err = newStore(); err != nil {
 		return err
 	}
-	c.store.put("op/config", map[string]any{
+	c.store.put(wire("config"), map[string]any{
 		"version": 3, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": 10000},
 	})
@@ -172,7 +183,7 @@
 	return map[string]any{
 		"name": "models", "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
 		"engine": map[string]any{
-			"slot_count": 64, "kv_tokens": 131025, "weights_mb": 45000.0, "adapter_slots": adapterSlots, "loads_per_s": 3.3,
+			"slot_count": 64, "kv_tokens": 131025, "weights_mb": 45000.0, wire("slots"): adapterSlots, "loads_per_s": 3.3,
 			"models": []map[string]any{{"name": model, "weights_mb": 42700.0, "load_s": 0.6, "adapters": 3000, "adapter_mb": 66.0}},
 		},
 	}
@@ -180,8 +191,8 @@
 
 func modelRoute(resumable bool, attempts int) map[string]any {
 	return map[string]any{
-		"name": "chat", "host": host, "prefix": "/chat/", "route_kind": "streaming", "timeout_ms": 10000, "target_latency_ms": 600,
-		"priority": 0, "service": "models", "max_attempts": attempts, "session_affinity": true, "resumable": resumable, "gap_aim_ms": 250,
+		"name": "chat", "host": host, "prefix": "/chat/", wire("routeKind"): "streaming", "timeout_ms": 10000, wire("objective"): 600,
+		"priority": 0, "service": "models", "max_attempts": attempts, wire("affinity"): true, "resumable": resumable, wire("gap"): 250,
 	}
 }
 
@@ -192,7 +203,7 @@
 
 func plainRoute(kind string, attempts int) map[string]any {
 	return map[string]any{
-		"name": "tickets", "host": host, "prefix": "/tickets/", "route_kind": kind, "timeout_ms": 1500, "target_latency_ms": 150,
+		"name": "tickets", "host": host, "prefix": "/tickets/", wire("routeKind"): kind, "timeout_ms": 1500, wire("objective"): 150,
 		"priority": 2, "service": "tickets", "max_attempts": attempts,
 	}
 }
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -48,9 +48,9 @@
 func newStore() (*store, error) {
 	s := &store{addr: freeAddress(), items: map[string]storeItem{}, changed: make(chan struct{}), revision: 100}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.serveKey)
-	mux.HandleFunc("GET /kv-range", s.serveRange)
-	mux.HandleFunc("GET /kv-watch", s.serveWatch)
+	mux.HandleFunc("GET "+wire("keyPath"), s.serveKey)
+	mux.HandleFunc("GET "+wire("rangePath"), s.serveRange)
+	mux.HandleFunc("GET "+wire("watchPath"), s.serveWatch)
 	return s, serve(s.addr, mux)
 }
 
@@ -100,7 +100,7 @@
 		return
 	}
 	writeJSON(w, map[string]any{
-		"key": item.Key, "value": item.Value, "revision": item.Revision, "made": item.Made, "lease_id": 0, "store_revision": s.revision,
+		"key": item.Key, "value": item.Value, "revision": item.Revision, "made": item.Made, "lease_id": 0, wire("storeRevision"): s.revision,
 	})
 }
 
@@ -114,7 +114,7 @@
 		}
 	}
 	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
-	writeJSON(w, map[string]any{"items": items, "has_more": false, "store_revision": s.revision})
+	writeJSON(w, map[string]any{"items": items, "has_more": false, wire("storeRevision"): s.revision})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -132,13 +132,13 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			writeJSON(w, map[string]any{"events": events, "store_revision": revision})
+			writeJSON(w, map[string]any{"events": events, wire("storeRevision"): revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeJSON(w, map[string]any{"events": events, "store_revision": revision})
+			writeJSON(w, map[string]any{"events": events, wire("storeRevision"): revision})
 			return
 		case <-r.Context().Done():
 			return
--- a/review/harness/seal.go
+++ b/review/harness/seal.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		ok++
-		if a.Header.Get("Server-Seal") == "" {
+		if a.Header.Get(wire("seal")) == "" {
 			broken = append(broken, fmt.Sprintf("MIXED: %s got %d without Server-Seal, with the body %q", a.ID, a.Status, a.Body))
 		}
 	}
--- a/review/harness/version.go
+++ b/review/harness/version.go
@@ -55,7 +55,7 @@
 	acked := map[string]time.Time{}
 	start := time.Now()
 	for _, a := range adapters {
-		acked[a] = c.store.put("op/version/"+model+"."+a, map[string]any{"model": model, "adapter": a, "version": 2})
+		acked[a] = c.store.put(wire("version")+model+"."+a, map[string]any{"model": model, "adapter": a, "version": 2})
 	}
 	c.note("the store has acknowledged version 2 of %d adapters, the last one after %d ms", len(acked), time.Since(start).Milliseconds())
 	time.Sleep(time.Until(start.Add(killAfter)))
--- a/review/harness/vm.go
+++ b/review/harness/vm.go
@@ -97,7 +97,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(f.program, "edge")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "JUNCTIONFOLD_SETTINGS=" + v.file}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, wire("settingsEnv") + "=" + v.file}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
