review: Streams go on at other software after restarts under the same id

Targets that had accepted no order start again under their ids with other software while the store is away; the VMs still know the earlier version, and streams of a target that crashes go on there.

--- a/review/harness/encoding.go
+++ b/review/harness/encoding.go
@@ -74,7 +74,7 @@
 		var body bytes.Buffer
 		z := gzip.NewWriter(&body)
 		for i := 1; i <= e.events; i++ {
-			_, _ = z.Write([]byte(eventText(i, adapter, 1)))
+			_, _ = z.Write([]byte(eventText(i, adapter, 1, e.software)))
 		}
 		_ = z.Close()
 		// A stream ends with an empty line.
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -102,6 +103,9 @@
 	// events and interval shape a stream.
 	events   int
 	interval time.Duration
+	// software is the version of the server's software.
+	software string
+	server   *http.Server
 	// spoil, if set, may answer a request that has begun to run in another way; true: it did.
 	spoil func(w http.ResponseWriter, r *http.Request) bool
 
@@ -116,22 +120,49 @@
 func newEngine(st *store, log *runLog, service, id, zone string, plain bool) *engine {
 	return &engine{
 		id: id, addr: freeAddress(), born: time.Now().UnixMilli(), zone: zone, service: service, store: st, log: log, plain: plain,
-		events: 5, interval: 20 * time.Millisecond, slots: map[string]*slot{},
+		software: "v1", events: 5, interval: 20 * time.Millisecond, slots: map[string]*slot{},
 	}
 }
 
 func (e *engine) start() error {
-	if err := serve(e.addr, e); err != nil {
+	if err := e.listen(); err != nil {
 		return err
 	}
 	e.register("ready")
 	return nil
 }
 
+// listen starts the server without an entry in the store.
+func (e *engine) listen() error {
+	l, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return err
+	}
+	e.server = &http.Server{Handler: e}
+	go func() { _ = e.server.Serve(l) }()
+	return nil
+}
+
+// crash ends the server and all its connections.
+func (e *engine) crash() {
+	_ = e.server.Close()
+	e.log.note("%s crashes", e.id)
+}
+
+// restart starts the server again under its id and address, with the given software. It holds and knows
+// nothing of before. Its entry in the store is written later, with its next heartbeat.
+func (e *engine) restart(software string) (*engine, error) {
+	next := newEngine(e.store, e.log, e.service, e.id, e.zone, e.plain)
+	next.addr, next.software, next.events, next.interval = e.addr, software, e.events, e.interval
+	next.born = max(next.born, e.born+1)
+	e.log.note("%s starts again with software %s", e.id, software)
+	return next, next.listen()
+}
+
 func (e *engine) register(state string) {
 	e.mu.Lock()
 	entry := map[string]any{
-		"service": e.service, "address": e.addr, "zone": e.zone, "version": "v1", "slot_count": 64, "state": state,
+		"service": e.service, "address": e.addr, "zone": e.zone, "version": e.software, "slot_count": 64, "state": state,
 		"cold_remaining_ms": 0, "sequence": e.sequence, "born": e.born,
 	}
 	if !e.plain {
@@ -329,7 +360,9 @@
 func (e *engine) end(adapter string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.slots[adapter].runs--
+	if s := e.slots[adapter]; s != nil {
+		s.runs--
+	}
 	e.running--
 }
 
@@ -368,7 +401,7 @@
 		from = last
 	}
 	for i := from + 1; i <= e.events; i++ {
-		if _, err := io.WriteString(w, eventText(i, adapter, version)); err != nil {
+		if _, err := io.WriteString(w, eventText(i, adapter, version, e.software)); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
@@ -383,8 +416,8 @@
 }
 
 // eventText returns one event of a stream.
-func eventText(i int, adapter string, version int64) string {
-	return fmt.Sprintf("id: %d\ndata: %s@%d part %d\n\n", i, adapter, version, i)
+func eventText(i int, adapter string, version int64, software string) string {
+	return fmt.Sprintf("id: %d\ndata: %s@%d by %s part %d\n\n", i, adapter, version, software, i)
 }
 
 // seal returns the signature of a server's answer.
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -43,6 +43,30 @@
 	history  []storeItem
 	revision uint64
 	changed  chan struct{}
+	down     bool
+}
+
+// setDown makes the store refuse all calls, or serve again.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed) // ends the watches that wait
+	s.changed = make(chan struct{})
+}
+
+// refuseWhileDown answers all calls with 503 while the store is down.
+func (s *store) refuseWhileDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func newStore() (*store, error) {
@@ -51,7 +75,7 @@
 	mux.HandleFunc("GET "+wire("keyPath"), s.serveKey)
 	mux.HandleFunc("GET "+wire("rangePath"), s.serveRange)
 	mux.HandleFunc("GET "+wire("watchPath"), s.serveWatch)
-	return s, serve(s.addr, mux)
+	return s, serve(s.addr, s.refuseWhileDown(mux))
 }
 
 func serve(addr string, h http.Handler) error {
@@ -129,8 +153,12 @@
 				events = append(events, item)
 			}
 		}
-		revision, changed := s.revision, s.changed
+		revision, changed, down := s.revision, s.changed, s.down
 		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if len(events) > 0 {
 			writeJSON(w, map[string]any{"events": events, wire("storeRevision"): revision})
 			return
