--- a/review/harness/main.go
+++ b/review/main.go
@@ -1,4 +1,4 @@
-// Command harness runs the scripts of the review. Each case starts the project's own program as separate
+// Command review runs the scripts of the review. Each case starts the project's own program as separate
 // processes on loopback addresses, beside stand-ins of the platform's store, of servers and of clients.
 package main
 
