answer: A response counts only if the target signed it

Cause: an answer counted as the target's own if its request id fitted. No path looked at the signature, neither of plain services nor of streams, resumed streams or answers that another VM relays. Ruled out: that the signature is lost on the way (the target never sent it).

Change: internal/answer decides by the decoded head (id, signature, status, not run) whether a response is the target's. Package hop asks before it returns a response, and so do the VM that relays and the one that it relays for. The attempt counts as an error response of the target, which was reached; it may have run, so that only idempotent requests and streams that may be resumed run elsewhere, and others get 502. An unsigned 503 without the statement that the request was not run is no longer passed on either: it promised what the target had not said. answers_invalid_total counts the defects.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -44,7 +44,7 @@
 	Unverified
 	// NoConnection: not run, because the VM may open no further connection to the target.
 	NoConnection
-	// ErrorResponse: the target failed the request and said so in a complete response.
+	// ErrorResponse: the target was reached, and failed the request or sent an answer that is not valid.
 	ErrorResponse
 )
 
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -94,7 +94,7 @@
 	EndedUnverified
 	// EndedNoConnection: not run; the VM may open no further connection to the target.
 	EndedNoConnection
-	// EndedErrorResponse: the target failed and said so in a complete response.
+	// EndedErrorResponse: the target was reached, and failed or sent an answer that is not valid.
 	EndedErrorResponse
 )
 
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/answer"
 	"github.com/junctionfold/junctionfold/internal/clock"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -35,14 +36,14 @@
 	h.Set("Left", strconv.FormatInt(c.Remaining.Milliseconds(), 10))
 }
 
-func (relayCodec) Classify(id string, _ int, h http.Header) fleet.AnswerClass {
-	switch {
-	case h.Get("Not-Run") != "":
-		return fleet.Busy
-	case h.Get("Id") != id:
-		return fleet.Mismatched
+func (relayCodec) DecodeAnswer(status int, h http.Header) answer.Head {
+	signatures := []string{"signature"}
+	if h.Get("Unsigned") != "" {
+		signatures = nil
+	}
+	return answer.Head{
+		Status: status, RequestIDs: h.Values("Id"), Signatures: signatures, NotRun: h.Get("Not-Run") != "",
 	}
-	return fleet.Answered
 }
 
 func (relayCodec) Notice(_ int, h http.Header) fleet.Notice {
@@ -156,9 +157,7 @@
 		Key: "t#1", Address: address, Method: http.MethodPost, Path: "/a%2Fb?c=d", Host: "h.example", ID: "r1",
 		Header:   http.Header{"Id": {"r1"}, "Target": {"t#1"}, "Left": {"9000"}},
 		Deadline: time.Now().Add(8 * time.Second), Placement: hop.Placement{DecidedAt: time.Now(), Revision: 1},
-		Matches: func(status int, h http.Header) bool {
-			return relayCodec{}.Classify("r1", status, h) != fleet.Mismatched
-		},
+		Accept: func(status int, h http.Header) error { return relayCodec{}.DecodeAnswer(status, h).Accept("r1") },
 	}
 }
 
@@ -718,3 +717,25 @@
 	assert.Assert(t, err != nil, "the target responded")
 	assert.Assert(t, relay.reachability.doubts("t#2"))
 }
+
+// TestRelayPassesOnNoInvalidAnswer guards against bytes that are not the target's answer, but reach the
+// caller's VM through a relay.
+func TestRelayPassesOnNoInvalidAnswer(t *testing.T) {
+	f := newRelayFleet(t, "a")
+	for name, header := range map[string]string{"unsigned": "Unsigned: 1"} {
+		t.Run(name, func(t *testing.T) {
+			target := newRawTarget(t, respondText(responseHead+header+"\r\nContent-Length: 4\r\n\r\nbody"))
+			r := f.request(target.address)
+			accept := r.Accept
+			r.Accept = func(status int, h http.Header) error {
+				t.Errorf("an answer with the header %v reached the sender", h)
+				return accept(status, h)
+			}
+			_, _, err := f.do(r)
+			assert.Assert(t, errors.Is(err, answer.ErrInvalid), "%v", err)
+			assert.Assert(t, isProofOfReach(err) && !hop.NotSent(err) && !isDisconnect(err), "%v", err)
+			assert.Equal(t, f.relays["a"].metrics.RelayedForOthers.Get("answer_invalid").String(), "1")
+			f.relays["a"].metrics.RelayedForOthers.Delete("answer_invalid")
+		})
+	}
+}
--- a/internal/edge/relayclient.go
+++ b/internal/edge/relayclient.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/answer"
 	"github.com/junctionfold/junctionfold/internal/forward"
 	"github.com/junctionfold/junctionfold/internal/hop"
 	"github.com/junctionfold/junctionfold/schema"
@@ -264,8 +265,8 @@
 }
 
 func (a *relayedAnswer) response(r *hop.Request, head hop.Answer) (*hop.Response, error) {
-	if !r.Matches(head.Status, head.Header) {
-		return nil, errors.Mark(errors.Newf("%s answered another request", r.Key), errTargetAnswered)
+	if err := r.Accept(head.Status, head.Header); err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "answer of %s", r.Key), errTargetAnswered)
 	}
 	return hop.NewResponse(head), nil
 }
@@ -304,6 +305,8 @@
 		return errors.Mark(err, hop.ErrWithdrawn)
 	case forward.CodeTargetDisconnected:
 		return errors.Mark(errors.Mark(err, io.ErrUnexpectedEOF), errTargetAnswered)
+	case forward.CodeInvalidAnswer:
+		return errors.Mark(errors.Mark(err, answer.ErrInvalid), errTargetAnswered)
 	case forward.CodeTimeout:
 		return errors.Mark(err, context.DeadlineExceeded)
 	case forward.CodeTargetFailed:
--- a/internal/edge/relayserver.go
+++ b/internal/edge/relayserver.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/answer"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/forward"
 	"github.com/junctionfold/junctionfold/internal/hop"
@@ -137,9 +138,12 @@
 			n.platform.Codec.Encode(header, fleet.CallMetadata{Target: f.Target, Remaining: n.until(deadline), Priority: -1})
 			return n.gateway.CheckRelayed(f.Target, placement)
 		},
-		Matches: func(status int, h http.Header) bool {
-			n.handleNotice(f.Target, n.platform.Codec.Notice(status, h), nil)
-			return n.platform.Codec.Classify(f.RequestId, status, h) != fleet.Mismatched
+		Accept: func(status int, h http.Header) error {
+			err := n.platform.Codec.DecodeAnswer(status, h).Accept(f.RequestId)
+			if !errors.Is(err, answer.ErrInvalid) {
+				n.handleNotice(f.Target, n.platform.Codec.Notice(status, h), nil)
+			}
+			return err
 		},
 	}
 }
@@ -178,6 +182,8 @@
 		return notSentResult(forward.CodeNoConnection, err)
 	case errors.Is(err, hop.ErrWithdrawn):
 		return notSentResult(forward.CodeWithdrawn, err)
+	case errors.Is(err, answer.ErrInvalid):
+		return failedResult(forward.CodeInvalidAnswer, err)
 	case ctx.Err() != nil:
 		return failedResult(forward.CodeTimeout, err)
 	case errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE):
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/coord"
+	"github.com/junctionfold/junctionfold/internal/answer"
 )
 
 // Config is one version of the operators' configuration.
@@ -295,22 +296,6 @@
 	Team string
 }
 
-// AnswerClass classifies an answer of a target.
-type AnswerClass int
-
-// The classes of answers.
-const (
-	// Answered: the target ran the request, with any status.
-	Answered AnswerClass = iota
-	// Busy: the request was not run, and the target may have capacity later.
-	Busy
-	// Misrouted: the request was not run; another process has the address, or the target does not
-	// hold the model or adapter that the request needs.
-	Misrouted
-	// Mismatched: the answer belongs to another request.
-	Mismatched
-)
-
 // Codec translates requests and answers.
 type Codec interface {
 	// DecodeRequest decodes a caller's headers.
@@ -322,8 +307,8 @@
 	ForwardResponse(h http.Header) http.Header
 	// Encode sets the headers of a call to a target; h comes from ForwardRequest.
 	Encode(h http.Header, c CallMetadata)
-	// Classify returns the class of a target's answer to the request id.
-	Classify(id string, status int, h http.Header) AnswerClass
+	// DecodeAnswer decodes the head of a target's answer.
+	DecodeAnswer(status int, h http.Header) answer.Head
 	// Notice decodes the notice that an answer carries about its target, whichever request the
 	// answer belongs to.
 	Notice(status int, h http.Header) Notice
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,6 +74,8 @@
 	CodeWithdrawn = "withdrawn"
 	// CodeTargetDisconnected: the target closed the connection before the response was complete.
 	CodeTargetDisconnected = "target_disconnected"
+	// CodeInvalidAnswer: the response was not a valid answer of the target.
+	CodeInvalidAnswer = "answer_invalid"
 	// CodeTargetFailed: the exchange with the target failed in another way.
 	CodeTargetFailed = "target_failed"
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,7 @@
 // target. routes.go finds routes; plain.go and model.go choose targets and retry attempts, which
 // budget.go bounds. drain.go, backoff.go and limited.go hold requests back from targets that drain,
 // request backoff or limit their rate, and relayed.go those that this VM sends for others. relay.go
-// returns responses, framing.go detects those that were broken off, resume.go resumes broken streams at
+// returns responses that package answer accepts, framing.go detects those that were broken off, resume.go resumes broken streams at
 // another target, software.go keeps each stream at the software version that began it, and origins.go finds
 // that version for streams that callers take up.
 //
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/internal/answer"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -78,16 +79,18 @@
 	}
 }
 
-func (testCodec) Classify(id string, status int, h http.Header) fleet.AnswerClass {
-	switch {
-	case status == http.StatusMisdirectedRequest:
-		return fleet.Misrouted
-	case h.Get("Not-Run") != "":
-		return fleet.Busy
-	case h.Get("Id") != id:
-		return fleet.Mismatched
+func (testCodec) DecodeAnswer(status int, h http.Header) answer.Head {
+	return answer.Head{
+		Status: status, RequestIDs: h.Values("Id"), Signatures: signature(h), NotRun: h.Get("Not-Run") != "",
 	}
-	return fleet.Answered
+}
+
+// signature returns one signature, unless the response has the header Unsigned.
+func signature(h http.Header) []string {
+	if h.Get("Unsigned") != "" {
+		return nil
+	}
+	return []string{"signature"}
 }
 
 func (testCodec) CanResume(first, next http.Header) bool {
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/junctionfold/junctionfold/coord/ratelimit"
-	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/internal/answer"
 )
 
 // TestDecisionFromBeforeRateLimit checks that a request is placed again if its target was chosen
@@ -61,7 +61,7 @@
 // processes have no decision; otherwise they could end a rate limit.
 func TestMismatchedResponsesHaveNoDecision(t *testing.T) {
 	x := &exchange{}
-	for class, want := range map[fleet.AnswerClass]bool{fleet.Answered: true, fleet.Busy: true, fleet.Mismatched: false, fleet.Misrouted: false} {
+	for class, want := range map[answer.Class]bool{answer.Answered: true, answer.Busy: true, answer.Mismatched: false, answer.Misrouted: false} {
 		assert.Equal(t, x.decisionFor(class) != nil, want)
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,8 @@
 	Ended *expvar.Map
 	// NotRun counts attempts that a target did not run, by class.
 	NotRun *expvar.Map
+	// InvalidAnswers counts responses that were not a valid answer of the target, by defect.
+	InvalidAnswers *expvar.Map
 	// Withdrawn counts attempts that were not sent, for example because their target was draining
 	// or their decision was stale.
 	Withdrawn *expvar.Int
@@ -42,13 +44,14 @@
 // NewMetrics returns metrics whose values are zero.
 func NewMetrics() *Metrics {
 	m := &Metrics{
-		Map: new(expvar.Map).Init(), Ended: new(expvar.Map).Init(), NotRun: new(expvar.Map).Init(),
+		Map: new(expvar.Map).Init(), Ended: new(expvar.Map).Init(), NotRun: new(expvar.Map).Init(), InvalidAnswers: new(expvar.Map).Init(),
 		Relayed: new(expvar.Map).Init(), RelayedForOthers: new(expvar.Map).Init(),
 		Withdrawn: new(expvar.Int), Resumed: new(expvar.Int), BudgetEmpty: new(expvar.Int), Dials: new(expvar.Int), StoreCalls: new(expvar.Map).Init(),
 		Orders: new(expvar.Map).Init(), StreamOrigins: new(expvar.Map).Init(), FirstEvent: &Histogram{}, DecisionDelay: &Histogram{},
 	}
 	m.Map.Set("requests_ended_total", m.Ended)
 	m.Map.Set("attempts_not_run_total", m.NotRun)
+	m.Map.Set("answers_invalid_total", m.InvalidAnswers)
 	m.Map.Set("attempts_withdrawn_total", m.Withdrawn)
 	m.Map.Set("relayed_total", m.Relayed)
 	m.Map.Set("relayed_for_others_total", m.RelayedForOthers)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/internal/answer"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/eventstream"
-	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/hop"
 )
 
@@ -83,11 +83,11 @@
 		return x.handleModelError(decision, err)
 	}
 	defer resp.Close()
-	switch x.g.cfg.Codec.Classify(x.req.ID, resp.Status, resp.Header) {
-	case fleet.Busy:
+	switch x.classify(resp) {
+	case answer.Busy:
 		x.recordNotRun(decision, scheduler.EndedBusy, resp.Status, nil)
 		return true
-	case fleet.Misrouted:
+	case answer.Misrouted:
 		x.recordNotRun(decision, scheduler.EndedMisrouted, resp.Status, nil)
 		return true
 	}
@@ -153,8 +153,11 @@
 // failureEnding distinguishes a disconnect by the target from its other failures, and from those of
 // relays and paths.
 func (x *exchange) failureEnding(err error) scheduler.Ending {
-	if errors.IsAny(err, hop.ErrRelayLost, hop.ErrUnacknowledged, hop.ErrSilence) {
+	switch {
+	case errors.IsAny(err, hop.ErrRelayLost, hop.ErrUnacknowledged, hop.ErrSilence):
 		return scheduler.EndedAbandoned
+	case errors.Is(err, answer.ErrInvalid):
+		return scheduler.EndedErrorResponse // the path to the target works
 	}
 	if x.isDisconnect(err) {
 		return scheduler.EndedDisconnected
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/coord/balance"
+	"github.com/junctionfold/junctionfold/internal/answer"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/hop"
@@ -26,7 +27,7 @@
 	resp     *hop.Response
 	body     []byte
 	complete bool
-	class    fleet.AnswerClass
+	class    answer.Class
 	// sent is set if the request may have reached the target.
 	sent bool
 	err  error
@@ -41,7 +42,7 @@
 
 // mustRelay reports whether the end of the attempt is known only after its response was relayed.
 func (a *attempt) mustRelay() bool {
-	return a.err == nil && !a.complete && a.class == fleet.Answered && a.resp.Status < http.StatusInternalServerError
+	return a.err == nil && !a.complete && a.class == answer.Answered && a.resp.Status < http.StatusInternalServerError
 }
 
 // close ends the attempt and discards the unread part of the response.
@@ -53,7 +54,7 @@
 }
 
 // ran reports whether the target may have run the request.
-func (a *attempt) ran() bool { return a.sent && (a.err != nil || a.class == fleet.Answered) }
+func (a *attempt) ran() bool { return a.sent && (a.err != nil || a.class == answer.Answered) }
 
 // servePlain serves a request for a service without models.
 func (x *exchange) servePlain() {
@@ -154,9 +155,9 @@
 	x.setDecision(decision)
 	a.resp, a.err = x.send(ctx, destination{target: decision.Target, address: decision.Address, priority: noPriority})
 	if a.err == nil {
-		a.class = x.g.cfg.Codec.Classify(x.req.ID, a.resp.Status, a.resp.Header)
+		a.class = x.classify(a.resp)
 		a.body, a.complete, a.err = readBuffered(a.resp)
-		if a.class != fleet.Answered {
+		if a.class != answer.Answered {
 			a.err = nil // the head alone states that the request was not run
 		}
 	} else {
@@ -206,15 +207,17 @@
 		return balance.NoConnection
 	case !a.sent:
 		return balance.Unreachable
+	case errors.Is(a.err, answer.ErrInvalid):
+		return balance.ErrorResponse // the path to the target works
 	case a.err != nil && a.ctx.Err() != nil:
 		return balance.TimedOut
 	case a.err != nil && x.isDisconnect(a.err):
 		return balance.Disconnected
 	case a.err != nil:
 		return balance.Failed
-	case a.class == fleet.Busy:
+	case a.class == answer.Busy:
 		return balance.Busy
-	case a.class == fleet.Misrouted:
+	case a.class == answer.Misrouted:
 		return balance.Unreachable
 	case a.resp.Status >= http.StatusInternalServerError:
 		return balance.ErrorResponse
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/junctionfold/junctionfold/internal/answer"
 	"github.com/junctionfold/junctionfold/internal/eventstream"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/hop"
@@ -52,11 +53,7 @@
 		},
 		ID: x.req.ID, Deadline: x.deadline, Placement: x.placement(),
 		OnRelay: func(vm string) { x.logEntry.Sent.Via = vm },
-		Matches: func(status int, h http.Header) bool {
-			notice, class := x.g.cfg.Codec.Notice(status, h), x.g.cfg.Codec.Classify(x.req.ID, status, h)
-			x.g.cfg.OnNotice(d.target, notice, x.decisionFor(class))
-			return class != fleet.Mismatched
-		},
+		Accept:  func(status int, h http.Header) error { return x.acceptAnswer(d.target, status, h) },
 	})
 	if err == nil {
 		x.logEntry.Framing = resp.Framing()
@@ -76,10 +73,29 @@
 	}
 }
 
+// acceptAnswer checks the head of a response and handles the notice that came with it. The headers of an
+// invalid answer tell nothing about the target.
+func (x *exchange) acceptAnswer(target string, status int, h http.Header) error {
+	head := x.g.cfg.Codec.DecodeAnswer(status, h)
+	class := head.Classify(x.req.ID)
+	err := head.Accept(x.req.ID)
+	if errors.Is(err, answer.ErrInvalid) {
+		x.g.cfg.Metrics.InvalidAnswers.Add(class.String(), 1)
+		return err
+	}
+	x.g.cfg.OnNotice(target, x.g.cfg.Codec.Notice(status, h), x.decisionFor(class))
+	return err
+}
+
+// classify returns the class of an accepted response.
+func (x *exchange) classify(resp *hop.Response) answer.Class {
+	return x.g.cfg.Codec.DecodeAnswer(resp.Status, resp.Header).Classify(x.req.ID)
+}
+
 // decisionFor returns the decision on which the request was sent whose response has this class;
 // nil: the response is to another request, or may come from another process.
-func (x *exchange) decisionFor(class fleet.AnswerClass) *Decision {
-	if class == fleet.Mismatched || class == fleet.Misrouted {
+func (x *exchange) decisionFor(class answer.Class) *Decision {
+	if class == answer.Mismatched || class == answer.Misrouted {
 		return nil
 	}
 	return &x.decision
--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/junctionfold/junctionfold/internal/answer"
 	"github.com/junctionfold/junctionfold/internal/framing"
 )
 
@@ -101,9 +102,12 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // informational
 		}
-		if req.Matches(resp.StatusCode, resp.Header) {
+		switch err := req.Accept(resp.StatusCode, resp.Header); {
+		case err == nil:
 			r.setResponse(resp)
 			return nil
+		case !errors.Is(err, answer.ErrOtherRequest):
+			return errors.Wrapf(err, "answer of %s", req.Key)
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBodyBytes))
 		if err != nil || n == maxMismatchedBodyBytes || resp.ContentLength < 0 {
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -109,8 +109,9 @@
 	// drain announcement plus AckTimeout must stay within the time after which a draining
 	// target must not receive requests.
 	AckTimeout time.Duration
-	// Matches reports whether a response belongs to this request.
-	Matches func(status int, h http.Header) bool
+	// Accept returns nil for the response to this request. A response for which it returns
+	// answer.ErrOtherRequest is skipped; any other error fails the request, which may have run.
+	Accept func(status int, h http.Header) error
 	// ID, Deadline and Placement are for VMs that relay the request; Pool does not use them.
 	ID string
 	// Deadline is when the caller stops waiting.
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -16,6 +16,8 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+
+	"github.com/junctionfold/junctionfold/internal/answer"
 )
 
 // fakeTarget is a target whose connections are handled by a function of the test.
@@ -86,7 +88,12 @@
 	return &Request{
 		Key: "t", Address: tgt.listener.Addr().String(), Method: "POST", Path: "/a%2Fb?c=d", Host: "h",
 		Header: http.Header{"Id": {id}}, Body: []byte(body),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Accept: func(_ int, h http.Header) error {
+			if h.Get("Id") != id {
+				return answer.ErrOtherRequest
+			}
+			return nil
+		},
 	}
 }
 
