answer: Encoded streams are not the target's answer

Cause: only readBuffered refused a content encoding, which streams do not pass. Ruled out: that the path of plain services lets them through as well (it had the check).

Change: the encoding is one more condition of package answer, which every path asks. The check in readBuffered is removed.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -15,6 +15,8 @@
 	// RequestIDs are the ids of the requests that the response names, and Signatures the target's
 	// signatures. A well-formed response has one of each.
 	RequestIDs, Signatures []string
+	// Encoded is set if the body has a content encoding. No request asks for one.
+	Encoded bool
 	// NotRun is set if the target states that it did not run the request.
 	NotRun bool
 }
@@ -36,11 +38,13 @@
 	// Unsigned: the target's signature is missing or ambiguous, and the status is a success or a promise
 	// that the request has not run. The request may have run.
 	Unsigned
+	// Encoded: the body is not the target's own. The request may have run.
+	Encoded
 )
 
 // String returns the class's name for logs and metrics.
 func (c Class) String() string {
-	return [...]string{"answered", "busy", "misrouted", "mismatched", "unsigned"}[c]
+	return [...]string{"answered", "busy", "misrouted", "mismatched", "unsigned", "encoded"}[c]
 }
 
 // Errors of heads that are not accepted.
@@ -68,6 +72,8 @@
 		return Busy
 	case len(h.RequestIDs) == 0:
 		return Mismatched
+	case h.Encoded:
+		return Encoded
 	case h.needsSignature() && !h.isSigned():
 		return Unsigned
 	}
@@ -81,7 +87,7 @@
 	switch class := h.Classify(requestID); class {
 	case Mismatched:
 		return ErrOtherRequest
-	case Unsigned:
+	case Unsigned, Encoded:
 		return errors.Mark(errors.Newf("answer with status %d is %s", h.Status, class), ErrInvalid)
 	}
 	return nil
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -42,7 +42,7 @@
 		signatures = nil
 	}
 	return answer.Head{
-		Status: status, RequestIDs: h.Values("Id"), Signatures: signatures, NotRun: h.Get("Not-Run") != "",
+		Status: status, RequestIDs: h.Values("Id"), Signatures: signatures, Encoded: h.Get("Content-Encoding") != "", NotRun: h.Get("Not-Run") != "",
 	}
 }
 
@@ -722,7 +722,7 @@
 // caller's VM through a relay.
 func TestRelayPassesOnNoInvalidAnswer(t *testing.T) {
 	f := newRelayFleet(t, "a")
-	for name, header := range map[string]string{"unsigned": "Unsigned: 1"} {
+	for name, header := range map[string]string{"unsigned": "Unsigned: 1", "encoded": "Content-Encoding: gzip"} {
 		t.Run(name, func(t *testing.T) {
 			target := newRawTarget(t, respondText(responseHead+header+"\r\nContent-Length: 4\r\n\r\nbody"))
 			r := f.request(target.address)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -81,7 +81,7 @@
 
 func (testCodec) DecodeAnswer(status int, h http.Header) answer.Head {
 	return answer.Head{
-		Status: status, RequestIDs: h.Values("Id"), Signatures: signature(h), NotRun: h.Get("Not-Run") != "",
+		Status: status, RequestIDs: h.Values("Id"), Signatures: signature(h), Encoded: h.Get("Content-Encoding") != "", NotRun: h.Get("Not-Run") != "",
 	}
 }
 
--- a/internal/gateway/invalidanswer_test.go
+++ b/internal/gateway/invalidanswer_test.go
@@ -25,10 +25,11 @@
 	_, _ = io.WriteString(w, strings.Repeat("x", maxBufferedBytes+1))
 }
 
-// TestInvalidAnswerIsNeverASuccess guards against success responses without the target's signature, on every path from a target to a caller. A request that may run again is sent to another
+// TestInvalidAnswerIsNeverASuccess guards against success responses without the target's signature or with
+// an encoded body, on every path from a target to a caller. A request that may run again is sent to another
 // target; any other gets 502, because it may have run.
 func TestInvalidAnswerIsNeverASuccess(t *testing.T) {
-	for _, defect := range []struct{ header, metric string }{{"Unsigned", "unsigned"}} {
+	for _, defect := range []struct{ header, metric string }{{"Unsigned", "unsigned"}, {"Content-Encoding", "encoded"}} {
 		for _, row := range []struct {
 			name, path string
 			spoilt     http.HandlerFunc
@@ -70,7 +71,7 @@
 
 // TestInvalidContinuationIsNotAppended guards against a stream whose later part is not the target's own.
 func TestInvalidContinuationIsNotAppended(t *testing.T) {
-	for _, header := range []string{"Unsigned"} {
+	for _, header := range []string{"Unsigned", "Content-Encoding"} {
 		a, b := newBackend(t, "a"), newBackend(t, "b")
 		a.handler = respondEvents("id: 1\ndata: a\n\n", abortConnection)
 		b.handler = spoil(header, respondContinuation)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -132,16 +132,9 @@
 // Until then the request can still be repeated.
 const maxBufferedBytes = 256 << 10
 
-// errEncoded marks responses in a content encoding that was not requested, which the target's
-// service did not produce.
-var errEncoded = errors.New("response has a content encoding that was not requested")
-
 // readBuffered reads the whole body of a response whose length is short or unknown. complete is
 // false if the response is too long to be buffered.
 func readBuffered(resp *hop.Response) (body []byte, complete bool, err error) {
-	if resp.Header.Get("Content-Encoding") != "" {
-		return nil, false, errEncoded
-	}
 	if resp.Length > maxBufferedBytes {
 		return nil, false, nil
 	}
