localplacement, gateway: No old adapter version after the bound

Cause: a VM without the leader asked the last target of an adapter, by name, for the version that it held when the leader was lost. Nothing compared it with the copy of the store. Ruled out: that the VMs lacked the declarations (the revision in their logs has them) and that targets run another version than they are asked for (421). Of the same class: the last check before the first byte, here and at a relay, did not look at the adapter's version, and the next leader took adapters with running requests for the newest.

Change: the directory tells since when a version may have been acknowledged. Without a leader the last target is asked for the newest version; for 0.6 of the bound (new setting [times] version_ms; 0: at once) it may use whichever it holds. A target that lacks the version is asked by one request in 0.3 s. The check before the first byte compares the version with this VM's copy, also for relayed requests. Running names the version of each run.

--- a/coord/scheduler/grants.go
+++ b/coord/scheduler/grants.go
@@ -163,24 +163,38 @@
 	return len(s.unreportedVMs) == 0 || !now.Before(s.evictionBlockedUntil)
 }
 
-// Adopt records a request that an earlier scheduler granted and that still runs at a target, which
-// prevents the unload of its adapter.
-func (s *Scheduler) Adopt(now time.Time, key Key, targetID string, ref coord.AdapterRef, tokens int, deadline time.Time) {
-	t := s.targets[targetID]
-	if t == nil || s.grants[key] != nil {
+// AdoptedRun is a request that an earlier scheduler granted and that still runs at a target.
+type AdoptedRun struct {
+	Key    Key
+	Target string
+	Ref    coord.AdapterRef
+	// Version of the adapter on which the request runs; 0: unknown, taken to be the newest.
+	Version  int64
+	Tokens   int
+	Deadline time.Time
+}
+
+// Adopt records a request that an earlier scheduler granted, which prevents the unload of its adapter.
+func (s *Scheduler) Adopt(now time.Time, r AdoptedRun) {
+	t := s.targets[r.Target]
+	if t == nil || s.grants[r.Key] != nil {
 		return
 	}
-	g := &grant{target: t, ref: ref, tokens: tokens, deadline: deadline}
-	s.grants[key] = g
+	g := &grant{target: t, ref: r.Ref, tokens: r.Tokens, deadline: r.Deadline}
+	s.grants[r.Key] = g
 	t.addRun(g)
-	if ref.IsBase() {
+	if r.Ref.IsBase() {
 		return
 	}
-	if t.slots[ref] == nil {
-		t.addSlot(ref, &slot{state: resident, version: s.versions[ref], stateSince: now})
+	if t.slots[r.Ref] == nil {
+		version := r.Version
+		if version == 0 {
+			version = s.versions[r.Ref]
+		}
+		t.addSlot(r.Ref, &slot{state: resident, version: version, stateSince: now})
 	}
-	t.slots[ref].inUse++
-	t.slots[ref].lastUsed = now
+	t.slots[r.Ref].inUse++
+	t.slots[r.Ref].lastUsed = now
 }
 
 // VMUnresponsive records that a VM has become unresponsive. Its requests no longer count as load,
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -338,7 +338,7 @@
 			h.advance(minResidency)
 			h.expectActions() // the other VM may still report its running requests
 			key := Key{VM: "other", Ticket: 1}
-			h.s.Adopt(h.now, key, "t0", ref("x"), 100, h.now.Add(10*time.Second))
+			h.s.Adopt(h.now, AdoptedRun{Key: key, Target: "t0", Ref: ref("x"), Tokens: 100, Deadline: h.now.Add(10 * time.Second)})
 			row.report(h)
 			h.advance(row.wait)
 			h.expectActions()
@@ -376,8 +376,8 @@
 
 func TestAdoptedRequestOccupiesSlotBeforeTheReport(t *testing.T) {
 	h := newHarness(t, config(2), []string{})
-	h.s.Adopt(h.now, Key{VM: "other", Ticket: 1}, "t0", ref("x"), 100, h.now.Add(10*time.Second))
-	h.s.Adopt(h.now, Key{VM: "other", Ticket: 1}, "t0", ref("x"), 100, h.now.Add(10*time.Second))
+	h.s.Adopt(h.now, AdoptedRun{Key: Key{VM: "other", Ticket: 1}, Target: "t0", Ref: ref("x"), Tokens: 100, Deadline: h.now.Add(10 * time.Second)})
+	h.s.Adopt(h.now, AdoptedRun{Key: Key{VM: "other", Ticket: 1}, Target: "t0", Ref: ref("x"), Tokens: 100, Deadline: h.now.Add(10 * time.Second)})
 	assert.Equal(t, h.s.Stats().Running, 1, "an adoption reported twice counts once")
 	h.submit("y")
 	h.expectActions(ActLoad)
--- a/coord/scheduler/slots_test.go
+++ b/coord/scheduler/slots_test.go
@@ -41,13 +41,25 @@
 	h.expectActions(ActLoad)
 }
 
+// TestAdoptedRunOfOldVersionCountsAsNewest guards against a new scheduler that takes an adapter in an
+// outdated version for the newest, because a request that an earlier scheduler granted runs on it.
+func TestAdoptedRunOfOldVersionCountsAsNewest(t *testing.T) {
+	for version, granted := range map[int64]bool{0: true, 1: false, 2: true} {
+		h := newHarness(t, config(1), nil)
+		h.collect(h.s.SetVersions(h.now, []ResidentItem{{Ref: ref("a"), Version: 2}}))
+		h.s.Adopt(h.now, AdoptedRun{Key: Key{VM: "other", Ticket: 1}, Target: "t0", Ref: ref("a"), Version: version, Deadline: h.now.Add(time.Second)})
+		_, held := h.s.timeUntilReady(h.now, h.s.targets["t0"], ref("a"))
+		assert.Equal(t, held, granted, "version %d", version)
+	}
+}
+
 // TestAdoptedGrantDoesNotConfirmAdapter: a request that an earlier scheduler granted may not have
 // reached the engine, or may have been rejected there because the load was unfinished.
 func TestAdoptedGrantDoesNotConfirmAdapter(t *testing.T) {
 	h := newHarness(t, config(1), nil)
 	h.ticket++
 	key := Key{VM: "other", Ticket: h.ticket}
-	h.s.Adopt(h.now, key, "t0", ref("a"), 100, h.now.Add(time.Second))
+	h.s.Adopt(h.now, AdoptedRun{Key: key, Target: "t0", Ref: ref("a"), Tokens: 100, Deadline: h.now.Add(time.Second)})
 	h.collect(h.s.Done(h.now, key, EndedWithdrawn))
 	assert.Equal(t, len(evictFromFirstTarget(t, h).slots), 1)
 	h.expectActions()
--- a/coord/scheduler/takeover_model_test.go
+++ b/coord/scheduler/takeover_model_test.go
@@ -105,7 +105,7 @@
 			return
 		}
 		for k, a := range sim.faults.inFlight {
-			sim.s.Adopt(sim.now, k, a.Target, a.Ref, 100, sim.now.Add(3*time.Second))
+			sim.s.Adopt(sim.now, AdoptedRun{Key: k, Target: a.Target, Ref: a.Ref, Version: a.Version, Tokens: 100, Deadline: sim.now.Add(3 * time.Second)})
 		}
 		sim.s.RunningReported(sim.now, "vm")
 	})
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -232,6 +232,9 @@
 	if ending == scheduler.EndedOK && !g.begunAt.IsZero() && d.DecidedBy != n.settings.Vm.Id {
 		n.quarantine.survived(g.begunAt, grantedParts(g.grant))
 	}
+	if ending == scheduler.EndedMisrouted && g.grant != nil && !d.ByLeader {
+		n.updateReplica(g.grant, d.SoftwareVersion, func(l *lastReplica) { l.missing = true })
+	}
 	done := &schema.Done{Ticket: d.Ticket, Service: d.Service, Ending: protoEndings[ending], Overloaded: n.overload.isOverloaded()}
 	n.sendDone(coord.VMID(d.DecidedBy), done)
 	// A leader that did not make the decision was notified that the request runs.
@@ -253,7 +256,9 @@
 		return
 	}
 	n := (*Node)(ad)
-	n.running.begin(d.Ticket)
+	if g := n.running.begin(d.Ticket); g != nil && !d.ByLeader {
+		n.updateReplica(g, d.SoftwareVersion, func(l *lastReplica) { l.version, l.missing = max(l.version, d.AdapterVersion), false })
+	}
 	n.sendDone(coord.VMID(d.DecidedBy), &schema.Done{
 		Ticket: d.Ticket, Service: d.Service, Ending: schema.Ending_ENDING_FIRST_EVENT, Overloaded: n.overload.isOverloaded(),
 	})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -252,7 +252,7 @@
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: newTransport(n, n.pool),
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		VMs:   func() int { return int(n.vmCount.Load()) }, ConnectedVMs: func() int { return int(n.connectedVMs.Load()) },
-		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times),
+		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times), VersionGrace: versionGrace(s.Times),
 		OnNotice: n.handleNotice, RateLimits: (*limitedTargets)(n), Origins: n.origins, CheckSuspension: n.checkSuspension, RetiresConnections: n.overload.retiring.Load, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
@@ -272,6 +272,16 @@
 	return time.Duration(feed.KeyAgeShare * float64(t.RevokeMs) * float64(time.Millisecond))
 }
 
+// versionGraceShare of the bound on the use of outdated adapter versions is how long requests may be sent
+// to run on one. The rest is left for the connection and for the queue of the target.
+const versionGraceShare = 0.6
+
+// versionGrace returns how long after the declaration of a version requests may be sent to run on an
+// older one.
+func versionGrace(t *schema.EdgeTimes) time.Duration {
+	return time.Duration(versionGraceShare * float64(t.GetVersionMs()) * float64(time.Millisecond))
+}
+
 // minInFlight is the least time for decisions and request bodies in flight. It covers two
 // retransmissions of a lost packet, after 0.2 and 0.6 s.
 const minInFlight = 650 * time.Millisecond
--- a/internal/edge/localplacement.go
+++ b/internal/edge/localplacement.go
@@ -2,12 +2,14 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/gateway"
+	"github.com/junctionfold/junctionfold/schema"
 )
 
 // replicaKey identifies an adapter at the targets of a service that run a software version; empty: any
@@ -17,11 +19,29 @@
 	adapter                  fleet.AdapterRef
 }
 
-// lastReplica is the target that last received requests for an adapter, and the adapter's version
-// there.
+// lastReplica is the target that last received requests for an adapter.
 type lastReplica struct {
-	target  string
+	target string
+	// version of the adapter that the target is known to hold; 0: unknown.
 	version int64
+	// missing is set if the target has answered since that it lacks the adapter or the version that it was
+	// asked for.
+	missing bool
+	// askedAt is when a request was last sent there that the target may reject; zero: never.
+	askedAt time.Time
+}
+
+// askInterval is the time between two requests to a target that may lack their version. Loads that the last
+// leader ordered end meanwhile.
+const askInterval = noDecisionRetryDelay
+
+// mayReject reports whether the target may reject a request that requires a version.
+func (l lastReplica) mayReject(required int64) bool { return l.missing || l.version < required }
+
+// canAsk reports whether a request that requires a version may be sent to the target. While it may reject them,
+// one request at a time finds out.
+func (l lastReplica) canAsk(now time.Time, required int64) bool {
+	return !l.mayReject(required) || now.Sub(l.askedAt) >= askInterval
 }
 
 // maxLastReplicas bounds the number of last replicas that a VM remembers: two for each adapter, one more
@@ -29,12 +49,29 @@
 const maxLastReplicas = 8192
 
 // rememberReplica remembers the target of a decision as the last replica of its adapter, among all and
-// among those of its software version.
+// among those of its software version. Where this VM chose the last replica itself, nothing new is known.
 func (n *Node) rememberReplica(r *gateway.AdmitRequest, d gateway.Decision) {
+	ref := r.Request.Adapter
+	if previous, known := n.lastReplicas.Peek(replicaKey{r.Service, "", ref}); known && !d.ByLeader && previous.target == d.Target {
+		return
+	}
 	replica := lastReplica{target: d.Target, version: d.AdapterVersion}
-	n.lastReplicas.Add(replicaKey{r.Service, "", r.Request.Adapter}, replica)
+	n.lastReplicas.Add(replicaKey{r.Service, "", ref}, replica)
 	if d.SoftwareVersion != "" {
-		n.lastReplicas.Add(replicaKey{r.Service, d.SoftwareVersion, r.Request.Adapter}, replica)
+		n.lastReplicas.Add(replicaKey{r.Service, d.SoftwareVersion, ref}, replica)
+	}
+}
+
+// updateReplica updates what is known about the target of a request that this VM placed, if it still is the
+// adapter's last replica.
+func (n *Node) updateReplica(g *schema.Grant, softwareVersion string, update func(*lastReplica)) {
+	ref := fleet.AdapterRef{Model: g.Model, Adapter: g.Adapter}
+	for _, software := range []string{"", softwareVersion} {
+		key := replicaKey{g.Service, software, ref}
+		if replica, known := n.lastReplicas.Peek(key); known && replica.target == g.Target {
+			update(&replica)
+			n.lastReplicas.Add(key, replica)
+		}
 	}
 }
 
@@ -47,17 +84,21 @@
 	return t != nil
 }
 
-// knownReplica returns the target that last served a request's adapter and the adapter's version
-// there. It returns nil if the target is unknown or cannot be used.
+// knownReplica returns the target that last served a request's adapter and the version that it must run
+// (0: whichever it holds). It returns nil if the target is unknown or cannot be used now. A target that held an
+// older version is asked for the newest: the last leader may have ordered its load, and the target does not
+// run the request if it lacks it.
 func (n *Node) knownReplica(r *gateway.AdmitRequest) (t *fleet.Target, version int64) {
 	replica, known := n.lastReplicas.Get(replicaKey{r.Service, r.SoftwareVersion, r.Request.Adapter})
 	if !known {
 		return nil, 0
 	}
-	if t = n.feed.Directory().Targets[replica.target]; !isUsable(t, r) {
+	now, dir := n.now(), n.feed.Directory()
+	version = dir.RequiredVersion(r.Request.Adapter, replica.version, now, versionGrace(n.settings.Times))
+	if t = dir.Targets[replica.target]; !isUsable(t, r) || !replica.canAsk(now, version) {
 		return nil, 0
 	}
-	return t, replica.version
+	return t, version
 }
 
 // chooseKnownTarget places a request without the leader: at the target that last served its
@@ -70,6 +111,7 @@
 	}
 	if t, version := n.knownReplica(r); t != nil {
 		d.Target, d.Address, d.SoftwareVersion, d.AdapterVersion = t.ID, t.Address, t.SoftwareVersion, version
+		n.updateReplica(grantMessage(d.DecidedAt, r, d), t.SoftwareVersion, func(l *lastReplica) { l.askedAt = d.DecidedAt })
 		return d
 	}
 	if !r.Request.Adapter.IsBase() {
--- a/internal/edge/localplacement_test.go
+++ b/internal/edge/localplacement_test.go
@@ -7,8 +7,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/junctionfold/junctionfold/coord/scheduler"
+	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
 	"github.com/junctionfold/junctionfold/internal/gateway"
+	"github.com/junctionfold/junctionfold/schema"
 )
 
 // TestDisconnectedVMSendsToAnotherService guards against requests without a decision of the leader that
@@ -72,3 +75,45 @@
 	(*admission)(n).Admit(t.Context(), r)
 	return time.Since(start)
 }
+
+// TestVMWithoutLeaderRunsOutdatedVersions guards against requests that run on an older version of their
+// adapter after the bound, because the last known target is asked for the version that it held when the leader
+// was lost. Within the bound the target may use whichever version it holds.
+func TestVMWithoutLeaderRunsOutdatedVersions(t *testing.T) {
+	n, now := disconnectedNode(t)
+	n.settings.Times = &schema.EdgeTimes{VersionMs: 5000}
+	r := adapterRequest("a")
+	n.recordDecision(r, gateway.Decision{Service: "models", Target: "e", Ticket: 1, AdapterVersion: 1, ByLeader: true})
+	required := func() int64 { return n.chooseKnownTarget(r).AdapterVersion }
+	assert.Equal(t, required(), int64(1))
+
+	*now = now.Add(time.Second)
+	n.feed.Apply(feed.Update{From: 1, To: 2, Items: []fleet.Item{{Key: "a", Revision: 2, Value: []byte("2")}}})
+	assert.Equal(t, required(), int64(0), "whichever the target holds")
+	*now = now.Add(versionGrace(n.settings.Times) - time.Second)
+	assert.Equal(t, required(), int64(2), "the copy lacked the version a second before it arrived")
+	n.settings.Times = &schema.EdgeTimes{}
+	*now = now.Add(askInterval)
+	assert.Equal(t, required(), int64(2), "without a bound")
+}
+
+// TestTargetThatLacksVersionIsAskedForEachRequest guards against requests that a VM without the leader sends
+// to a target which has just said that it lacks their version, and against one that is never asked again
+// although a load has ended since.
+func TestTargetThatLacksVersionIsAskedForEachRequest(t *testing.T) {
+	n, now := disconnectedNode(t)
+	r := adapterRequest("a")
+	n.recordDecision(r, gateway.Decision{Service: "models", Target: "e", SoftwareVersion: "v1", Ticket: 1, ByLeader: true})
+	d := n.recordDecision(r, n.chooseKnownTarget(r))
+	assert.Equal(t, d.Target, "e")
+	(*admission)(n).Done(d, scheduler.EndedMisrouted)
+	assert.Equal(t, n.chooseKnownTarget(r).Target, "")
+	r.SoftwareVersion = "v1"
+	assert.Equal(t, n.chooseKnownTarget(r).Target, "")
+	*now = now.Add(askInterval)
+	d = n.recordDecision(r, n.chooseKnownTarget(r))
+	assert.Equal(t, d.Target, "e", "a load may have ended since")
+	assert.Equal(t, n.chooseKnownTarget(r).Target, "", "the target has not answered yet")
+	(*admission)(n).FirstEvent(d)
+	assert.Equal(t, n.chooseKnownTarget(r).Target, "e")
+}
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -41,7 +42,12 @@
 	n.lastReplicas = replicas
 	engine := &fleet.Target{ID: "e", Service: "models", SoftwareVersion: "v1", Resident: []fleet.ResidentModel{{Name: "m"}}}
 	n.feed = feed.New(feed.Config{
-		Decode:   func(fleet.Item) (fleet.Decoded, error) { return fleet.Decoded{Target: engine}, nil },
+		Decode: func(item fleet.Item) (fleet.Decoded, error) {
+			if version, err := strconv.ParseInt(string(item.Value), 10, 64); err == nil {
+				return fleet.Decoded{Version: &fleet.AdapterVersion{Ref: fleet.AdapterRef{Model: "m", Adapter: item.Key}, Version: version}}, nil
+			}
+			return fleet.Decoded{Target: engine}, nil
+		},
 		OnChange: func(*feed.Directory) {}, Log: log, Now: n.now,
 	})
 	n.feed.Apply(feed.Update{Snapshot: true, To: 1, Items: []fleet.Item{{Key: "e", Revision: 1}}})
--- a/internal/edge/relayclient.go
+++ b/internal/edge/relayclient.go
@@ -177,6 +177,7 @@
 			Address: r.Address, Host: r.Host, MaxConnections: int32(r.MaxConns), LeftMs: left.Milliseconds(),
 			DecisionAgeMs: now.Sub(r.Placement.DecidedAt).Milliseconds(), Paced: r.Placement.Paced, FeedRevision: r.Placement.Revision,
 			SoftwareVersion: r.Placement.SoftwareVersion,
+			Model:           r.Placement.Adapter.Model, Adapter: r.Placement.Adapter.Adapter, AdapterVersion: r.Placement.AdapterVersion,
 		},
 	}
 }
--- a/internal/edge/relayserver.go
+++ b/internal/edge/relayserver.go
@@ -121,6 +121,7 @@
 		DecidedAt: receivedAt.Add(-time.Duration(f.Relayed.DecisionAgeMs) * time.Millisecond),
 		Paced:     f.Relayed.Paced, Revision: f.Relayed.FeedRevision,
 		SoftwareVersion: f.Relayed.SoftwareVersion,
+		Adapter:         coord.AdapterRef{Model: f.Relayed.Model, Adapter: f.Relayed.Adapter}, AdapterVersion: f.Relayed.AdapterVersion,
 	}
 	header := headersFromProto(f.Headers)
 	maxConns, known := n.gateway.MaxConnections(f.Target)
--- a/internal/edge/running.go
+++ b/internal/edge/running.go
@@ -44,8 +44,9 @@
 	return &schema.Grant{
 		Ticket: d.Ticket, Service: d.Service, Target: d.Target,
 		Model: a.Request.Adapter.Model, Adapter: a.Request.Adapter.Adapter,
-		Tokens: int32(a.Request.PromptTokens + a.Request.OutputTokens),
-		LeftMs: a.Deadline.Sub(now).Milliseconds(), Content: a.Content[:], SharedParts: partNames(sharedPartsOf(a)),
+		Tokens:         int32(a.Request.PromptTokens + a.Request.OutputTokens),
+		AdapterVersion: d.AdapterVersion,
+		LeftMs:         a.Deadline.Sub(now).Milliseconds(), Content: a.Content[:], SharedParts: partNames(sharedPartsOf(a)),
 	}
 }
 
@@ -63,14 +64,17 @@
 	return ids
 }
 
-// begin records that the first event of a response has arrived.
-func (r *runningRequests) begin(ticket uint64) {
+// begin records that the first event of a response has arrived, and returns the grant; nil: it is unknown.
+func (r *runningRequests) begin(ticket uint64) *schema.Grant {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if g, running := r.grants[ticket]; running {
-		g.begunAt = r.now()
-		r.grants[ticket] = g
+	g, running := r.grants[ticket]
+	if !running {
+		return nil
 	}
+	g.begunAt = r.now()
+	r.grants[ticket] = g
+	return g.grant
 }
 
 // remove removes a request and returns it; the zero value means that it is unknown.
@@ -117,9 +121,10 @@
 	for _, g := range m.Grants {
 		ss.node.quarantine.requestStarted(from, g.Ticket, g.Content, g.Target, time.Duration(g.LeftMs)*time.Millisecond, grantedParts(g))
 		if sc := ss.services[g.Service]; sc != nil {
-			sc.scheduler.Adopt(now, scheduler.Key{VM: from, Ticket: g.Ticket}, g.Target,
-				coord.AdapterRef{Model: g.Model, Adapter: g.Adapter}, int(g.Tokens),
-				now.Add(time.Duration(g.LeftMs)*time.Millisecond))
+			sc.scheduler.Adopt(now, scheduler.AdoptedRun{
+				Key: scheduler.Key{VM: from, Ticket: g.Ticket}, Target: g.Target, Ref: coord.AdapterRef{Model: g.Model, Adapter: g.Adapter},
+				Version: g.AdapterVersion, Tokens: int(g.Tokens), Deadline: now.Add(time.Duration(g.LeftMs) * time.Millisecond),
+			})
 		}
 	}
 	if !m.Complete {
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -83,9 +83,9 @@
 		})
 	}
 	work := ss.applyActions(sc, sc.scheduler.SetTargets(now, announced))
-	versions := make([]scheduler.ResidentItem, len(d.Versions))
-	for i, v := range d.Versions {
-		versions[i] = scheduler.ResidentItem{Ref: v.Ref, Version: v.Version}
+	versions := make([]scheduler.ResidentItem, 0, len(d.Versions))
+	for ref, v := range d.Versions {
+		versions = append(versions, scheduler.ResidentItem{Ref: ref, Version: v.Version})
 	}
 	return append(work, ss.applyActions(sc, sc.scheduler.SetVersions(now, versions))...)
 }
--- a/internal/feed/directory.go
+++ b/internal/feed/directory.go
@@ -17,8 +17,9 @@
 	Config *fleet.Config
 	// Targets holds the targets by id. A target whose announcement was removed stays for the
 	// removal grace.
-	Targets  map[string]*fleet.Target
-	Versions []fleet.AdapterVersion
+	Targets map[string]*fleet.Target
+	// Versions holds the newest versions of adapters.
+	Versions map[fleet.AdapterRef]DeclaredVersion
 	// Removed holds ids of unlisted targets that were dropped recently or announced that they
 	// leave.
 	Removed map[string]bool
@@ -68,7 +69,7 @@
 	configItem fleet.Item
 	targets    map[string]*fleet.Target // by key
 	dropTimes  map[string]time.Time     // when to drop a target, by key
-	versions   map[fleet.AdapterRef]fleet.AdapterVersion
+	versions   declaredVersions
 	// droppedAt holds the ids of dropped targets and the time at which each was dropped.
 	droppedAt map[string]time.Time
 	// replacedIDs are ids of targets that a later incarnation replaced, not yet reported as
@@ -100,7 +101,6 @@
 		droppedAt:         map[string]time.Time{},
 		incarnations:      map[string]incarnationSeen{},
 		loggedErrors:      map[string]string{},
-		versions:          map[fleet.AdapterRef]fleet.AdapterVersion{},
 		leaving:           leavingTargets{},
 		deferred:          map[string]deferredItem{},
 	}
@@ -151,7 +151,7 @@
 	case decoded.Target != nil:
 		return d.applyTarget(now, item.Key, decoded.Target)
 	case decoded.Version != nil:
-		d.applyVersion(*decoded.Version)
+		d.versions.declare(*decoded.Version, d.freshBefore)
 	}
 	return nil
 }
@@ -196,13 +196,6 @@
 	}
 }
 
-// applyVersion records an adapter's version unless a newer one is known.
-func (d *directory) applyVersion(v fleet.AdapterVersion) {
-	if v.Version >= d.versions[v.Ref].Version {
-		d.versions[v.Ref] = v
-	}
-}
-
 // errNoIncarnation marks an announcement without a start time for a key whose target announced one
 // before.
 var errNoIncarnation = errors.New("announcement lacks the start time that earlier announcements of the target had")
@@ -274,7 +267,7 @@
 	out := &Directory{
 		Config: d.config, Revision: revision,
 		Targets:  make(map[string]*fleet.Target, len(d.targets)),
-		Versions: slices.Collect(maps.Values(d.versions)),
+		Versions: d.versions.publish(),
 		Removed:  make(map[string]bool, len(d.droppedAt)),
 	}
 	for id := range d.droppedAt {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -72,6 +72,9 @@
 	if err := x.checkSoftware(); err != nil {
 		return err
 	}
+	if err := x.g.checkAdapterVersion(x.placement()); err != nil {
+		return err
+	}
 	return x.checkRateLimit(target)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,7 @@
 // gateway.go reads requests, identify.go authenticates them and responses.go responds without a
 // target. routes.go finds routes; plain.go and model.go choose targets and retry attempts, which
 // budget.go bounds. drain.go, backoff.go and limited.go hold requests back from targets that drain,
-// request backoff or limit their rate, and relayed.go those that this VM sends for others. relay.go
+// request backoff, limit their rate or hold an outdated version of an adapter, and relayed.go those that this VM sends for others. relay.go
 // returns responses that package answer accepts, framing.go detects those that were broken off, resume.go resumes broken streams at
 // another target, software.go keeps each stream at the software version that began it, and origins.go finds
 // that version for streams that callers take up.
@@ -70,6 +70,9 @@
 	ConnectedVMs func() int
 	// DrainBounds limits how late requests may reach draining targets.
 	DrainBounds DrainBounds
+	// VersionGrace is how long after the store acknowledged a new version of an adapter requests may
+	// still be sent to run on an older one.
+	VersionGrace time.Duration
 	// OnNotice handles what a target reports about itself beside a response. decision is the one on
 	// which the answered request was sent; nil: unknown. It must not block.
 	OnNotice func(target string, notice fleet.Notice, decision *Decision)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -155,6 +155,8 @@
 	requests      []AdmitRequest
 	storeCopy     events.StoreCopy
 	networkDelays []time.Duration // of the next decisions; 0 after them
+	// adapterVersion is that of all decisions.
+	adapterVersion int64
 	// decidePlain decides on requests for plain services; nil: the gateway chooses locally.
 	decidePlain  func(r *AdmitRequest) Decision
 	plainEndings []balance.Ending
@@ -179,7 +181,7 @@
 	if len(a.networkDelays) > 0 {
 		networkDelay, a.networkDelays = a.networkDelays[0], a.networkDelays[1:]
 	}
-	return Decision{NetworkDelay: networkDelay, Service: r.Service, Ticket: 1, Target: t.ID, Address: t.Address, SoftwareVersion: t.SoftwareVersion, StoreCopy: a.storeCopy}
+	return Decision{NetworkDelay: networkDelay, Service: r.Service, Ticket: 1, Target: t.ID, Address: t.Address, SoftwareVersion: t.SoftwareVersion, AdapterVersion: a.adapterVersion, StoreCopy: a.storeCopy}
 }
 
 func (a *fixedAdmission) Done(_ Decision, ending scheduler.Ending) {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -102,7 +102,7 @@
 // recordFailedAttempt reports and logs the end of an attempt after which another one may follow.
 // The next attempt excludes the target unless the decision was merely stale, or this VM has no path.
 func (x *exchange) recordFailedAttempt(decision Decision, ending scheduler.Ending, status int, err error) {
-	if !errors.IsAny(err, errStaleDecision, hop.ErrNoPath) {
+	if !errors.IsAny(err, errStaleDecision, errOutdatedVersion, hop.ErrNoPath) {
 		x.exclude = append(x.exclude, decision.Target)
 	}
 	x.g.cfg.Admission.Done(decision, ending)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -69,7 +69,7 @@
 func (x *exchange) placement() hop.Placement {
 	return hop.Placement{
 		DecidedAt: x.decision.DecidedAt, Paced: x.decision.RateLimit.Stamp != 0, Revision: uint64(x.decision.StoreCopy.Revision),
-		SoftwareVersion: x.decision.SoftwareVersion,
+		SoftwareVersion: x.decision.SoftwareVersion, Adapter: x.req.Adapter, AdapterVersion: x.decision.AdapterVersion,
 	}
 }
 
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -18,6 +18,9 @@
 	case g.runsOtherSoftware(target, p.SoftwareVersion):
 		return errOtherSoftware
 	}
+	if err := g.checkAdapterVersion(p); err != nil {
+		return err
+	}
 	return g.checkRateLimit(target, p)
 }
 
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/junctionfold/junctionfold/coord"
 )
 
 // Errors of Do, or of a transport that uses other VMs as relays, that guarantee that nothing was sent
@@ -131,6 +133,10 @@
 	Revision uint64
 	// SoftwareVersion is the version of the target's software in that copy; empty: unknown.
 	SoftwareVersion string
+	// Adapter is the one that the request runs on, and AdapterVersion its version that the target is to
+	// use; 0: whichever it holds.
+	Adapter        coord.AdapterRef
+	AdapterVersion int64
 }
 
 // CheckBeforeSend calls BeforeSend and marks its error as ErrWithdrawn.
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -74,6 +74,7 @@
 		{"times", "drain_ms", int64(s.Times.DrainMs), 100, 600_000},
 		{"times", "config_apply_ms", int64(s.Times.ConfigApplyMs), 100, 600_000},
 		{"times", "revoke_ms", int64(s.Times.RevokeMs), 0, 600_000},
+		{"times", "version_ms", int64(s.Times.VersionMs), 0, 600_000},
 		{"orders", "lease_ms", int64(s.Orders.LeaseMs), 100, 600_000},
 	})
 	p.checkFloatRanges([]floatRange{
