soak: Targets spoil their answers

The soak never left out a signature, encoded a body or sent bytes without an end, so that it could not find these faults.

--- a/Makefile
+++ b/Makefile
@@ -67,11 +67,12 @@
 soak: build
 	$(GO) run ./platform/soak -bin $(BIN)/junctionfold -seed $(SEED) -for $(FOR)
 
-# Runs one seed, and two with a load balancer that overloads a VM, briefly, for CI.
+# Runs one seed, two with a load balancer that overloads a VM and one with spoilt answers, briefly, for CI.
 soak-short: build
 	$(GO) run ./platform/soak -bin $(BIN)/junctionfold -seed 2 -for 5s
 	$(GO) run ./platform/soak -bin $(BIN)/junctionfold -seed 1 -for 1s -only balancer_
 	$(GO) run ./platform/soak -bin $(BIN)/junctionfold -seed 4 -for 1s -only hot_
+	$(GO) run ./platform/soak -bin $(BIN)/junctionfold -seed 3 -for 3s -only garble_
 
 # Runs the seeds that violated a guarantee before, from deploy/soak-seeds.txt.
 soak-regressions: build
