gateway: A stream goes on only at the incarnation that is known

Cause: the software version of a target comes from its announcement, which arrives late or not at all, and nothing compared the incarnation before the stream went on. Ruled out: the leader's orders, which expect no orders of such a target, and that is true of its new process too.

Change: before a stream goes on at another target, the target is asked for its start time. A later one than in the copy of the store withdraws the attempt. No answer shows nothing, so that VMs without a path go on as before.

TestStreamContinuesAtRestartedTarget fails without the comparison.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -252,7 +252,7 @@
 		VM: s.Vm.Id, Zone: s.Vm.Zone, Codec: p.Codec, Directory: n.feed, Admission: (*admission)(n), Pool: newTransport(n, n.pool),
 		Retry: retry.Config{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		VMs:   func() int { return int(n.vmCount.Load()) }, ConnectedVMs: func() int { return int(n.connectedVMs.Load()) },
-		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times), VersionGrace: versionGrace(s.Times),
+		DrainBounds: drainBounds(s.Times), MaxKeyAge: maxKeyAge(s.Times), VersionGrace: versionGrace(s.Times), StartTime: n.startTime,
 		OnNotice: n.handleNotice, RateLimits: (*limitedTargets)(n), Origins: n.origins, CheckSuspension: n.checkSuspension, RetiresConnections: n.overload.retiring.Load, Log: l, Metrics: metrics, Now: n.now,
 	})
 	n.publishGauges()
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -76,6 +76,12 @@
 // errEngineRestarted marks a report from an incarnation other than the requested one.
 var errEngineRestarted = errors.New("the engine has restarted")
 
+// startTime asks a target for its start time in Unix ms.
+func (n *Node) startTime(ctx context.Context, target, address string) (int64, error) {
+	report, err := n.platform.Engines.Report(ctx, target, address)
+	return report.Started, err
+}
+
 // readReport reads a target's report and passes it to the scheduler. The report of a later
 // incarnation shows that the requested one is gone; the report of an earlier one shows nothing.
 func (ss *schedulers) readReport(sc *serviceScheduler, t *fleet.Target) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,7 @@
 // budget.go bounds. drain.go, backoff.go and limited.go hold requests back from targets that drain,
 // request backoff, limit their rate or hold an outdated version of an adapter, and relayed.go those that this VM sends for others. relay.go
 // returns responses that package answer accepts, framing.go detects those that were broken off, resume.go resumes broken streams at
-// another target, software.go keeps each stream at the software version that began it, and origins.go finds
+// another target, software.go and incarnation.go keep each stream at the software version that began it, and origins.go finds
 // that version for streams that callers take up.
 //
 // Responses state only what is certain: 503 and 429 mean that the request has not run and never
@@ -73,6 +73,8 @@
 	// VersionGrace is how long after the store acknowledged a new version of an adapter requests may
 	// still be sent to run on an older one.
 	VersionGrace time.Duration
+	// StartTime asks a target for its start time in Unix ms; 0: not reported.
+	StartTime func(ctx context.Context, target, address string) (int64, error)
 	// OnNotice handles what a target reports about itself beside a response. decision is the one on
 	// which the answered request was sent; nil: unknown. It must not block.
 	OnNotice func(target string, notice fleet.Notice, decision *Decision)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -229,6 +229,8 @@
 func (d *fixedDirectory) Revision() fleet.Revision    { return d.dir.Revision }
 
 type fixture struct {
+	// startTime is what targets report.
+	startTime int64
 	gateway   *Gateway
 	directory *fixedDirectory
 	admission *fixedAdmission
@@ -272,6 +274,7 @@
 	x := &fixture{directory: &fixedDirectory{dir: dir}, admission: &fixedAdmission{}, origins: &fixedOrigins{found: map[string]origin.Origin{}}}
 	x.gateway = New(Config{
 		VM: "vm", Zone: "z-a", Codec: testCodec{}, Directory: x.directory, Admission: x.admission, Pool: hop.New(nil),
+		StartTime:       func(context.Context, string, string) (int64, error) { return x.startTime, nil },
 		CheckSuspension: func() {}, RetiresConnections: func() bool { return false }, RateLimits: fixedRateLimits{}, Origins: x.origins,
 		OnNotice: func(target string, notice fleet.Notice, _ *Decision) {
 			if notice.Backoff > 0 {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -75,6 +75,9 @@
 func (x *exchange) tryModel(decision Decision) (retry bool) {
 	sentAt := x.g.cfg.Now()
 	x.setDecision(decision)
+	if err := x.checkIncarnation(); err != nil {
+		return x.handleModelError(decision, err)
+	}
 	resp, err := x.send(x.ctx, destination{
 		target: decision.Target, address: decision.Address, adapterVersion: decision.AdapterVersion,
 		priority: decision.Priority, lastEventID: x.stream.lastEventID,
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -134,3 +134,30 @@
 		})
 	}
 }
+
+// TestStreamContinuesAtRestartedTarget guards against streams of two software versions: a target that has
+// restarted under its id may run other software, and the copy of the store still has its earlier announcement.
+func TestStreamContinuesAtRestartedTarget(t *testing.T) {
+	for name, row := range map[string]struct {
+		reported int64
+		want     string
+	}{
+		"the known incarnation": {1000, allEvents},
+		"a later incarnation":   {1001, "id: 1\ndata: a\n\n"},
+		"not reported":          {0, allEvents},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newBackend(t, "a"), newBackend(t, "b")
+			a.handler = respondEvents("id: 1\ndata: a\n\n", abortConnection)
+			b.handler = respondContinuation
+			x := newResumableFixture(t, a, b)
+			for _, target := range x.directory.dir.Targets {
+				target.Started = 1000
+			}
+			x.startTime = row.reported
+			_, body := x.send(t, "POST", "/stream/x", "prompt")
+			assert.Equal(t, body, row.want)
+			assert.Equal(t, b.requestCount() == 0, row.want != allEvents)
+		})
+	}
+}
