--- a/internal/edge/localplacement.go
+++ b/internal/edge/localplacement.go
@@ -63,7 +63,8 @@
 }
 
 // updateReplica updates what is known about the target of a request that this VM placed, if it still is the
-// adapter's last replica.
+// adapter's last replica. Of two updates at once one may be lost, so that the target is asked once more or
+// later.
 func (n *Node) updateReplica(g *schema.Grant, softwareVersion string, update func(*lastReplica)) {
 	ref := fleet.AdapterRef{Model: g.Model, Adapter: g.Adapter}
 	for _, software := range []string{"", softwareVersion} {
