callers: Bodies are bounded in sum, and ended when their callers stop

Callers saw: a VM that ran out of memory, or answered nobody, while clients sent bodies that stopped short of their end, or many large ones at once. Cause: each body was bounded, their sum was not, nor how long a caller may stop; after a refusal net/http read on without a limit of time.

coord/intake decides on one budget for all callers, who gives way and who has stopped for too long; internal/callers applies it to the connections of a server.

Why it works: bytes are charged before a buffer grows, so that no order of arrival exceeds the budget, and each byte that is charged belongs to a request that ends by itself, by its deadline, or by silence.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 MODULES := . ./coord
 PACKAGES := ./... ./coord/...
 
-.PHONY: mixes soak soak-short soak-regressions hunt-regressions build run check test fmt-check vet lint race fuzz generate bench policy clean
+.PHONY: crowd mixes soak soak-short soak-regressions hunt-regressions build run check test fmt-check vet lint race fuzz generate bench policy clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -18,7 +18,7 @@
 check:
 	$(GO) run ./cmd/junctionctl dev --check
 
-test: fmt-check vet lint build race soak-short
+test: fmt-check vet lint build race crowd soak-short
 
 fmt-check:
 	@files=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
@@ -40,6 +40,10 @@
 	@if [ -n '$(KNOWN_RED)' ]; then echo "passed over, see KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
 	$(GO) test -race -timeout 240s $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
 
+# Runs crowds of clients that do not behave against processes without the race detector, which multiplies memory.
+crowd: build
+	JUNCTIONFOLD_DAEMON=$(CURDIR)/$(BIN)/junctionfold $(GO) test -count=1 -timeout 600s $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./platform/crowd
+
 # The language server, for renames. It has a separate module because it needs a different version of
 # golang.org/x/tools than staticcheck.
 $(TOOLS)/gopls:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,7 +14,8 @@
 // cannot reach, and reachprobe.go probes them. transport.go sends requests to targets, relayclient.go
 // through other VMs, and relayserver.go those of other VMs. join.go joins the fleet through the seeds.
 // suspension.go detects suspensions of this VM, and notices.go applies the notices that targets send
-// beside their answers. origins.go finds which software version began a stream that a caller takes up,
+// beside their answers. overload.go turns new connections away under load, and callers.go limits what callers may
+// make this VM hold. origins.go finds which software version began a stream that a caller takes up,
 // originholders.go selects the VMs that hold the records of that, and originmessages.go encodes them.
 package edge
 
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/loadshed"
+	"github.com/junctionfold/junctionfold/internal/callers"
 	"github.com/junctionfold/junctionfold/internal/traffic"
 	"github.com/junctionfold/junctionfold/internal/vmload"
 	"github.com/junctionfold/junctionfold/schema"
@@ -31,31 +31,33 @@
 )
 
 // overloadControl closes new connections of callers unread while a limit of this VM is reached and others have
-// room, and those beyond the limit of connections. Lock order: no other lock is acquired while
+// room. Lock order: no other lock is acquired while
 // overloadControl.mu is held.
 type overloadControl struct {
-	node    *Node
-	maxOpen int
+	node *Node
+	// callers limits what the connections to the front end hold.
+	callers *callers.Tracker
 	// traffic counts the bytes of callers and targets.
 	traffic traffic.Counter
 	// retiring is set while responses close their connections.
 	retiring atomic.Bool
+	// sweptAt is when connections that have stopped were last ended. Only run uses it.
+	sweptAt time.Time
 
 	mu         sync.Mutex
 	controller *loadshed.Controller
 	meter      *vmload.Meter
 	// load is the last measurement.
-	load   vmload.Load
-	open   int
-	closed int64
+	load vmload.Load
 }
 
 // newOverloadControl returns the control of a VM. readProcess may be nil.
 func newOverloadControl(n *Node, vm *schema.EdgeVM, readProcess func() vmload.Counters) *overloadControl {
-	o := &overloadControl{node: n, maxOpen: maxCallerConnections(vm), controller: loadshed.New(n.now())}
+	o := &overloadControl{node: n, controller: loadshed.New(n.now())}
+	o.callers = o.newCallerTracker(vm)
 	o.meter = vmload.New(n.now(), vmload.Limits{
 		Cores: vm.CpuShare * vm.CpuCores, LinkBytesPerSecond: vm.LinkMbps * bytesPerMbit,
-		MemoryBytes: liveMemoryShare * float64(vm.MemoryMb) * (1 << 20), Connections: o.maxOpen,
+		MemoryBytes: liveMemoryShare * float64(vm.MemoryMb) * (1 << 20), Connections: maxCallerConnections(vm),
 	}, func() (c vmload.Counters) {
 		if readProcess != nil {
 			c = readProcess()
@@ -92,11 +94,26 @@
 			return
 		}
 		o.measure()
+		o.sweep()
 	}
 }
 
+// sweepInterval is the time between two searches for connections of callers that have stopped for too long.
+const sweepInterval = 250 * time.Millisecond
+
+// sweep ends the connections of callers that have stopped for too long, if that is due.
+func (o *overloadControl) sweep() {
+	now := o.node.now()
+	if now.Sub(o.sweptAt) < sweepInterval {
+		return
+	}
+	o.sweptAt = now
+	o.callers.Sweep()
+}
+
 // measure measures the load if that is due.
 func (o *overloadControl) measure() {
+	callers := o.callers.Stats()
 	o.mu.Lock()
 	now := o.node.now()
 	if !o.controller.IsSampleDue(now) {
@@ -104,17 +121,17 @@
 		return
 	}
 	wasClosing := o.controller.IsClosing()
-	o.load = o.meter.Measure(now, o.open)
+	o.load = o.meter.Measure(now, int(callers.Open))
 	leading := o.node.leads() == 1
 	o.controller.Observe(now, sampleOf(o.load, leading))
 	o.retiring.Store(o.controller.IsRetiring(now))
-	isClosing, closed, load := o.controller.IsClosing(), o.closed, o.load
+	isClosing, load := o.controller.IsClosing(), o.load
 	o.mu.Unlock()
 	switch {
 	case isClosing && !wasClosing:
 		o.node.log.OverloadBegan(load, leading)
 	case wasClosing && !isClosing:
-		o.node.log.OverloadEnded(closed, load)
+		o.node.log.OverloadEnded(callers.Unread, load)
 	}
 }
 
@@ -151,58 +168,11 @@
 	o.controller.RecordPeer(o.node.now(), vm, overloaded)
 }
 
-// stats returns the number of open connections of callers, and how many were closed unread.
-func (o *overloadControl) stats() (open, closed int64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return int64(o.open), o.closed
-}
-
 // admit reports whether a new connection is served. It also measures the load, because the loop of run may be
 // late on a VM that is overloaded.
 func (o *overloadControl) admit() bool {
 	o.measure()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.controller.Accept(o.node.now()) || o.open >= o.maxOpen {
-		o.closed++
-		return false
-	}
-	return true
-}
-
-// connectionChanged counts the open connections. It is the ConnState of the callers' server.
-func (o *overloadControl) connectionChanged(_ net.Conn, state http.ConnState) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		o.open++
-	case http.StateHijacked, http.StateClosed:
-		o.open--
-	}
-}
-
-// listener returns a listener that accepts what admit allows and closes the other connections.
-func (o *overloadControl) listener(l net.Listener) net.Listener {
-	return &sheddingListener{Listener: l, control: o}
-}
-
-type sheddingListener struct {
-	net.Listener
-	control *overloadControl
-}
-
-// Accept returns the next connection that is served.
-func (l *sheddingListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.control.admit() {
-			return l.control.traffic.Conn(conn), nil
-		}
-		_ = conn.Close() // nothing was read, and the caller tries another VM
-	}
+	return o.controller.Accept(o.node.now())
 }
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/junctionfold/junctionfold/internal/callers"
 	"github.com/junctionfold/junctionfold/internal/vmload"
 	"github.com/junctionfold/junctionfold/schema"
 )
@@ -37,8 +38,9 @@
 	n := overloadedNode(t, false)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: n.overload.connectionChanged}
-	go func() { _ = server.Serve(n.overload.listener(listener)) }() // returns after Close
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	n.overload.callers.Track(server)
+	go func() { _ = server.Serve(n.overload.callers.Listener(listener)) }() // returns after Close
 	t.Cleanup(func() { _ = server.Close() })
 	read := 0
 	const connections = 60
@@ -47,9 +49,9 @@
 	}
 	assert.Assert(t, read > 0, "some connections must be accepted")
 	assert.Assert(t, read <= connections/2, "%d of %d requests were read", read, connections)
-	_, closed := n.overload.stats()
+	closed := n.overload.callers.Stats().Unread
 	assert.Assert(t, closed >= int64(connections-read))
-	n.waitFor(t, "no connection counts as open", func() bool { open, _ := n.overload.stats(); return open == 0 })
+	n.waitFor(t, "no connection counts as open", func() bool { return n.overload.callers.Stats().Open == 0 })
 }
 
 // readResponses sends a request over a new connection and returns the number of responses.
@@ -95,15 +97,34 @@
 	}
 }
 
+// pipeListener accepts a number of connections.
+type pipeListener struct {
+	net.Listener
+	left int
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	if l.left == 0 {
+		return nil, net.ErrClosed
+	}
+	l.left--
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
 // TestConnectionsAreBoundedByMemory guards against a VM that exceeds its memory because of open connections.
 func TestConnectionsAreBoundedByMemory(t *testing.T) {
 	n, _ := disconnectedNode(t)
 	n.overload = newOverloadControl(n, &schema.EdgeVM{MemoryMb: 16}, nil)
-	for range 16 * connectionsPerMB {
-		assert.Assert(t, n.overload.admit())
-		n.overload.connectionChanged(nil, http.StateNew)
+	const limit = 16 * connectionsPerMB
+	pipes := &pipeListener{left: limit + 1}
+	listener := n.overload.callers.Listener(pipes)
+	for range limit {
+		_, err := listener.Accept()
+		assert.NilError(t, err)
 	}
-	assert.Assert(t, !n.overload.admit())
-	n.overload.connectionChanged(nil, http.StateClosed)
-	assert.Assert(t, n.overload.admit())
+	_, err := listener.Accept()
+	assert.ErrorIs(t, err, net.ErrClosed)
+	stats := n.overload.callers.Stats()
+	assert.DeepEqual(t, stats, callers.Stats{Open: limit, Unread: 1})
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -38,10 +38,10 @@
 	go n.mesh.Serve(n.peerListener)
 	frontEnd := newServer(n.gateway)
 	frontEnd.ConnContext = framing.WithConn
-	frontEnd.ConnState = n.overload.connectionChanged
+	n.overload.callers.Track(frontEnd)
 	servers := []*http.Server{frontEnd}
 	failed := make(chan error, 3)
-	serve(frontEnd, n.overload.listener(n.frontEndListener), failed)
+	serve(frontEnd, n.overload.callers.Listener(n.frontEndListener), failed)
 	ready := newServer(http.HandlerFunc(n.serveReady))
 	servers = append(servers, ready)
 	serve(ready, n.readyListener, failed)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,17 +15,19 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/junctionfold/junctionfold/coord/backoff"
 	"github.com/junctionfold/junctionfold/coord/balance"
 	"github.com/junctionfold/junctionfold/coord/origin"
 	"github.com/junctionfold/junctionfold/coord/quarantine"
 	"github.com/junctionfold/junctionfold/coord/retry"
+	"github.com/junctionfold/junctionfold/internal/callers"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -143,6 +145,8 @@
 	maxRetryDelayShare  = 1.0 / 3
 	// busyRetryDelay is for targets without free capacity.
 	busyRetryDelay = 200 * time.Millisecond
+	// bodyRetryDelay is for a VM that holds as many bytes of callers as it may. Another VM may have room.
+	bodyRetryDelay = 500 * time.Millisecond
 )
 
 // exchange is the state of one request while it is served.
@@ -284,29 +288,23 @@
 		x.deny(http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
 		return false
 	}
-	maxBytes := limits.MaxBodyBytes
-	if maxBytes > 0 && x.r.ContentLength > maxBytes {
-		x.deny(http.StatusRequestEntityTooLarge, "body_too_large")
-		return false
-	}
-	if x.r.ContentLength == 0 {
+	body, err := callers.ReadBody(x.r, limits.MaxBodyBytes, x.deadline)
+	x.body = body
+	switch {
+	case err == nil:
 		return true
-	}
-	reader := io.Reader(x.r.Body)
-	if maxBytes > 0 {
-		reader = io.LimitReader(reader, maxBytes+1)
-	}
-	body, err := io.ReadAll(reader)
-	if err != nil {
-		x.denyWithError(http.StatusBadRequest, "body_cut", err)
-		return false
-	}
-	if maxBytes > 0 && int64(len(body)) > maxBytes {
+	case errors.Is(err, callers.ErrTooLarge):
 		x.deny(http.StatusRequestEntityTooLarge, "body_too_large")
-		return false
+	case errors.Is(err, callers.ErrNoRoom):
+		x.w.Header().Set("Connection", "close")
+		x.refuse("no_room_for_body", bodyRetryDelay)
+	case errors.Is(err, callers.ErrTimeout):
+		x.w.Header().Set("Connection", "close")
+		x.denyWithError(http.StatusRequestTimeout, "body_timeout", err)
+	default:
+		x.denyWithError(http.StatusBadRequest, "body_cut", err)
 	}
-	x.body = body
-	return true
+	return false
 }
 
 // headerBytes returns the approximate size of the request line and the header.
