callers: Heads count toward what callers may hold

Callers saw: a VM that ran out of memory while clients sent many short headers without an end. Cause: a head was bounded at 64 KB for each of 1,472 connections, and parsed headers take several times their bytes; the configured time for a head was not used.

Unfinished and parsed heads draw on the same budget as bodies. A scanner follows the framing of requests in the received bytes, which it does not change, so that a head behind a whole request counts and lines of a body don't.

Why it works: memory is charged as bytes arrive, before net/http has parsed them.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -2,7 +2,8 @@
 // the VM hold and how long it stops, and applies the decisions of package intake: it closes connections of clients
 // that give way or have stopped for too long, and lets the handlers of their requests end.
 //
-// callers.go connects the table of clients to an http.Server, conn.go observes each connection, and body.go reads bodies within the limits.
+// callers.go connects the table of clients to an http.Server, conn.go observes each connection, head.go finds the
+// ends of heads in what is received, and body.go reads bodies within the limits.
 package callers
 
 import (
@@ -106,12 +107,18 @@
 	}
 }
 
-// serve calls h, and bounds the time in which the server reads on after h has returned without reading the body to its
-// end.
+// serve calls h with requests whose heads there is room for. It bounds the time in which the server reads on after h
+// has returned without reading the body to its end.
 func serve(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
 		defer c.beginDiscard()
+		if c != nil && !c.hold(parsedHead, costOfHead(r)) {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "no_room_for_head", http.StatusServiceUnavailable)
+			return
+		}
 		if c != nil && r.ContentLength != 0 {
 			// net/http may read the body as soon as h writes a response.
 			c.enter(intake.Body, time.Time{})
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -21,8 +22,10 @@
 
 // What a client may hold.
 const (
-	// body is the body of the current request.
-	body = iota
+	// partialHead is a head that has not arrived as a whole, parsedHead that of the current request, and body its body.
+	partialHead = iota
+	parsedHead
+	body
 	kinds
 )
 
@@ -31,6 +34,8 @@
 	net.Conn
 	tracker *Tracker
 	client  *intake.Client
+	// heads is used by the goroutine that reads only.
+	heads headScanner
 	// ended is why the connection was ended; nil: it was not.
 	ended atomic.Pointer[error]
 
@@ -48,10 +53,18 @@
 	if n == 0 {
 		return n, err
 	}
-	c.tracker.received(c, n)
+	phase := c.tracker.received(c, n)
+	c.heads.scan(p[:n])
+	if !c.hold(partialHead, c.heads.cost()) && phase == intake.Head {
+		_, _ = io.WriteString(c.Conn, refusal) // no response is in progress; the client may have left
+		return 0, io.EOF
+	}
 	return n, err
 }
 
+// refusal is the response to a head for which there is no room.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // writeChunkBytes is the size of the parts in which bytes are written, so that it shows when a client takes some.
 const writeChunkBytes = 32 << 10
 
@@ -161,10 +174,14 @@
 	return !c.client.Removed()
 }
 
-// endRequest releases what the request held.
+// endRequest releases what the request held. The next one may have begun.
 func (c *Conn) endRequest() {
 	c.hold(body, 0)
+	c.hold(parsedHead, 0)
 	c.enter(intake.Idle, time.Time{})
+	if c.heads.isPartial() {
+		c.enter(intake.Head, time.Time{})
+	}
 }
 
 // beginDiscard bounds the time in which the rest of a body is discarded. c may be nil.
@@ -205,11 +222,13 @@
 	return true
 }
 
-func (t *Tracker) received(c *Conn, n int) {
+// received records that bytes arrived, and returns the phase of the client.
+func (t *Tracker) received(c *Conn, n int) intake.Phase {
 	now := t.cfg.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.table.Received(now, c.client, n)
+	return c.client.Phase()
 }
 
 // hold sets the bytes that a client holds, and ends the clients that give way for them.
