callers: New connections take the place of those that stay silent

Callers saw: connections closed unread for as long as others kept all of the VM's connections open and sent nothing. Cause: the limit knew the number of connections only, so that a crowd that came first stayed.

The connection that has made no progress for longest is closed in place of the new one, if the VM waits for its caller; a request that the VM works on is never given up. Why it works: each new connection costs the crowd one of its own, and ordinary callers are silent for less than those who hold connections.

--- a/coord/intake/intake.go
+++ b/coord/intake/intake.go
@@ -5,7 +5,7 @@
 // refused for lack of room. Beyond them it draws on a budget that all clients share. A part of the budget is out
 // of reach for large clients, so that small ones are served while large ones fill theirs.
 //
-// When the budget is used up, the client that has made no progress for longest gives way,
+// When the budget or the connections are used up, the client that has made no progress for longest gives way,
 // if the VM waits for it and it has been silent for a while. Otherwise the newcomer is refused. A client whose
 // request the VM works on never gives way: it would lose a request that may have run.
 //
@@ -101,14 +101,18 @@
 // Held returns the bytes that clients hold beyond the free ones.
 func (t *Table) Held() int64 { return t.charged }
 
-// Add adds a client that has sent nothing yet. If there are too many, ok is false.
-func (t *Table) Add(now time.Time, owner any) (c *Client, ok bool) {
+// Add adds a client that has sent nothing yet. If there are too many, evicted is the one that gives way, which is
+// removed, or else the newcomer is not added and ok is false.
+func (t *Table) Add(now time.Time, owner any) (c, evicted *Client, ok bool) {
 	if t.limits.Clients > 0 && len(t.clients) >= t.limits.Clients {
-		return nil, false
+		if evicted = t.longestSilent(now, func(*Client) bool { return true }); evicted == nil {
+			return nil, nil, false
+		}
+		t.Remove(evicted)
 	}
 	c = &Client{Owner: owner, phase: Idle, phaseSince: now, progressAt: now}
 	t.clients[c] = struct{}{}
-	return c, true
+	return c, evicted, true
 }
 
 // Remove removes a client with all that it holds. It has no effect on one that was removed before.
--- a/coord/intake/intake_test.go
+++ b/coord/intake/intake_test.go
@@ -14,7 +14,7 @@
 
 func add(t *testing.T, table *Table, now time.Time) *Client {
 	t.Helper()
-	c, ok := table.Add(now, nil)
+	c, _, ok := table.Add(now, nil)
 	assert.Assert(t, ok)
 	return c
 }
@@ -68,6 +68,21 @@
 	assert.Assert(t, !hold(table, now.Add(time.Hour), newcomer, 40), "small clients make no room for large ones")
 }
 
+// TestSilentClientsHoldTheConnections guards against newcomers that are turned away while others keep connections open
+// and send nothing.
+func TestSilentClientsHoldTheConnections(t *testing.T) {
+	table := New(testLimits)
+	first, second := add(t, table, start), add(t, table, start.Add(time.Second))
+	table.Enter(start, add(t, table, start), Working, time.Time{})
+	_, _, ok := table.Add(start.Add(minSilence-1), nil)
+	assert.Assert(t, !ok, "all have just come")
+	now := start.Add(time.Minute)
+	table.Received(now, first, progressBytes)
+	_, evicted, ok := table.Add(now, nil)
+	assert.Assert(t, ok && evicted == second, "the other one made progress")
+	assert.Equal(t, table.Clients(), testLimits.Clients)
+}
+
 // TestSingleBytesCountAsProgress guards against clients that keep their place with a byte from time to time.
 func TestSingleBytesCountAsProgress(t *testing.T) {
 	table := New(testLimits)
@@ -148,3 +163,22 @@
 	}
 	assert.Assert(t, c.Removed(), "it went on to be silent")
 }
+
+// TestUnreadResponseIsCutEarly guards against callers that lose the response to a request that has run, because they
+// paused for as long as a newcomer may not.
+func TestUnreadResponseIsCutEarly(t *testing.T) {
+	table := New(testLimits)
+	c := add(t, table, start)
+	table.Enter(start, c, Working, time.Time{})
+	end := table.BeginResponse(start, c)
+	table.Received(start.Add(time.Second), c, progressBytes)
+	for range testLimits.Clients - 1 {
+		table.Enter(start, add(t, table, start), Working, time.Time{})
+	}
+	_, _, ok := table.Add(start.Add(minResponseSilence-1), nil)
+	assert.Assert(t, !ok)
+	_, evicted, ok := table.Add(start.Add(minResponseSilence), nil)
+	assert.Assert(t, ok && evicted == c)
+	end(start)
+	assert.Equal(t, c.Phase(), Working)
+}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -163,12 +163,16 @@
 		return nil
 	}
 	c := &Conn{Conn: t.cfg.Wrap(raw), tracker: t}
-	client, ok := t.table.Add(now, c)
+	client, evicted, ok := t.table.Add(now, c)
 	if !ok {
 		t.stats.Unread++
 		return nil
 	}
 	c.client = client
+	if evicted != nil {
+		t.stats.Evicted++
+		go endingsOf([]*intake.Client{evicted}, errEvicted)[0].end() // Tracker.mu is held
+	}
 	return c
 }
 
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -112,9 +112,10 @@
 	return conn, nil
 }
 
-// TestConnectionsAreBoundedByMemory guards against a VM that exceeds its memory because of open connections.
+// TestConnectionsAreBoundedByMemory guards against a VM that exceeds its memory because of open connections, and
+// against connections that stay open for nothing while new ones are turned away.
 func TestConnectionsAreBoundedByMemory(t *testing.T) {
-	n, _ := disconnectedNode(t)
+	n, now := disconnectedNode(t)
 	n.overload = newOverloadControl(n, &schema.EdgeVM{MemoryMb: 16}, nil)
 	const limit = 16 * connectionsPerMB
 	pipes := &pipeListener{left: limit + 1}
@@ -127,4 +128,10 @@
 	assert.ErrorIs(t, err, net.ErrClosed)
 	stats := n.overload.callers.Stats()
 	assert.DeepEqual(t, stats, callers.Stats{Open: limit, Unread: 1})
+	*now = now.Add(time.Minute)
+	pipes.left = 1
+	_, err = listener.Accept()
+	assert.NilError(t, err)
+	stats = n.overload.callers.Stats()
+	assert.DeepEqual(t, stats, callers.Stats{Open: limit, Unread: 1, Evicted: 1})
 }
