edge: The memory that closes connections is measured again

Callers saw: each new connection closed unread on an idle VM, for good, after a crowd with large bodies had left. Cause: the memory in use is what the last garbage collection kept, and an idle process collects none, so that only work could end the state that keeps work out. Evidence: TestMemoryUseOfThePastClosesConnections hangs without the change: no collection ever comes.

A use above 0.6 that is older than a second makes the VM collect garbage, at most once each second. Why it works: the signal gets a bound on its age that does not depend on work.

--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,9 @@
 	retiring atomic.Bool
 	// sweptAt is when connections that have stopped were last ended. Only run uses it.
 	sweptAt time.Time
+	// collect collects garbage, and collecting is set while it runs.
+	collect    func()
+	collecting atomic.Bool
 
 	mu         sync.Mutex
 	controller *loadshed.Controller
@@ -53,7 +57,7 @@
 
 // newOverloadControl returns the control of a VM. readProcess may be nil.
 func newOverloadControl(n *Node, vm *schema.EdgeVM, readProcess func() vmload.Counters) *overloadControl {
-	o := &overloadControl{node: n, controller: loadshed.New(n.now())}
+	o := &overloadControl{node: n, controller: loadshed.New(n.now()), collect: runtime.GC}
 	o.callers = o.newCallerTracker(vm)
 	o.meter = vmload.New(n.now(), vmload.Limits{
 		Cores: vm.CpuShare * vm.CpuCores, LinkBytesPerSecond: vm.LinkMbps * bytesPerMbit,
@@ -127,6 +131,7 @@
 	o.retiring.Store(o.controller.IsRetiring(now))
 	isClosing, load := o.controller.IsClosing(), o.load
 	o.mu.Unlock()
+	o.refreshMemory(load)
 	switch {
 	case isClosing && !wasClosing:
 		o.node.log.OverloadBegan(load, leading)
@@ -135,6 +140,27 @@
 	}
 }
 
+// Bounds of a measurement of the memory that is not taken again.
+const (
+	// refreshMemoryUse is the use of the memory above which new connections may be closed.
+	refreshMemoryUse = 0.6
+	// maxMemoryAge is the age up to which such a measurement holds. A VM without work collects no garbage, so that the
+	// use that keeps work out would never fall.
+	maxMemoryAge = time.Second
+)
+
+// refreshMemory collects garbage if the memory in use was high the last time that it was measured, and may have
+// fallen since.
+func (o *overloadControl) refreshMemory(load vmload.Load) {
+	if load.Memory < refreshMemoryUse || load.MemoryAge < maxMemoryAge || !o.collecting.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer o.collecting.Store(false)
+		o.collect()
+	}()
+}
+
 // leaderUse is the use of a limit that counts as full use at the leader: the decisions for all VMs wait there.
 const leaderUse = 0.8
 
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,3 +136,33 @@
 	stats = n.overload.callers.Stats()
 	assert.DeepEqual(t, stats, callers.Stats{Open: limit, Unread: 1, Evicted: 1})
 }
+
+// TestMemoryUseOfThePastClosesConnections guards against a VM that turns callers away for good, because it measures its
+// memory only when it collects garbage and an idle VM collects none.
+func TestMemoryUseOfThePastClosesConnections(t *testing.T) {
+	n, now := disconnectedNode(t)
+	var live, collections atomic.Uint64
+	live.Store(100 << 20)
+	n.overload = newOverloadControl(n, &schema.EdgeVM{MemoryMb: 200, CpuShare: 1, CpuCores: 1}, func() vmload.Counters {
+		return vmload.Counters{LiveBytes: live.Load(), Collections: collections.Load()}
+	})
+	collected := make(chan struct{}, 1)
+	n.overload.collect = func() {
+		live.Store(20 << 20)
+		collections.Add(1)
+		collected <- struct{}{}
+	}
+	call := func(times int) {
+		for range times {
+			*now = now.Add(50 * time.Millisecond)
+			n.overload.recordPeer("b", false)
+			n.overload.admit()
+		}
+	}
+	call(19)
+	assert.Assert(t, n.overload.isOverloaded())
+	call(20)
+	<-collected
+	call(200)
+	assert.Assert(t, !n.overload.isOverloaded())
+}
--- a/internal/vmload/vmload.go
+++ b/internal/vmload/vmload.go
@@ -26,6 +26,8 @@
 	// QueueDelay is the mean time that goroutines which could run waited for the processor.
 	QueueDelay                           time.Duration
 	Processor, Link, Memory, Connections float64
+	// MemoryAge is the time since the garbage collection that measured Memory.
+	MemoryAge time.Duration
 }
 
 // Names of the limits in logs.
@@ -55,6 +57,8 @@
 	Bounds []float64
 	// LiveBytes is the memory that the last garbage collection kept, with the stacks.
 	LiveBytes uint64
+	// Collections is the number of garbage collections.
+	Collections uint64
 	// LinkIn and LinkOut are the bytes that were received and sent.
 	LinkIn, LinkOut int64
 }
@@ -65,16 +69,21 @@
 	read   func() Counters
 	at     time.Time
 	last   Counters
+	// collectedAt is when a new collection was last seen.
+	collectedAt time.Time
 }
 
 // New returns a Meter that measures from now on. read returns the counters.
 func New(now time.Time, limits Limits, read func() Counters) *Meter {
-	return &Meter{limits: limits, read: read, at: now, last: read()}
+	return &Meter{limits: limits, read: read, at: now, last: read(), collectedAt: now}
 }
 
 // Measure returns the load since the last call. connections is the number of open connections of callers.
 func (m *Meter) Measure(now time.Time, connections int) Load {
 	elapsed, c := now.Sub(m.at).Seconds(), m.read()
+	if c.Collections != m.last.Collections {
+		m.collectedAt = now
+	}
 	linkBytes := float64(max(c.LinkIn-m.last.LinkIn, c.LinkOut-m.last.LinkOut))
 	load := Load{
 		QueueDelay:  meanDelay(m.last.Delays, c),
@@ -82,6 +91,7 @@
 		Link:        use(linkBytes/elapsed, m.limits.LinkBytesPerSecond),
 		Memory:      use(float64(c.LiveBytes), m.limits.MemoryBytes),
 		Connections: use(float64(connections), float64(m.limits.Connections)),
+		MemoryAge:   now.Sub(m.collectedAt),
 	}
 	m.at, m.last = now, c
 	return load
@@ -111,21 +121,23 @@
 
 // Names of metrics of the runtime.
 const (
-	delaysMetric = "/sched/latencies:seconds"
-	liveMetric   = "/gc/heap/live:bytes"
-	stacksMetric = "/memory/classes/heap/stacks:bytes"
+	delaysMetric      = "/sched/latencies:seconds"
+	liveMetric        = "/gc/heap/live:bytes"
+	stacksMetric      = "/memory/classes/heap/stacks:bytes"
+	collectionsMetric = "/gc/cycles/total:gc-cycles"
 )
 
 // NewProcessReader returns a function that reads the counters of this process, except for those of the link.
 func NewProcessReader() func() Counters {
-	samples := []metrics.Sample{{Name: delaysMetric}, {Name: liveMetric}, {Name: stacksMetric}}
+	samples := []metrics.Sample{{Name: delaysMetric}, {Name: liveMetric}, {Name: stacksMetric}, {Name: collectionsMetric}}
 	return func() Counters {
 		metrics.Read(samples)
 		delays := samples[0].Value.Float64Histogram()
 		return Counters{
 			ProcessorTime: processorTime(),
 			Delays:        slices.Clone(delays.Counts), Bounds: delays.Buckets,
-			LiveBytes: samples[1].Value.Uint64() + samples[2].Value.Uint64(),
+			LiveBytes:   samples[1].Value.Uint64() + samples[2].Value.Uint64(),
+			Collections: samples[3].Value.Uint64(),
 		}
 	}
 }
--- a/internal/vmload/vmload_test.go
+++ b/internal/vmload/vmload_test.go
@@ -18,7 +18,9 @@
 	c.Delays = []uint64{1001, 1003}
 	c.LiveBytes = 25
 	load := m.Measure(start.Add(100*time.Millisecond), 4)
-	assert.DeepEqual(t, load, Load{QueueDelay: 7500 * time.Microsecond, Processor: 0.5, Link: 0.75, Memory: 0.25, Connections: 0.4})
+	assert.DeepEqual(t, load, Load{QueueDelay: 7500 * time.Microsecond, Processor: 0.5, Link: 0.75, Memory: 0.25, Connections: 0.4, MemoryAge: 100 * time.Millisecond})
+	c.Collections++
+	assert.Equal(t, m.Measure(start.Add(150*time.Millisecond), 0).MemoryAge, time.Duration(0))
 	name, use := load.MostUsed()
 	assert.Equal(t, name, Link)
 	assert.Equal(t, use, 0.75)
@@ -31,7 +33,7 @@
 	m := New(start, Limits{}, func() Counters { return c })
 	c = Counters{ProcessorTime: time.Hour, LinkIn: 1 << 40, LiveBytes: 1 << 40}
 	assert.DeepEqual(t, m.Measure(start, 1000), Load{})
-	assert.DeepEqual(t, m.Measure(start.Add(time.Second), 1000), Load{})
+	assert.DeepEqual(t, m.Measure(start.Add(time.Second), 1000), Load{MemoryAge: time.Second})
 }
 
 // TestProcessCountersAreRead guards against metrics that the runtime does not know, or that stand still.
