edge: The listeners for health checks and metrics have limits

What clients could do: end a VM through listeners that are not for callers. Cause: only the front end had a limit of connections, and net/http reads a body on for as long as its client does not end it. Evidence: 3,584 connections with unfinished heads and bodies took 253 MB at the listener for health checks and 230 MB at that for metrics of a VM of 184 MB, and descriptors did not return in 90 s while they stayed.

Both have 64 connections and 1 MB, by the same rules as the front end. Why it works: the limit holds for each listener by itself, and the newcomer takes the place of the connection that has been silent for longest.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/junctionfold/junctionfold/coord/intake"
@@ -23,6 +24,12 @@
 	receiveBufferBytes = 32 << 10
 )
 
+// Limits of the listeners for health checks and metrics.
+const (
+	maxOperatorConnections = 64
+	operatorBytes          = 1 << 20
+)
+
 // newCallerTracker returns the tracker of the connections to the front end.
 func (o *overloadControl) newCallerTracker(vm *schema.EdgeVM) *callers.Tracker {
 	bytes := callerMemoryShare * float64(vm.MemoryMb) * (1 << 20)
@@ -36,6 +43,14 @@
 	})
 }
 
+// newOperatorTracker returns the tracker of the connections to a listener for health checks or metrics.
+func (n *Node) newOperatorTracker() *callers.Tracker {
+	return callers.NewTracker(callers.Config{
+		Limits:       intake.Limits{Clients: maxOperatorConnections, Bytes: operatorBytes, LargeBytes: operatorBytes, Free: freeCallerBytes, Small: smallCallerBytes},
+		ReceiveBytes: receiveBufferBytes, Timeouts: n.callerTimeouts, Now: n.now,
+	})
+}
+
 // callerTimeouts returns the timeouts of the configuration in force, or the defaults.
 func (n *Node) callerTimeouts() intake.Timeouts {
 	out := intake.Timeouts{Head: headerTimeout, Idle: idleTimeout}
@@ -53,3 +68,11 @@
 	}
 	return min(standard, configured)
 }
+
+// listenAndTrack serves a listener whose connections a tracker limits.
+func listenAndTrack(h http.Handler, l net.Listener, t *callers.Tracker, failed chan<- error) *http.Server {
+	s := newServer(h)
+	t.Track(s)
+	serve(s, t.Listener(l), failed)
+	return s
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,7 @@
 	"github.com/junctionfold/junctionfold/coord/leadership"
 	"github.com/junctionfold/junctionfold/coord/retry"
 	"github.com/junctionfold/junctionfold/coord/roster"
+	"github.com/junctionfold/junctionfold/internal/callers"
 	"github.com/junctionfold/junctionfold/internal/clock"
 	"github.com/junctionfold/junctionfold/internal/events"
 	"github.com/junctionfold/junctionfold/internal/feed"
@@ -136,6 +137,8 @@
 	quotas     *quotas
 	quarantine *contentQuarantine
 	overload   *overloadControl
+	// readyCallers and metricsCallers limit what the connections for health checks and metrics hold.
+	readyCallers, metricsCallers *callers.Tracker
 	// rateLimits holds the rate limits that targets announced.
 	rateLimits *targetLimits
 	// rejectionLimits holds the numbers of rejections with which targets announced that they crash.
@@ -228,6 +231,7 @@
 	n.quotas = newQuotas(n, s.Quota)
 	n.quarantine = newContentQuarantine(n)
 	n.overload = newOverloadControl(n, s.Vm, p.ReadCounters)
+	n.readyCallers, n.metricsCallers = n.newOperatorTracker(), n.newOperatorTracker()
 	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
 	n.origins = newOrigins(n)
 	n.reachability = newReachability(n)
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -112,7 +112,9 @@
 		return
 	}
 	o.sweptAt = now
-	o.callers.Sweep()
+	for _, t := range []*callers.Tracker{o.callers, o.node.readyCallers, o.node.metricsCallers} {
+		t.Sweep()
+	}
 }
 
 // measure measures the load if that is due.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -36,19 +36,14 @@
 		wg.Go(func() { loop(loopCtx) })
 	}
 	go n.mesh.Serve(n.peerListener)
+	failed := make(chan error, 3)
 	frontEnd := newServer(n.gateway)
 	frontEnd.ConnContext = framing.WithConn
 	n.overload.callers.Track(frontEnd)
-	servers := []*http.Server{frontEnd}
-	failed := make(chan error, 3)
 	serve(frontEnd, n.overload.callers.Listener(n.frontEndListener), failed)
-	ready := newServer(http.HandlerFunc(n.serveReady))
-	servers = append(servers, ready)
-	serve(ready, n.readyListener, failed)
+	servers := []*http.Server{frontEnd, listenAndTrack(http.HandlerFunc(n.serveReady), n.readyListener, n.readyCallers, failed)}
 	if n.metricsListener != nil {
-		metrics := newServer(http.HandlerFunc(n.serveMetrics))
-		servers = append(servers, metrics)
-		serve(metrics, n.metricsListener, failed)
+		servers = append(servers, listenAndTrack(http.HandlerFunc(n.serveMetrics), n.metricsListener, n.metricsCallers, failed))
 	}
 	n.log.Started(n.settings.Listen.Door, n.settings.Listen.Peer, n.settings.Vm.Zone, n.settings.Listen.Seeds)
 	var err error
