peer: Connections that are no session between VMs are bounded

What clients could do: end a VM through its listener for other VMs. Cause: connections in a handshake had no limit of number, a frame was allocated as it was announced, yamux buffered other streams before the first was read, and a failed accept ended the listener.

--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -37,7 +37,9 @@
 		return nil, err
 	}
 	s := newSession(expected)
-	batched := newBatchConn(secured, s.interruptStreams)
+	limited := newHandshakeConn(secured)
+	defer limited.allowAll() // also after a failure, so that a blocked reader returns
+	batched := newBatchConn(limited, s.interruptStreams)
 	if dialled {
 		s.mux, err = yamux.Client(batched, m.cfg.yamuxConfig())
 	} else {
@@ -47,6 +49,8 @@
 		return nil, errors.Wrap(err, "start session")
 	}
 	if err := m.exchangeHello(s, secured, dialled); err != nil {
+		_ = conn.Close()
+		limited.allowAll()
 		s.close()
 		return nil, err
 	}
@@ -83,7 +87,9 @@
 		return errors.Wrap(err, "send hello")
 	}
 	frames := newFrameReader(stream)
+	frames.maxBytes = maxHelloBytes
 	first, err := frames.read()
+	frames.maxBytes = MaxFrameBytes
 	if err != nil {
 		return errors.Wrap(err, "read hello")
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -75,7 +75,8 @@
 	allSessions map[*session]struct{}
 	closed      bool
 
-	traffic traffic.Counter
+	traffic    traffic.Counter
+	handshakes handshakes
 }
 
 // New returns a Mesh. resolve returns the peer address of a VM, or "" if it is unknown.
@@ -114,15 +115,24 @@
 func (m *Mesh) Serve(l net.Listener) {
 	for {
 		conn, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		go m.accept(conn)
 	}
 }
 
+// acceptRetryDelay is the pause after a connection could not be accepted, for example for lack of descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
 func (m *Mesh) accept(conn net.Conn) {
+	end := m.handshakes.add(conn)
 	s, err := m.handshake(conn, "")
+	end()
 	if err != nil {
 		_ = conn.Close()
 		return
