edge, callers: Relayed bodies are bounded; idle connections keep their response

A VM that relays for others held any number of bodies beside those of its own callers: by reading, they now have a limit of the size of that for large callers, beyond which the sender asks the next relay. An idle connection that is closed is no longer reset: the kernel may still hold a response that the client has not taken (TestIdleConnectionLosesItsResponse fails with the reset).

--- a/internal/callers/body_test.go
+++ b/internal/callers/body_test.go
@@ -26,6 +26,8 @@
 	address string
 	// offset is the time since the start in ns.
 	offset atomic.Int64
+	// read counts the bodies that were read or refused.
+	read atomic.Int64
 }
 
 func newTestServer(t *testing.T, limits intake.Limits) *testServer {
@@ -37,6 +39,7 @@
 	}})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		data, err := ReadBody(r, maxTestBody, now().Add(time.Minute))
+		s.read.Add(1)
 		switch {
 		case errors.Is(err, ErrTooLarge):
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
@@ -160,3 +163,28 @@
 	assertStatus(t, conn, http.StatusRequestTimeout)
 	assert.Equal(t, s.tracker.Stats().Expired, int64(1))
 }
+
+// TestIdleConnectionLosesItsResponse guards against responses that are cut because their connection is closed while the
+// client has not taken all of them.
+func TestIdleConnectionLosesItsResponse(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Bytes: 1 << 20, LargeBytes: 1 << 20})
+	conn, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(16<<10))
+	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", maxTestBody, make([]byte, maxTestBody))
+	assert.NilError(t, err)
+	s.awaitHeld(t, func(held int64) bool { return s.read.Load() > 0 && held == 0 })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s.advance(5 * time.Second)
+		if open := s.tracker.Stats().Open; open > 0 {
+			return poll.Continue("%d connections", open)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(data), maxTestBody)
+}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -130,17 +130,16 @@
 
 // ending is a connection to be ended.
 type ending struct {
-	conn *Conn
-	// reading is set if the server reads a body.
-	reading bool
-	reason  error
+	conn   *Conn
+	phase  intake.Phase
+	reason error
 }
 
 // endingsOf returns the endings of clients that were removed. Tracker.mu is held.
 func endingsOf(clients []*intake.Client, reason error) []ending {
 	var out []ending
 	for _, c := range clients {
-		out = append(out, ending{conn: c.Owner.(*Conn), reading: c.Phase() == intake.Body, reason: reason})
+		out = append(out, ending{conn: c.Owner.(*Conn), phase: c.Phase(), reason: reason})
 	}
 	return out
 }
@@ -149,11 +148,13 @@
 func (e ending) end() {
 	c := e.conn
 	c.ended.CompareAndSwap(nil, &e.reason)
-	if e.reading {
+	switch e.phase {
+	case intake.Body:
 		_ = c.Conn.SetReadDeadline(pastDeadline) // fails only if the connection is closed
 		return
+	case intake.Response:
+		_ = c.SetLinger(0) // the kernel would keep what the client does not take
 	}
-	_ = c.SetLinger(0) // otherwise the kernel keeps what the client does not take
 	_ = c.Conn.Close() // the client may have closed it as well
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -235,7 +235,7 @@
 	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
 	n.origins = newOrigins(n)
 	n.reachability = newReachability(n)
-	n.relayServer = &relayServer{node: n}
+	n.relayServer = &relayServer{node: n, maxBytes: callers.LimitsOf(int(s.Vm.MemoryMb), 0).LargeBytes}
 	n.mesh = peer.New(peer.Config{
 		Self: self, Zone: s.Vm.Zone, Incarnation: incarnation, DialTimeout: peerDialTimeout, AckTimeout: peerAckTimeout,
 		HandleNotification: n.handleNotification,
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -739,3 +739,14 @@
 		})
 	}
 }
+
+// TestRelayedBodiesExceedMemory guards against a VM that runs out of memory because of the bodies that it relays for
+// others.
+func TestRelayedBodiesExceedMemory(t *testing.T) {
+	s := &relayServer{maxBytes: 100}
+	assert.Assert(t, s.begin(60))
+	assert.Assert(t, !s.begin(41))
+	assert.Assert(t, s.begin(40))
+	s.end(60)
+	assert.Assert(t, s.begin(60))
+}
--- a/internal/edge/relayserver.go
+++ b/internal/edge/relayserver.go
@@ -31,10 +31,14 @@
 // another relay. Lock order: no other lock is acquired while relayServer.mu is held.
 type relayServer struct {
 	node *Node
+	// maxBytes bounds the sum of the bodies that are being relayed; 0: no limit.
+	maxBytes int64
 
 	mu       sync.Mutex
 	draining bool
-	running  sync.WaitGroup // Add is called with mu held
+	// bytes is the sum of the bodies that are being relayed.
+	bytes   int64
+	running sync.WaitGroup // Add is called with mu held
 }
 
 // ServeForward sends a request of another VM to its target and returns the response.
@@ -53,17 +57,25 @@
 	return r.Failure.Code
 }
 
-// begin counts a request. It returns false if this VM drains.
-func (s *relayServer) begin() bool {
+// begin counts a request with a body of the given size. It returns false if this VM drains or holds too many bodies.
+func (s *relayServer) begin(bodyBytes int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.draining || s.maxBytes > 0 && s.bytes+int64(bodyBytes) > s.maxBytes {
 		return false
 	}
+	s.bytes += int64(bodyBytes)
 	s.running.Add(1)
 	return true
 }
 
+func (s *relayServer) end(bodyBytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bytes -= int64(bodyBytes)
+	s.running.Done()
+}
+
 // drain makes this VM accept no further requests of others.
 func (s *relayServer) drain() {
 	s.mu.Lock()
@@ -86,10 +98,10 @@
 
 // serve sends a request to its target and copies the response to w.
 func (s *relayServer) serve(ctx context.Context, f *schema.Forward, w forward.Sink) forward.Result {
-	if f.Relayed == nil || !s.node.reachability.canRelay() || !s.begin() {
+	if f.Relayed == nil || !s.node.reachability.canRelay() || !s.begin(len(f.Body)) {
 		return notSentResult(forward.CodeRelayUnavailable, nil)
 	}
-	defer s.running.Done()
+	defer s.end(len(f.Body))
 	resp, err := s.node.pool.Do(ctx, s.request(ctx, f))
 	if errors.Is(err, hop.ErrUnreachable) && !s.node.reachability.isAtFault(ctx, f.Target) {
 		return notSentResult(forward.CodeRelayUnavailable, err)
