callers, docs: Wording, and a refusal that can be retried

A body whose client gave way in the moment in which it became complete was answered with 400, which callers do not retry; it is 503 now: no target has seen it.

--- a/coord/intake/intake.go
+++ b/coord/intake/intake.go
@@ -65,7 +65,7 @@
 
 // Client is a connection of a client.
 type Client struct {
-	// Owner is the caller's own value.
+	// Owner is the value that was given to Add.
 	Owner any
 
 	phase Phase
--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -1,7 +1,6 @@
 package callers
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"runtime"
@@ -75,7 +74,7 @@
 	case reason != nil:
 		return ErrTimeout
 	case err == nil:
-		return context.Canceled
+		return ErrNoRoom // the client was just removed, and its connection is about to be ended
 	}
 	return err
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -3,7 +3,8 @@
 // that give way or have stopped for too long, and lets the handlers of their requests end.
 //
 // callers.go connects the table of clients to an http.Server, conn.go observes each connection, head.go finds the
-// ends of heads in what is received, and body.go reads bodies within the limits.
+// ends of heads in what is received, body.go reads bodies within the limits, and limits.go derives the limits from the
+// memory of the VM.
 package callers
 
 import (
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -42,8 +42,8 @@
 	return min(standard, configured)
 }
 
-// listenAndTrack serves a listener whose connections a tracker limits.
-func listenAndTrack(h http.Handler, l net.Listener, t *callers.Tracker, failed chan<- error) *http.Server {
+// serveTracked starts a server at a listener whose connections a tracker limits.
+func serveTracked(h http.Handler, l net.Listener, t *callers.Tracker, failed chan<- error) *http.Server {
 	s := newServer(h)
 	t.Track(s)
 	serve(s, t.Listener(l), failed)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -41,9 +41,9 @@
 	frontEnd.ConnContext = framing.WithConn
 	n.overload.callers.Track(frontEnd)
 	serve(frontEnd, n.overload.callers.Listener(n.frontEndListener), failed)
-	servers := []*http.Server{frontEnd, listenAndTrack(http.HandlerFunc(n.serveReady), n.readyListener, n.readyCallers, failed)}
+	servers := []*http.Server{frontEnd, serveTracked(http.HandlerFunc(n.serveReady), n.readyListener, n.readyCallers, failed)}
 	if n.metricsListener != nil {
-		servers = append(servers, listenAndTrack(http.HandlerFunc(n.serveMetrics), n.metricsListener, n.metricsCallers, failed))
+		servers = append(servers, serveTracked(http.HandlerFunc(n.serveMetrics), n.metricsListener, n.metricsCallers, failed))
 	}
 	n.log.Started(n.settings.Listen.Door, n.settings.Listen.Peer, n.settings.Vm.Zone, n.settings.Listen.Seeds)
 	var err error
