--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -46,19 +46,16 @@
 // bodyReader reads a body.
 type bodyReader struct {
 	body io.Reader
-	conn *Conn // nil: the connection is not tracked
+	conn *Conn
 	// length is the announced length; negative: none.
 	length, maxBytes int64
 }
 
 func (b *bodyReader) read(deadline time.Time) ([]byte, error) {
-	if b.conn != nil && !b.conn.enter(intake.Body, deadline) {
+	if !b.conn.enter(intake.Body, deadline) {
 		return nil, b.conn.readError(nil)
 	}
 	data, err := b.readAll()
-	if b.conn == nil {
-		return data, err
-	}
 	if !b.conn.enter(intake.Working, time.Time{}) || err != nil {
 		b.conn.hold(body, 0)
 		return nil, b.conn.readError(err)
@@ -117,13 +114,11 @@
 	if b.maxBytes > 0 {
 		size = min(size, b.maxBytes+1)
 	}
-	if b.conn != nil && !b.conn.hold(body, int64(cap(data))+size) {
+	if !b.conn.hold(body, int64(cap(data))+size) {
 		return nil, ErrNoRoom
 	}
 	larger := make([]byte, len(data), size)
 	copy(larger, data)
-	if b.conn != nil {
-		b.conn.hold(body, size)
-	}
+	b.conn.hold(body, size)
 	return larger, nil
 }
--- a/internal/callers/body_test.go
+++ b/internal/callers/body_test.go
@@ -64,8 +64,8 @@
 
 // advance lets the clients stand still for a time, during which the tracker is swept.
 func (s *testServer) advance(d time.Duration) {
-	for ; d > 0; d -= sweepInterval {
-		s.offset.Add(int64(sweepInterval))
+	for ; d > 0; d -= SweepInterval {
+		s.offset.Add(int64(SweepInterval))
 		s.tracker.Sweep()
 	}
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -48,6 +48,11 @@
 	stats Stats
 }
 
+// NewOperatorTracker returns a Tracker for a listener for health checks, metrics or operators.
+func NewOperatorTracker(timeouts func() intake.Timeouts, now func() time.Time) *Tracker {
+	return NewTracker(Config{Limits: operatorLimits(), Timeouts: timeouts, Now: now})
+}
+
 // NewTracker returns a Tracker without clients.
 func NewTracker(cfg Config) *Tracker {
 	if cfg.Admit == nil {
@@ -112,13 +117,13 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
 		defer c.beginDiscard()
-		if c != nil && !c.hold(parsedHead, costOfHead(r)) {
+		if !c.hold(parsedHead, costOfHead(r)) {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", "1")
 			http.Error(w, "no_room_for_head", http.StatusServiceUnavailable)
 			return
 		}
-		if c != nil && r.ContentLength != 0 {
+		if r.ContentLength != 0 {
 			// net/http may read the body as soon as h writes a response.
 			c.enter(intake.Body, time.Time{})
 		}
@@ -175,7 +180,10 @@
 	return c
 }
 
-// Sweep ends the clients that have stopped for too long. It must be called periodically.
+// SweepInterval is the time between two calls of Sweep.
+const SweepInterval = 250 * time.Millisecond
+
+// Sweep ends the clients that have stopped for too long. It must be called each SweepInterval.
 func (t *Tracker) Sweep() {
 	timeouts := t.cfg.Timeouts()
 	t.mu.Lock()
@@ -188,12 +196,9 @@
 	}
 }
 
-// sweepInterval is the time between two sweeps of Run.
-const sweepInterval = 250 * time.Millisecond
-
 // Run sweeps until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
+	ticker := time.NewTicker(SweepInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -29,7 +29,8 @@
 	kinds
 )
 
-// Conn is the connection of a client.
+// Conn is the connection of a client. Methods that track the client have no effect on a nil Conn, which stands for a
+// connection that is not tracked.
 type Conn struct {
 	net.Conn
 	tracker *Tracker
@@ -160,6 +161,9 @@
 
 // endReason returns why the connection was ended; nil: it was not.
 func (c *Conn) endReason() error {
+	if c == nil {
+		return nil
+	}
 	if reason := c.ended.Load(); reason != nil {
 		return *reason
 	}
@@ -168,6 +172,9 @@
 
 // enter begins a phase. It returns false if the client has been removed.
 func (c *Conn) enter(p intake.Phase, deadline time.Time) bool {
+	if c == nil {
+		return true
+	}
 	t := c.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -185,7 +192,7 @@
 	}
 }
 
-// beginDiscard bounds the time in which the rest of a body is discarded. c may be nil.
+// beginDiscard bounds the time in which the rest of a body is discarded.
 func (c *Conn) beginDiscard() {
 	if c == nil {
 		return
@@ -207,6 +214,9 @@
 // hold sets the bytes of a kind that the client holds, and ends the clients that give way for them. It returns false
 // if there is no room.
 func (c *Conn) hold(kind int, bytes int64) bool {
+	if c == nil {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if bytes == c.held[kind] {
--- a/internal/callers/limits.go
+++ b/internal/callers/limits.go
@@ -40,7 +40,7 @@
 	operatorBytes          = 1 << 20
 )
 
-// OperatorLimits returns the limits of a listener for health checks, metrics or operators.
-func OperatorLimits() intake.Limits {
+// operatorLimits returns the limits of a listener for health checks, metrics or operators.
+func operatorLimits() intake.Limits {
 	return intake.Limits{Clients: maxOperatorConnections, Bytes: operatorBytes, LargeBytes: operatorBytes, Free: freeBytes, Small: smallBytes}
 }
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"runtime"
-	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
@@ -35,7 +34,7 @@
 				return err
 			}
 			if s.Vm.MemoryMb > 0 {
-				debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Vm.MemoryMb) * (1 << 20)))
+				setMemoryLimit(s.Vm.MemoryMb)
 			}
 			n, err := node.New(s, logging.New(cmd.ErrOrStderr(), s.Log.Level, s.Vm.Id))
 			if err != nil {
--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -32,6 +32,11 @@
 // below the limit at which it would be killed.
 const memoryLimitShare = 0.75
 
+// setMemoryLimit sets the soft memory limit of a VM with the given memory.
+func setMemoryLimit(memoryMB int32) {
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryMB) * (1 << 20)))
+}
+
 // processors returns the number of threads that run Go code at once for a VM with the given cores, at
 // most the machine's. More threads than cores gain no time, and the idle ones that look for work and
 // wake each other took a quarter of the processor time of a request (BenchmarkDaemon).
@@ -56,7 +61,7 @@
 			}
 			debug.SetGCPercent(gcPercent)
 			runtime.GOMAXPROCS(processors(s.Vm.CpuShare*s.Vm.CpuCores, runtime.GOMAXPROCS(0)))
-			debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Vm.MemoryMb) * (1 << 20)))
+			setMemoryLimit(s.Vm.MemoryMb)
 			l := events.New(cmd.OutOrStdout(), s.Log.Level, s.Vm.Id)
 			defer l.Close()
 			metrics := gateway.NewMetrics()
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -19,11 +19,6 @@
 	})
 }
 
-// newOperatorTracker returns the tracker of the connections to a listener for health checks or metrics.
-func (n *Node) newOperatorTracker() *callers.Tracker {
-	return callers.NewTracker(callers.Config{Limits: callers.OperatorLimits(), Timeouts: n.callerTimeouts, Now: n.now})
-}
-
 // callerTimeouts returns the timeouts of the configuration in force, or the defaults.
 func (n *Node) callerTimeouts() intake.Timeouts {
 	out := intake.Timeouts{Head: headerTimeout, Idle: idleTimeout}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -231,7 +231,7 @@
 	n.quotas = newQuotas(n, s.Quota)
 	n.quarantine = newContentQuarantine(n)
 	n.overload = newOverloadControl(n, s.Vm, p.ReadCounters)
-	n.readyCallers, n.metricsCallers = n.newOperatorTracker(), n.newOperatorTracker()
+	n.readyCallers, n.metricsCallers = callers.NewOperatorTracker(n.callerTimeouts, n.now), callers.NewOperatorTracker(n.callerTimeouts, n.now)
 	n.rateLimits, n.rejectionLimits = newRateLimits(n), newRejectionLimits(n)
 	n.origins = newOrigins(n)
 	n.reachability = newReachability(n)
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -99,13 +99,10 @@
 	}
 }
 
-// sweepInterval is the time between two searches for connections of callers that have stopped for too long.
-const sweepInterval = 250 * time.Millisecond
-
 // sweep ends the connections of callers that have stopped for too long, if that is due.
 func (o *overloadControl) sweep() {
 	now := o.node.now()
-	if now.Sub(o.sweptAt) < sweepInterval {
+	if now.Sub(o.sweptAt) < callers.SweepInterval {
 		return
 	}
 	o.sweptAt = now
@@ -116,7 +113,7 @@
 
 // measure measures the load if that is due.
 func (o *overloadControl) measure() {
-	callers := o.callers.Stats()
+	stats := o.callers.Stats()
 	o.mu.Lock()
 	now := o.node.now()
 	if !o.controller.IsSampleDue(now) {
@@ -124,7 +121,7 @@
 		return
 	}
 	wasClosing := o.controller.IsClosing()
-	o.load = o.meter.Measure(now, int(callers.Open))
+	o.load = o.meter.Measure(now, int(stats.Open))
 	leading := o.node.leads() == 1
 	o.controller.Observe(now, sampleOf(o.load, leading))
 	o.retiring.Store(o.controller.IsRetiring(now))
@@ -135,7 +132,7 @@
 	case isClosing && !wasClosing:
 		o.node.log.OverloadBegan(load, leading)
 	case wasClosing && !isClosing:
-		o.node.log.OverloadEnded(callers.Unread, load)
+		o.node.log.OverloadEnded(stats.Unread, load)
 	}
 }
 
@@ -148,8 +145,7 @@
 	maxMemoryAge = time.Second
 )
 
-// refreshMemory collects garbage if the memory in use was high the last time that it was measured, and may have
-// fallen since.
+// refreshMemory collects garbage if the known use of the memory is high and out of date.
 func (o *overloadControl) refreshMemory(load vmload.Load) {
 	if load.Memory < refreshMemoryUse || load.MemoryAge < maxMemoryAge || !o.collecting.CompareAndSwap(false, true) {
 		return
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -20,11 +20,6 @@
 	return callers.NewTracker(callers.Config{Limits: limits, Timeouts: n.callerTimeouts, Now: n.now})
 }
 
-// newOperatorTracker returns the tracker of the connections of operators.
-func (n *Node) newOperatorTracker() *callers.Tracker {
-	return callers.NewTracker(callers.Config{Limits: callers.OperatorLimits(), Timeouts: n.callerTimeouts, Now: n.now})
-}
-
 func (n *Node) callerTimeouts() intake.Timeouts {
 	return intake.Timeouts{Head: headerTimeout, Idle: time.Duration(n.settings.Door.IdleTimeoutMs) * time.Millisecond}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,7 +138,7 @@
 	}
 	n.owner = n.newOwner(self, transport)
 	n.frontEnd = n.newFrontEnd(transport)
-	n.callers, n.operators = n.newCallerTracker(), n.newOperatorTracker()
+	n.callers, n.operators = n.newCallerTracker(), callers.NewOperatorTracker(n.callerTimeouts, n.now)
 	return nil
 }
 
