--- a/internal/callers/limits.go
+++ b/internal/callers/limits.go
@@ -15,8 +15,8 @@
 	freeBytes  = 16 << 10
 	smallBytes = 64 << 10
 	// receiveBufferBytes is the size of the receive buffer of a connection, which the kernel doubles. Bytes that are
-	// received and not read take memory of the VM as well.
-	receiveBufferBytes = 8 << 10
+	// received and not read take memory of the VM as well. Smaller buffers stall senders for seconds.
+	receiveBufferBytes = 32 << 10
 )
 
 // LimitsOf returns the limits of a VM that may have so many connections of callers.
