leadership: VMs that cannot find each other do not lead side by side

What callers and engines saw: all VMs were killed and the three that the seeds name stayed down.

Cause: a seed that was never seen counted as a member for 60 s and then as nothing, so that a VM that had met nobody was the majority of one; and a leader that an engine had fenced off took the next token half a second later. Ruled out by duty_changed (vms=1) and order_answered (fenced): a disagreement of VMs that know each other, and engines that take lower tokens.

Change: the one evidence of a leader that a VM cannot find are the orders that engines accept. While unseen seeds could make a difference, a VM acquires leadership only after no engine has accepted another VM's order for the lease and 0.5 s, and after 0.4 of the time for the recovery instead of 60 s. One that was fenced off follows until then. As a leader it orders an engine only after that time without another VM's order there. Where engines do not check tokens the wait stays 60 s. New setting times.recovery_s; duty_changed says which majority there is, duty_taken if the leadership is provisional; other_leader_observed is new.

Weighed: counting seeds by how connections to them fail tells nothing about the leaders of others; finding each other by other addresses needs one that survived.

Conclusion: at most one of such VMs leads at a time. The others refuse adapters that they do not know to be at an engine.

--- a/coord/leadership/leadership.go
+++ b/coord/leadership/leadership.go
@@ -21,6 +21,11 @@
 // The leader keeps its role while it is live: neither a VM that returns nor a larger one
 // takes leadership over. A leader that is isolated from the targets steps down if another
 // candidate is not, because orders cannot be relayed.
+//
+// A VM that has not seen all seeds does not know whether VMs that it cannot find have a leader.
+// It learns that from the engines alone: they count the orders that they accept, and reject those of
+// the lower token. Such a VM acquires leadership once no other VM has ordered an engine for some
+// time; a leader that is fenced off becomes a follower until then. See contest.go.
 package leadership
 
 import (
@@ -89,6 +94,8 @@
 	enginesCheckTokens bool
 	// failedReads counts consecutive failures to read the revision.
 	failedReads int
+	// contest is what this VM knows of leaders that it cannot find.
+	contest contest
 }
 
 // maxFailedReads is the number of consecutive failed reads of the revision after which the
@@ -106,7 +113,7 @@
 func New(now time.Time, self coord.VMID, name string, lease time.Duration, enginesCheckTokens bool) *Machine {
 	return &Machine{
 		self: self, key: rendezvous.Hash(name), lease: lease, lastClaim: now, settledAt: now.Add(settleTime), enginesCheckTokens: enginesCheckTokens,
-		handoverWait: lease,
+		handoverWait: lease, contest: contest{startedAt: now},
 	}
 }
 
@@ -145,18 +152,19 @@
 	case m.phase == Leading:
 		m.leader = m.self
 		m.expected = ""
-		if !r.HasMajority() {
+		if !m.contest.mayKeepLeading(r) {
 			m.stepDown(now)
 		}
 		return false
 	}
+	m.contest.update(now, claimant == "" && r.Majority() == roster.MajorityOfSeen)
 	if claimant != "" {
 		m.leader = claimant
 		m.expected = ""
 		m.phase = Idle
 		return false
 	}
-	if now.Before(m.settledAt) || !r.HasMajority() {
+	if now.Before(m.settledAt) || !m.contest.mayAcquire(now, r) {
 		m.leader = ""
 		m.phase = Idle
 		return false
@@ -171,6 +179,7 @@
 	}
 	if m.phase == Waiting && now.Sub(m.lastClaim) >= m.wait() {
 		m.phase = Acquiring
+		m.contest.provisional = r.Majority() == roster.MajorityOfSeen
 		return true
 	}
 	return false
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -226,14 +226,54 @@
 // Size returns the number of VMs in the fleet, including this VM and unresponsive ones.
 func (r *Roster) Size() int { return len(r.members) + 1 }
 
+// Majority is how much of the fleet this VM is in contact with, including itself.
+type Majority int
+
+// The kinds of majority.
+const (
+	// NoMajority: half of the VMs that this VM has seen or fewer.
+	NoMajority Majority = iota
+	// MajorityOfSeen: more than half of the VMs that this VM has seen. With the seeds that it has not
+	// seen, they are half of the fleet or fewer.
+	MajorityOfSeen
+	// MajorityOfAll: more than half of the fleet, whatever became of the seeds.
+	MajorityOfAll
+)
+
+// String returns the name of the majority for logs.
+func (m Majority) String() string { return [...]string{"none", "seen", "all"}[m] }
+
+// Majority returns how much of the fleet this VM is in contact with.
+func (r *Roster) Majority() Majority {
+	switch {
+	case r.isMajorityOf(r.countUnseenSeeds()):
+		return MajorityOfAll
+	case r.isMajorityOf(0):
+		return MajorityOfSeen
+	}
+	return NoMajority
+}
+
 // HasMajority reports whether this VM is in contact with more than half of the fleet,
-// including itself. Of two equal halves, the one that contains the lowest ID has the
-// majority, unless some seeds have not been seen yet.
+// including itself. Until AbandonAfter, seeds that have not been seen count as members.
 func (r *Roster) HasMajority() bool {
+	switch r.Majority() {
+	case MajorityOfAll:
+		return true
+	case MajorityOfSeen:
+		return r.lastTick.Sub(r.cfg.Start) >= r.cfg.AbandonAfter
+	}
+	return false
+}
+
+// isMajorityOf reports whether this VM is in contact with more than half of the VMs that it has seen
+// and of a number of unseen ones. Of two equal halves, the one that contains the lowest ID has the
+// majority, unless there are unseen VMs.
+func (r *Roster) isMajorityOf(unseen int) bool {
 	responsive := r.ResponsiveCount()
-	size := r.Size() + r.countUnseenSeeds()
+	size := r.Size() + unseen
 	if 2*responsive == size {
-		return r.isLowestIDResponsive() && size == r.Size()
+		return r.isLowestIDResponsive() && unseen == 0
 	}
 	return 2*responsive > size
 }
@@ -271,12 +311,8 @@
 	return r.cfg.SuspectAfter + time.Duration(doublings)*r.cfg.SuspectGrowth
 }
 
-// countUnseenSeeds returns the number of seeds that have not been seen since the start. It
-// returns 0 once AbandonAfter has passed.
+// countUnseenSeeds returns the number of seeds that have not been seen since the start.
 func (r *Roster) countUnseenSeeds() int {
-	if r.lastTick.Sub(r.cfg.Start) >= r.cfg.AbandonAfter {
-		return 0
-	}
 	n := 0
 	for _, address := range r.cfg.Seeds {
 		if !r.seenAddresses[address] {
--- a/coord/scheduler/reports.go
+++ b/coord/scheduler/reports.go
@@ -59,6 +59,7 @@
 		t.readReportAt = now.Add(reportRetryDelay)
 		return s.takeActions()
 	}
+	s.observeOrderCount(now, t, r.OrderCount)
 	if now.Before(t.readReportAt) {
 		return s.takeActions() // another report became necessary meanwhile
 	}
@@ -71,8 +72,8 @@
 		t.requireReportAt(now.Add(reportRetryDelay))
 		return s.takeActions()
 	}
-	if s.othersMayOrder(now, t) && requestedAt.Sub(t.orderCountSince) < reportLag {
-		t.requireReportAt(t.orderCountSince.Add(reportLag))
+	if quiet := s.requiredQuiet(now, t); requestedAt.Sub(t.orderCountSince) < quiet {
+		t.requireReportAt(t.orderCountSince.Add(quiet))
 		return s.takeActions()
 	}
 	t.reconciled = true
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -20,7 +20,7 @@
 // choice of a target, room.go the places in the engines' batches, replicas.go the choice of targets for
 // loading an adapter, loads.go the duration of loads (learnt, coord/loadtime), heat.go the request rate of adapters, orders.go and
 // reports.go the orders that change adapter slots and the reports that verify them, freed.go the
-// evidence that frees slots, health.go failing targets, witness.go failures that show a fault of a VM's
+// evidence that frees slots, observe.go the orders of VMs that this VM cannot find, health.go failing targets, witness.go failures that show a fault of a VM's
 // path, software.go the software versions of targets, limited.go targets that limit their request rate,
 // brittle.go targets that crash when they reject too many requests, demand.go the replicas of adapters
 // whose requests need more than one engine, loadcause.go the causes of loads, shares.go
@@ -72,7 +72,14 @@
 	fencingToken uint64
 	// leaseSince is when this VM acquired the lease.
 	leaseSince time.Time
-	storeLoads int
+	// leaseQuiet is how long a target must have accepted no order before the first one of this VM; 0:
+	// as othersMayOrder requires.
+	leaseQuiet time.Duration
+	// observing reports that this VM observes the orders of other VMs, the last of which it saw at
+	// othersOrderedAt.
+	observing       bool
+	othersOrderedAt time.Time
+	storeLoads      int
 	// loadsInProgress divides storeLoads by cause, and loadsStarted counts all loads from the store.
 	loadsInProgress [loadCauseCount]int
 	loadsStarted    [loadCauseCount]int64
@@ -324,6 +331,9 @@
 // runRound finishes loads that are due, places waiting requests, and maintains every target.
 func (s *Scheduler) runRound(now time.Time) []Action {
 	if !s.leading {
+		if s.observing {
+			s.observe(now)
+		}
 		return s.takeActions() // there are no waiting requests and no orders to issue
 	}
 	s.lastRoundAt = now
--- a/coord/scheduler/slots.go
+++ b/coord/scheduler/slots.go
@@ -152,6 +152,8 @@
 	// and orderCountSince when a report with this number was first requested.
 	orderCount      uint64
 	orderCountSince time.Time
+	// observed is what the observation of other VMs' orders has found.
+	observed observedOrders
 	// fenced reports that the target has accepted this VM's fencing token, and therefore rejects
 	// the orders of earlier lease holders.
 	fenced bool
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -215,6 +215,7 @@
 	}
 	n.leadership = leadership.New(n.startedAt, self, leadershipKey, leaseWait, s.Orders.EnginesCheckFence)
 	n.leadership.SetHandoverWait(lease)
+	n.leadership.SetContest(contestConfig(s))
 	n.leader.Store(new(coord.VMID))
 	n.vmCount.Store(1)
 	n.connectedVMs.Store(1)
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -10,6 +10,7 @@
 	"github.com/junctionfold/junctionfold/coord/leadership"
 	"github.com/junctionfold/junctionfold/coord/roster"
 	"github.com/junctionfold/junctionfold/internal/fleet"
+	"github.com/junctionfold/junctionfold/schema"
 )
 
 // Numbers and timing of store watchers and the leader.
@@ -67,14 +68,17 @@
 
 // updateLeadership determines the leader, and starts acquiring the leadership when this VM is next.
 func (n *Node) updateLeadership() {
+	othersOrderedAt := n.schedulers.othersOrderedAt()
 	n.mu.Lock()
 	oldPhase := n.leadership.Phase()
+	otherLeader := n.leadership.ObserveOtherOrders(othersOrderedAt)
 	acquire := n.leadership.Update(n.now(), n.roster)
 	newPhase := n.leadership.Phase()
 	leader := n.leadership.Leader()
 	n.roster.SetFencingToken(n.leadership.FencingToken())
-	token := n.leadership.FencingToken()
-	vms, majority := n.roster.Size(), n.roster.HasMajority()
+	token, quiet := n.leadership.FencingToken(), n.leaseQuiet()
+	observes := n.leadership.ObservesOrders()
+	vms, majority := n.roster.Size(), n.roster.Majority()
 	n.mu.Unlock()
 	if oldLeader := *n.leader.Load(); oldLeader != leader {
 		n.leader.Store(&leader)
@@ -85,10 +89,14 @@
 		n.reportRunning(leader)
 		n.log.SchedulerMoved(string(oldLeader), string(leader))
 	}
+	if otherLeader {
+		n.log.OtherLeaderObserved()
+	}
 	if oldPhase != newPhase {
-		n.log.LeadershipChanged(oldPhase.String(), newPhase.String(), vms, majority)
+		n.log.LeadershipChanged(oldPhase.String(), newPhase.String(), vms, majority.String())
 	}
-	n.schedulers.setLease(token)
+	n.schedulers.setObserving(observes)
+	n.schedulers.setLease(token, quiet)
 	if oldPhase == leadership.Leading && newPhase != leadership.Leading {
 		n.sendHeartbeatToAll()
 	}
@@ -108,17 +116,46 @@
 	}
 	n.mu.Lock()
 	n.leadership.Acquire(n.now(), fencingTokenBase(revision), err == nil)
-	token := n.leadership.FencingToken()
+	token, quiet := n.leadership.FencingToken(), n.leaseQuiet()
 	n.roster.SetFencingToken(token)
 	n.mu.Unlock()
 	if token == 0 {
 		return
 	}
-	n.log.LeadershipAcquired(token, revision)
-	n.schedulers.setLease(token)
+	n.log.LeadershipAcquired(token, revision, quiet > 0)
+	n.schedulers.setLease(token, quiet)
 	n.sendHeartbeatToAll()
 }
 
+// joinWaitShare is the share of the time for the recovery of the fleet for which a VM waits for the seeds
+// before it leads without them. The rest is left for the loads of adapters.
+const joinWaitShare = 0.4
+
+// orderVisibility is how long an order may take until the report of its engine shows it and has been read.
+const orderVisibility = 500 * time.Millisecond
+
+// contestConfig returns the waiting times of a VM that cannot find some of the seeds. Engines that do not check
+// tokens cannot reject the lower one of two leaders, so that the VM waits for as long as the seeds count.
+func contestConfig(s *schema.EdgeSettings) leadership.ContestConfig {
+	joinWait := abandonAfter
+	if s.Orders.EnginesCheckFence {
+		joinWait = time.Duration(joinWaitShare * s.Times.RecoveryS * float64(time.Second))
+	}
+	return leadership.ContestConfig{
+		JoinWait:  joinWait,
+		QuietTime: time.Duration(s.Orders.LeaseMs)*time.Millisecond + orderVisibility,
+	}
+}
+
+// leaseQuiet returns how long an engine must have accepted no order before this VM's first order to it;
+// 0: as usual. n.mu is held.
+func (n *Node) leaseQuiet() time.Duration {
+	if !n.leadership.IsProvisional() {
+		return 0
+	}
+	return contestConfig(n.settings).QuietTime
+}
+
 // epochStep is the weight of a store epoch in fencing tokens, in revisions. It exceeds the number
 // of revisions that a store loses when it is restored.
 const epochStep = 1 << 20
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -34,6 +34,7 @@
 	if result == fleet.OrderFenced {
 		n.mu.Lock()
 		n.leadership.HandleRejection(token)
+		n.leadership.ObserveOtherOrders(n.now())
 		n.mu.Unlock()
 	}
 	ss.each(func(other *serviceScheduler, now time.Time) []scheduler.Action {
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -25,6 +25,11 @@
 	leading  bool
 	// fencingToken is the token under which this VM sends orders; 0: it sends none.
 	fencingToken uint64
+	// leaseQuiet is how long an engine must have accepted no order before the first one under that
+	// token; 0: as usual.
+	leaseQuiet time.Duration
+	// observing reports that this VM observes the orders of other VMs.
+	observing bool
 }
 
 // serviceScheduler is the scheduler of one service.
@@ -69,7 +74,9 @@
 		rejections, share := ss.node.rejectionLimits.current()
 		sc.scheduler.SetRejectionLimits(now, rejections, share)
 		sc.scheduler.SetLeading(now, ss.leading, nil)
+		sc.scheduler.SetLeaseQuiet(ss.leaseQuiet)
 		sc.scheduler.SetLease(now, ss.fencingToken)
+		sc.scheduler.SetObserving(now, ss.observing)
 	}
 	sc.scheduler.Configure(cfg)
 	sc.scheduler.SetTeamWeights(teamWeights(d.Config))
@@ -147,12 +154,40 @@
 	ss.mu.Unlock()
 }
 
-// setLease sets the fencing token under which this VM sends orders; 0: it sends none.
-func (ss *schedulers) setLease(token uint64) {
-	ss.each(func(sc *serviceScheduler, now time.Time) []scheduler.Action { return sc.scheduler.SetLease(now, token) })
+// setLease sets the fencing token under which this VM sends orders; 0: it sends none. quiet is how long an
+// engine must have accepted no order before the first one; 0: as usual.
+func (ss *schedulers) setLease(token uint64, quiet time.Duration) {
+	ss.each(func(sc *serviceScheduler, now time.Time) []scheduler.Action {
+		sc.scheduler.SetLeaseQuiet(quiet)
+		return sc.scheduler.SetLease(now, token)
+	})
+	ss.mu.Lock()
+	ss.fencingToken, ss.leaseQuiet = token, quiet
+	ss.mu.Unlock()
+}
+
+// setObserving sets whether this VM observes the orders of other VMs.
+func (ss *schedulers) setObserving(observing bool) {
 	ss.mu.Lock()
-	ss.fencingToken = token
+	unchanged := ss.observing == observing
+	ss.observing = observing
 	ss.mu.Unlock()
+	if unchanged {
+		return
+	}
+	ss.each(func(sc *serviceScheduler, now time.Time) []scheduler.Action {
+		return sc.scheduler.SetObserving(now, observing)
+	})
+}
+
+// othersOrderedAt returns when an order of another VM was last observed; zero if none was.
+func (ss *schedulers) othersOrderedAt() (last time.Time) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	for _, sc := range ss.services {
+		last = coord.Later(last, sc.scheduler.OthersOrderedAt())
+	}
+	return last
 }
 
 func (ss *schedulers) tick() {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -144,17 +144,20 @@
 }
 
 // LeadershipChanged records a change of the leadership state of this VM, the number of VMs it
-// counts, and whether they are a majority.
-func (l *Log) LeadershipChanged(was, is string, vms int, majority bool) {
+// counts, and of which VMs those that it reaches are a majority.
+func (l *Log) LeadershipChanged(was, is string, vms int, majority string) {
 	l.info("duty_changed", log.Fields{"was": was, "is": is, "vms": vms, "majority": majority})
 }
 
 // LeadershipAcquired records that this VM became the leader, with the fencing token of its
-// orders.
-func (l *Log) LeadershipAcquired(fencingToken uint64, revision fleet.Revision) {
-	l.info("duty_taken", log.Fields{"fence": fencingToken, "revision": revision})
+// orders, and whether VMs that it has not seen may have a leader as well.
+func (l *Log) LeadershipAcquired(fencingToken uint64, revision fleet.Revision, provisional bool) {
+	l.info("duty_taken", log.Fields{"fence": fencingToken, "revision": revision, "provisional": provisional})
 }
 
+// OtherLeaderObserved records that engines accept orders of a VM that this VM cannot find.
+func (l *Log) OtherLeaderObserved() { l.info("other_leader_observed", log.Fields{}) }
+
 // LeadershipNotAcquired records why this VM failed to become the leader.
 func (l *Log) LeadershipNotAcquired(err error) {
 	l.warn("duty_not_taken", log.Fields{"error": errorText(err)})
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -18,7 +18,7 @@
 	var first, second bytes.Buffer
 	a, b := events.New(&first, "info", "edge-1"), events.New(&second, "info", "edge-2")
 	now := time.Now()
-	b.LeadershipAcquired(41, 7)
+	b.LeadershipAcquired(41, 7, false)
 	a.ConfigAdopted(1, 2, 3, 4, 5)
 	a.TargetChanged("i-1", "s", "ready", "draining", 9)
 	a.TargetChanged("i-9", "s", "", "ready", 9)
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -39,7 +39,7 @@
 func edgeDefaults() *schema.EdgeSettings {
 	return &schema.EdgeSettings{
 		Vm: &schema.EdgeVM{}, Listen: &schema.EdgeListen{}, Store: &schema.EdgeStore{},
-		Times: &schema.EdgeTimes{}, Retry: &schema.EdgeRetry{}, Orders: &schema.EdgeOrders{},
+		Times: &schema.EdgeTimes{RecoveryS: 12}, Retry: &schema.EdgeRetry{}, Orders: &schema.EdgeOrders{},
 		Quota: &schema.EdgeQuota{WindowS: 8},
 		Log:   &schema.LogSettings{Level: "info"},
 	}
@@ -82,6 +82,7 @@
 		{"vm", "cpu_cores", s.Vm.CpuCores, 0.001, 1024},
 		{"vm", "link_mbps", s.Vm.LinkMbps, 0, 1e6},
 		{"times", "grace_s", s.Times.GraceS, 0.5, 3600},
+		{"times", "recovery_s", s.Times.RecoveryS, 1, 3600},
 		{"retry", "ratio", s.Retry.Ratio, 0, 10},
 		{"retry", "slack", s.Retry.Slack, 0, 1e6},
 		{"quota", "window_s", s.Quota.WindowS, 0.1, 3600},
