scheduler: Loads are bounded by the memory that an engine has left

Cause: a count stood for a sum. The adapter slots were lowered to what fits beside the largest single base model, and what an engine holds was never added up. Evidence: order_answered has taken=17 of slots=21, one fencing token, no unload.

Change: scheduler.fits adds up base models and adapters, held, loading or not yet unloaded, each with its own size; first loads, replicas, loads into freed slots and base models ask it. Nothing is evicted where that makes no room. Sizes of models that left the configuration stay known, the larger one counts; beside something of unknown size nothing is loaded, which model_size_unknown tells. Weighed: slots for all base models of the sheet together; leaves no room where one of several models is held, and is wrong for adapters of several sizes.

Conclusion: no path orders a load without asking whether it fits.

--- a/coord/scheduler/demand.go
+++ b/coord/scheduler/demand.go
@@ -188,7 +188,7 @@
 		if !t.ready || t.slots[d.ref] != nil {
 			return true
 		}
-		if len(t.slots) >= s.cfg.AdapterSlots {
+		if !s.fits(t, d.ref) {
 			return !t.isUnloading()
 		}
 		if d.held < d.wanted && t.canLoad(d.ref) && s.mayLoadReplica(now) {
--- a/coord/scheduler/orders.go
+++ b/coord/scheduler/orders.go
@@ -64,10 +64,10 @@
 	}
 }
 
-// startLoad orders the load of an adapter, or first the unload of another one if all adapter slots
-// are occupied.
+// startLoad orders the load of an adapter, or first the unload of another one if the engine has no room
+// for it.
 func (s *Scheduler) startLoad(now time.Time, t *target, ref coord.AdapterRef, cause LoadCause) {
-	if len(t.slots) >= s.cfg.AdapterSlots {
+	if !s.fits(t, ref) {
 		victim, _, ok := s.nextVictim(now, t)
 		if !ok {
 			return
@@ -261,19 +261,22 @@
 }
 
 // modelToLoad returns the base model to order at a target and the expected duration of its load. An
-// engine has memory for one base model. It may already hold the model that it was ordered to load
+// engine that holds none has room for one at least. It may already hold the model that it was ordered to load
 // before, although its report does not show it.
 func (s *Scheduler) modelToLoad(t *target) (model string, duration time.Duration, ok bool) {
 	if duration, ok := s.cfg.ModelLoadTime[t.lastOrderedModel]; ok {
 		return t.lastOrderedModel, duration, true
 	}
-	return s.leastHeldModel()
+	return s.leastHeldModel(t)
 }
 
-// leastHeldModel returns the model that the fewest targets hold.
-func (s *Scheduler) leastHeldModel() (model string, duration time.Duration, ok bool) {
+// leastHeldModel returns the model that the fewest targets hold, of those that fit into t.
+func (s *Scheduler) leastHeldModel(into *target) (model string, duration time.Duration, ok bool) {
 	fewest := 0
 	for name, d := range s.cfg.ModelLoadTime {
+		if !s.fits(into, coord.AdapterRef{Model: name}) {
+			continue
+		}
 		n := 0
 		for _, t := range s.targets {
 			if t.ready && t.models[name] {
--- a/coord/scheduler/replicas.go
+++ b/coord/scheduler/replicas.go
@@ -139,7 +139,7 @@
 		if best != nil && cost >= lowestCost {
 			continue
 		}
-		evictionCost, ok := s.evictCost(now, t)
+		evictionCost, ok := s.evictCost(now, t, r.Ref)
 		if cost += evictionCost; !ok || best != nil && cost >= lowestCost {
 			continue
 		}
@@ -148,11 +148,14 @@
 	return best, delay
 }
 
-// evictCost returns the cost of freeing an adapter slot at t; ok is false if no slot can be freed.
-func (s *Scheduler) evictCost(now time.Time, t *target) (cost time.Duration, ok bool) {
-	if len(t.slots) < s.cfg.AdapterSlots {
+// evictCost returns the cost of making room for an adapter at t; ok is false if no room can be made.
+func (s *Scheduler) evictCost(now time.Time, t *target, ref coord.AdapterRef) (cost time.Duration, ok bool) {
+	if s.fits(t, ref) {
 		return 0, true
 	}
+	if !s.fitsWithoutAdapters(t, ref) {
+		return 0, false
+	}
 	_, h, ok := s.nextVictim(now, t)
 	return time.Duration(h * float64(evictCostPerRequest)), ok
 }
--- a/coord/scheduler/round_bench_test.go
+++ b/coord/scheduler/round_bench_test.go
@@ -21,7 +21,10 @@
 // newLongLine returns a scheduler with occupied adapter slots and a line of requests for adapters that
 // no engine holds. loading adapters are in transit at each engine.
 func newLongLine(loading int) (*Scheduler, time.Time) {
-	s := New(Config{AdapterSlots: lineSlots, Batch: 16, CacheTokens: 85_000, MaxLoads: 64, ModelLoadTime: map[string]time.Duration{"m": time.Second}})
+	s := New(Config{
+		AdapterSlots: lineSlots, MemoryMB: 67_000, ModelSizes: map[string]ModelSize{"m": {65_100, 12}}, Batch: 16, CacheTokens: 85_000, MaxLoads: 64,
+		ModelLoadTime: map[string]time.Duration{"m": time.Second},
+	})
 	var listed []AnnouncedTarget
 	for i := range lineEngines {
 		l := AnnouncedTarget{ID: fmt.Sprintf("t%d", i), Ready: true, Resident: []ResidentItem{{Ref: base}}}
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -5,8 +5,8 @@
 // decision on a request is a grant, which names a target, or a refusal. The scheduler orders
 // engines to load and unload adapters, with these limits:
 //
-//   - an engine never holds more adapters than it has slots for, including those that are being
-//     loaded or unloaded;
+//   - an engine never holds more adapters than it has slots for, nor more base models and adapters than
+//     its memory holds, including those that are being loaded or unloaded;
 //   - an adapter with a granted request is not unloaded;
 //   - the number of adapters being loaded from the store by all engines stays within the number
 //     that the store serves at full speed. It is learnt from the loads (coord/loadlimit), because
@@ -17,7 +17,7 @@
 // Scheduler has no clock and does no I/O: it receives events with their time and returns actions.
 // It is not safe for concurrent use. types.go has its inputs and outputs, listing.go the list of
 // targets, slots.go the known state of each target, grants.go the running requests, place.go the
-// choice of a target, room.go the places in the engines' batches, replicas.go the choice of targets for
+// choice of a target, room.go the places in the engines' batches, memory.go what fits into an engine, replicas.go the choice of targets for
 // loading an adapter, loads.go the duration of loads (learnt, coord/loadtime), heat.go the request rate of adapters, orders.go and
 // reports.go the orders that change adapter slots and the reports that verify them, freed.go the
 // evidence that frees slots, observe.go the orders of VMs that this VM cannot find, health.go failing targets, witness.go failures that show a fault of a VM's
@@ -44,9 +44,11 @@
 
 // Scheduler is the state for one service.
 type Scheduler struct {
-	cfg       Config
-	targets   map[string]*target
-	targetIDs []string // sorted
+	cfg Config
+	// modelSizes has the sizes of all models that any configuration had.
+	modelSizes map[string]ModelSize
+	targets    map[string]*target
+	targetIDs  []string // sorted
 	// targetList has the targets in the order of targetIDs.
 	targetList []*target
 	speed      *enginecost.Speed
@@ -129,8 +131,9 @@
 
 // New returns a Scheduler that has no targets and issues no orders.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		cfg:               cfg,
+		modelSizes:        map[string]ModelSize{},
 		targets:           map[string]*target{},
 		speed:             enginecost.NewSpeed(),
 		forecast:          loadForecast{},
@@ -152,11 +155,14 @@
 		demand:            demandTracker{adapters: map[coord.AdapterRef]*adapterDemand{}},
 		shares:            fairshare.New(),
 	}
+	s.setModelSizes(cfg.ModelSizes)
+	return s
 }
 
 // Configure replaces the settings.
 func (s *Scheduler) Configure(cfg Config) {
 	s.cfg = cfg
+	s.setModelSizes(cfg.ModelSizes)
 	s.loadLimit.SetInitial(cfg.MaxLoads)
 }
 
--- a/coord/scheduler/types.go
+++ b/coord/scheduler/types.go
@@ -10,6 +10,11 @@
 type Config struct {
 	// AdapterSlots is the number of adapters that an engine can hold.
 	AdapterSlots int
+	// MemoryMB is an engine's memory for base models and adapters, in MB; 0: unknown, only the adapter
+	// slots bound what is loaded.
+	MemoryMB float64
+	// ModelSizes has the sizes of the base models and of their adapters, by model.
+	ModelSizes map[string]ModelSize
 	// Batch is the number of requests that an engine runs at once.
 	Batch int
 	// CacheTokens is the engine's memory for prompts and responses, in tokens.
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -38,6 +38,8 @@
 	scheduler *scheduler.Scheduler
 	waiters   waiters
 	targets   map[string]*fleet.Target
+	// unsized has the models whose unknown sizes were logged.
+	unsized map[string]bool
 	// revision is the store revision that targets reflects.
 	revision fleet.Revision
 }
@@ -67,7 +69,7 @@
 	cfg := schedulerConfig(engine, ss.node.settings.Orders.LoadOver)
 	sc := ss.services[name]
 	if sc == nil {
-		sc = &serviceScheduler{service: name, scheduler: scheduler.New(cfg), waiters: waiters{}}
+		sc = &serviceScheduler{service: name, scheduler: scheduler.New(cfg), waiters: waiters{}, unsized: map[string]bool{}}
 		ss.services[name] = sc
 		rates, share := ss.node.rateLimits.current()
 		sc.scheduler.SetRates(now, rates, share)
@@ -80,6 +82,7 @@
 	}
 	sc.scheduler.Configure(cfg)
 	sc.scheduler.SetTeamWeights(teamWeights(d.Config))
+	ss.logUnknownSizes(sc, engine, d.TargetsOf(name))
 	sc.targets = map[string]*fleet.Target{}
 	sc.revision = d.Revision
 	var announced []scheduler.AnnouncedTarget
@@ -97,6 +100,25 @@
 	return append(work, ss.applyActions(sc, sc.scheduler.SetVersions(now, versions))...)
 }
 
+// logUnknownSizes logs each model whose sizes are unknown, once. Nothing is loaded beside it.
+func (ss *schedulers) logUnknownSizes(sc *serviceScheduler, engine *fleet.Engine, targets []*fleet.Target) {
+	var models []string
+	for _, m := range engine.Models {
+		models = append(models, m.Name)
+	}
+	for _, t := range targets {
+		for _, m := range t.Resident {
+			models = append(models, m.Name)
+		}
+	}
+	for _, model := range models {
+		if !sc.unsized[model] && !sc.scheduler.KnowsSize(model) {
+			sc.unsized[model] = true
+			ss.node.log.ModelSizeUnknown(sc.service, model)
+		}
+	}
+}
+
 // Parameters that derive the scheduler's configuration from an engine's.
 const (
 	// transfersPerConcurrentLoad is the number of adapter loads that may be in flight for each load
@@ -114,18 +136,16 @@
 
 func schedulerConfig(e *fleet.Engine, loadOver float64) scheduler.Config {
 	cfg := scheduler.Config{
-		AdapterSlots: e.AdapterSlots, Batch: e.Batch, CacheTokens: e.CacheTokens,
-		ModelLoadTime: map[string]time.Duration{},
-		MaxLoads:      transfersPerConcurrentLoad * max(1, int(math.Ceil(e.StoreLoadsPerSecond/loadRatePerConcurrentLoad))),
+		AdapterSlots: e.AdapterSlots, MemoryMB: e.WeightsMB, Batch: e.Batch, CacheTokens: e.CacheTokens,
+		ModelLoadTime: map[string]time.Duration{}, ModelSizes: map[string]scheduler.ModelSize{},
+		MaxLoads: transfersPerConcurrentLoad * max(1, int(math.Ceil(e.StoreLoadsPerSecond/loadRatePerConcurrentLoad))),
 	}
 	if e.StoreLoadsPerSecond > 0 {
 		cfg.ModelLoadInterval = time.Duration(float64(time.Second) / e.StoreLoadsPerSecond / max(loadOver, 1) * modelLoadIntervalMargin)
 	}
 	for _, m := range e.Models {
 		cfg.ModelLoadTime[m.Name] = m.LoadTime
-		if m.AdapterMB > 0 && e.WeightsMB > m.WeightsMB {
-			cfg.AdapterSlots = min(cfg.AdapterSlots, int((e.WeightsMB-m.WeightsMB)/m.AdapterMB))
-		}
+		cfg.ModelSizes[m.Name] = scheduler.ModelSize{WeightsMB: m.WeightsMB, AdapterMB: m.AdapterMB}
 	}
 	return cfg
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -155,6 +155,12 @@
 	l.info("duty_taken", log.Fields{"fence": fencingToken, "revision": revision, "provisional": provisional})
 }
 
+// ModelSizeUnknown records that the configuration lacks the size of a base model or of its adapters, so that
+// engines are not ordered to load anything beside it.
+func (l *Log) ModelSizeUnknown(service, model string) {
+	l.warn("model_size_unknown", log.Fields{"service": service, "model": model})
+}
+
 // OtherLeaderObserved records that engines accept orders of a VM that this VM cannot find.
 func (l *Log) OtherLeaderObserved() { l.info("other_leader_observed", log.Fields{}) }
 
