roster: Seeds of changed settings replace the former ones

What callers saw: all VMs were killed, the three that the seeds name stayed down, and 3 s later the settings of the others named these three.

Cause: the roster kept the seeds of the start, and counted those that it had never seen as members for 60 s; three VMs and three unseen seeds are no majority. Evidence: peer_changed shows the others right after settings_reloaded, no VM has a duty_changed.

Change: Roster.SetSeeds replaces the seeds that count. Former seeds stay tried, as do the addresses of VMs that are suspect or gone, two at a time: VMs that were restarted one after the other while their seeds were down became fleets of one, since nobody tried to reach them. New gauge fleet_vms.

Conclusion: VMs that have found each other count nobody whom their settings no longer name, and a VM that comes back is found by those that knew it.

--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -89,7 +89,7 @@
 	// the fleet even without such contact: either nearly all VMs are lost, or this VM has
 	// been isolated for that long.
 	AbandonAfter time.Duration
-	// Seeds are the addresses of the VMs through which this VM joins. A seed that has not
+	// Seeds are the addresses of the VMs through which this VM joins at first. A seed that has not
 	// been seen since Start counts as an unresponsive member until AbandonAfter, because a
 	// VM that starts isolated must not consider itself the whole fleet.
 	Seeds []string
@@ -119,6 +119,8 @@
 	// a stale copy does not bring them back.
 	forgotten map[coord.VMID]Entry
 	lastTick  time.Time
+	// seeds are the current seeds, and formerSeeds the earlier ones.
+	seeds, formerSeeds []string
 	// seenAddresses holds the addresses of all VMs known so far.
 	seenAddresses map[string]bool
 }
@@ -128,10 +130,41 @@
 	return &Roster{
 		cfg: cfg, self: self, lastTick: cfg.Start,
 		members: map[coord.VMID]*Member{}, digests: map[uint64]*Member{}, forgotten: map[coord.VMID]Entry{},
-		seenAddresses: map[string]bool{self.Address: true},
+		seenAddresses: map[string]bool{self.Address: true}, seeds: cfg.Seeds,
 	}
 }
 
+// SetSeeds replaces the seeds. Those that are no longer named do not count as members.
+func (r *Roster) SetSeeds(seeds []string) {
+	for _, address := range r.seeds {
+		if !slices.Contains(r.formerSeeds, address) {
+			r.formerSeeds = append(r.formerSeeds, address)
+		}
+	}
+	r.seeds = seeds
+}
+
+// LostAddresses returns the addresses at which VMs of the fleet were or may have been: those of VMs that are
+// suspect or forgotten, and of former seeds. A VM that returns there, and finds no seed, is found through them.
+func (r *Roster) LostAddresses() []string {
+	responsive := map[string]bool{r.self.Address: true}
+	var lost []string
+	for _, m := range r.members {
+		if m.State == Suspect {
+			lost = append(lost, m.Address)
+		} else {
+			responsive[m.Address] = true
+		}
+	}
+	for _, e := range r.forgotten {
+		lost = append(lost, e.Address)
+	}
+	lost = append(lost, r.formerSeeds...)
+	lost = slices.DeleteFunc(lost, func(address string) bool { return responsive[address] })
+	slices.Sort(lost)
+	return slices.Compact(lost)
+}
+
 // Self returns this VM's own entry.
 func (r *Roster) Self() Entry { return r.self }
 
@@ -314,7 +347,7 @@
 // countUnseenSeeds returns the number of seeds that have not been seen since the start.
 func (r *Roster) countUnseenSeeds() int {
 	n := 0
-	for _, address := range r.cfg.Seeds {
+	for _, address := range r.seeds {
 		if !r.seenAddresses[address] {
 			n++
 		}
--- a/coord/roster/roster_test.go
+++ b/coord/roster/roster_test.go
@@ -180,6 +180,33 @@
 	assert.Assert(t, r.HasMajority())
 }
 
+// TestNewSeedsReplaceTheMissing guards against a fleet that waits for seeds which its settings no longer name.
+func TestNewSeedsReplaceTheMissing(t *testing.T) {
+	c := cfg
+	c.Seeds = []string{"x:1", "y:1", "z:1"}
+	r := New(c, entry("a", 1, 0))
+	r.Merge(start, []Entry{entry("b", 1, 1), entry("c", 1, 1)})
+	assert.Equal(t, r.Majority(), MajorityOfSeen)
+	r.SetSeeds([]string{"a:1", "b:1", "new:1"})
+	assert.Equal(t, r.Majority(), MajorityOfAll, "three of four")
+	r.SetSeeds([]string{"n:1", "o:1", "p:1"})
+	assert.Equal(t, r.Majority(), MajorityOfSeen, "three of six")
+	assert.DeepEqual(t, r.LostAddresses(), []string{"new:1", "x:1", "y:1", "z:1"})
+}
+
+// TestAddressesOfLostVMsAreKept guards against VMs that restart while their seeds are down and are found by
+// nobody, because the others have forgotten them.
+func TestAddressesOfLostVMsAreKept(t *testing.T) {
+	r := newRoster("a")
+	r.Merge(start, []Entry{entry("b", 1, 1), *leavingEntry(1, 1), entry("d", 1, 1)})
+	mergeHeartbeatsFromC(r, cfg.SuspectAfter+400*time.Millisecond)
+	assert.DeepEqual(t, r.LostAddresses(), []string{"b:1", "d:1"})
+	mergeHeartbeatsFromC(r, cfg.ForgetAfter+time.Second)
+	assert.DeepEqual(t, r.LostAddresses(), []string{"b:1", "d:1"}) // forgotten
+	r.Merge(start.Add(cfg.ForgetAfter), []Entry{entry("b", 2, 1)})
+	assert.DeepEqual(t, r.LostAddresses(), []string{"d:1"})
+}
+
 func TestIncarnationExceedsEarlierProcess(t *testing.T) {
 	r := newRoster("a")
 	r.Merge(start, []Entry{entry("a", 7, 100)})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -335,8 +335,8 @@
 	}
 }
 
-// randomSample returns at most limit of the given VMs in random order. It shuffles vms in place.
-func randomSample(vms []coord.VMID, limit int) []coord.VMID {
-	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
-	return vms[:min(limit, len(vms))]
+// randomSample returns at most limit of the given items in random order. It shuffles items in place.
+func randomSample[T any](items []T, limit int) []T {
+	rand.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
+	return items[:min(limit, len(items))]
 }
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -10,6 +10,7 @@
 // publishGauges adds the state of the node's parts to the metrics.
 func (n *Node) publishGauges() {
 	n.metrics.Gauge("open_requests", n.gateway.OpenRequests)
+	n.metrics.Gauge("fleet_vms", n.vmCount.Load)
 	n.metrics.Gauge("peer_sessions", func() int64 { return int64(n.mesh.Sessions()) })
 	n.metrics.Gauge("peer_bytes_in_total", func() int64 { in, _ := n.mesh.Bytes(); return in })
 	n.metrics.Gauge("peer_bytes_out_total", func() int64 { _, out := n.mesh.Bytes(); return out })
--- a/internal/edge/join.go
+++ b/internal/edge/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,12 +24,17 @@
 	isolatedSeedTimeout = 250 * time.Millisecond
 )
 
-// joiner joins the fleet through the seeds, and rejoins partitions of it. It contacts all seeds
+// maxLostJoins bounds the attempts to join through lost addresses at a time. In a fleet that has lost VMs
+// for good, every VM goes on trying their addresses.
+const maxLostJoins = 2
+
+// joiner joins the fleet through the seeds, and rejoins partitions of it. It contacts all addresses
 // concurrently: one after the other, a seed without power delayed the others by 0.7 s, and 195 VMs
 // that had been lost together knew no other VM for that long.
 type joiner struct {
-	self  string // this VM's address
-	seeds func() []string
+	self string // this VM's address
+	// addresses returns the addresses to try.
+	addresses func() []string
 	// isKnown reports whether a live VM has the given address.
 	isKnown func(address string) bool
 	// isIsolated reports whether no other VM is known.
@@ -41,7 +47,7 @@
 
 func (n *Node) seedLoop(ctx context.Context) {
 	j := &joiner{
-		self: advertisedAddress(n.settings.Listen), seeds: n.seeds, isKnown: n.isLiveAddress, join: n.join,
+		self: advertisedAddress(n.settings.Listen), addresses: n.joinAddresses, isKnown: n.isLiveAddress, join: n.join,
 		isIsolated: func() bool { return n.vmCount.Load() == 1 },
 	}
 	j.run(ctx)
@@ -55,7 +61,7 @@
 		if j.isIsolated() {
 			interval, timeout = isolatedSeedInterval, isolatedSeedTimeout
 		}
-		for _, address := range j.seeds() {
+		for _, address := range j.addresses() {
 			if address != j.self && !j.isKnown(address) {
 				j.startJoin(ctx, address, timeout)
 			}
@@ -67,7 +73,7 @@
 	}
 }
 
-// startJoin starts an attempt to join through a seed unless one is in flight.
+// startJoin starts an attempt to join through an address unless one is in flight.
 func (j *joiner) startJoin(ctx context.Context, address string, timeout time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -85,6 +91,14 @@
 	}()
 }
 
+// joinAddresses returns the seeds, and some of the addresses at which VMs were lost. VMs that restart while
+// their seeds are down are found by those that knew them.
+func (n *Node) joinAddresses() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append(slices.Clone(n.activeSettings.Listen.Seeds), randomSample(n.roster.LostAddresses(), maxLostJoins)...)
+}
+
 // isLiveAddress reports whether a live VM has the given address.
 func (n *Node) isLiveAddress(address string) bool {
 	n.mu.Lock()
--- a/internal/edge/join_test.go
+++ b/internal/edge/join_test.go
@@ -37,7 +37,7 @@
 				known := map[string]time.Duration{}
 				tries := map[string]int{}
 				j := &joiner{
-					self: "self", seeds: func() []string { return row.seeds },
+					self: "self", addresses: func() []string { return row.seeds },
 					isKnown:    func(a string) bool { mu.Lock(); defer mu.Unlock(); _, found := known[a]; return found },
 					isIsolated: func() bool { mu.Lock(); defer mu.Unlock(); return len(known) == 0 },
 					join: func(ctx context.Context, a string) {
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -18,6 +18,7 @@
 	merged.Listen.Seeds = s.Listen.Seeds
 	merged.Retry = s.Retry
 	n.activeSettings = merged
+	n.roster.SetSeeds(s.Listen.Seeds)
 	n.mu.Unlock()
 	var applied []string
 	if !slices.Equal(old.Listen.Seeds, s.Listen.Seeds) {
@@ -47,10 +48,3 @@
 	}
 	return out
 }
-
-// seeds returns the active seeds.
-func (n *Node) seeds() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.activeSettings.Listen.Seeds
-}
