edge: VMs without a leader place requests where reports show the adapter

Cause: a VM without a leader places requests only where it sent the adapter before, and a VM that has restarted knows nothing. The reports that it reads to observe others' orders were not used for it.

Announcements in the store do not have the adapters (they are trimmed for the sake of memory); that way was tried first and showed nothing.

TestReportedAdapterIsRefusedWithoutLeader and TestOutdatedReportIsUsed are new.

Conclusion: what engines hold is served by every VM; the rest waits for the leader's own callers.

--- a/coord/contest_test.go
+++ b/coord/contest_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -291,3 +292,37 @@
 		}
 	}
 }
+
+// leaders returns the VMs that may send orders.
+func (f *contestFleet) leaders() (leaders []coord.VMID) {
+	for _, group := range f.groups {
+		for _, v := range group {
+			if v.machine.FencingToken() != 0 {
+				leaders = append(leaders, v.id)
+			}
+		}
+	}
+	return leaders
+}
+
+// TestGroupsThatFindEachOtherKeepSeveralLeaders lets the groups find each other after a while. One leader has to remain, and
+// engines that a provisional leader has ordered must not stay without orders.
+func TestGroupsThatFindEachOtherKeepSeveralLeaders(t *testing.T) {
+	for seed := range uint64(8) {
+		f := newContestFleet(seed, 4, 60*time.Millisecond, []int{2, 1, 2})
+		f.run(time.Duration(5+3*seed) * time.Second)
+		f.groups = [][]*contestVM{slices.Concat(f.groups...)}
+		f.run(contestLease)
+		assert.Equal(t, len(f.leaders()), 1, "seed %d: %v", seed, f.leaders())
+		before := f.orderCount()
+		f.run(2 * contestLease)
+		assert.Assert(t, f.orderCount() > before, "seed %d", seed)
+	}
+}
+
+func (f *contestFleet) orderCount() (n int) {
+	for _, e := range f.engines {
+		n += len(e.accepted)
+	}
+	return n
+}
--- a/coord/scheduler/observe.go
+++ b/coord/scheduler/observe.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/junctionfold/junctionfold/coord"
+)
 
 // Parameters of the observation of other VMs' orders.
 const (
@@ -45,6 +49,30 @@
 	}
 }
 
+// Replica is a target that holds an adapter in a version.
+type Replica struct {
+	Target  string
+	Version int64
+}
+
+// maxObservationAge is the greatest age of a report that shows where an adapter is: one missing report does not matter.
+const maxObservationAge = 3 * observeInterval
+
+// ObservedReplicas returns the targets that hold an adapter by the reports that this VM reads while it observes
+// the orders of other VMs.
+func (s *Scheduler) ObservedReplicas(now time.Time, ref coord.AdapterRef) (replicas []Replica) {
+	if !s.observing {
+		return nil
+	}
+	for _, t := range s.replicas[ref] {
+		sl := t.slots[ref]
+		if sl.state == resident && !t.appliedReportAt.IsZero() && now.Sub(t.appliedReportAt) <= maxObservationAge {
+			replicas = append(replicas, Replica{Target: t.id, Version: sl.version})
+		}
+	}
+	return replicas
+}
+
 // observeOrderCount records that another VM has ordered the target if it has accepted more orders than
 // it had at the last report. A lower number is that of a restarted target.
 func (s *Scheduler) observeOrderCount(now time.Time, t *target, count uint64) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -168,8 +168,10 @@
 	// leaderMonitor detects an unresponsive leader.
 	leaderMonitor *leaderMonitor
 	// leader is the current leader as known to this VM; empty: unknown.
-	leader         atomic.Pointer[coord.VMID]
-	isStoreWatcher atomic.Bool
+	leader atomic.Pointer[coord.VMID]
+	// leaderlessSince is since when no leader is known; nil while one is.
+	leaderlessSince atomic.Pointer[time.Time]
+	isStoreWatcher  atomic.Bool
 	// storeWatchers are the other VMs that watch the store.
 	storeWatchers atomic.Pointer[[]roster.Entry]
 	vmCount       atomic.Int64
@@ -216,7 +218,7 @@
 	n.leadership = leadership.New(n.startedAt, self, leadershipKey, leaseWait, s.Orders.EnginesCheckFence)
 	n.leadership.SetHandoverWait(lease)
 	n.leadership.SetContest(contestConfig(s))
-	n.leader.Store(new(coord.VMID))
+	n.recordLeader("")
 	n.vmCount.Store(1)
 	n.connectedVMs.Store(1)
 	n.storeWatchers.Store(&[]roster.Entry{})
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -81,7 +81,7 @@
 	vms, majority := n.roster.Size(), n.roster.Majority()
 	n.mu.Unlock()
 	if oldLeader := *n.leader.Load(); oldLeader != leader {
-		n.leader.Store(&leader)
+		n.recordLeader(leader)
 		n.monitorLeader(leader)
 		n.queues.setLeading(leader == coord.VMID(n.settings.Vm.Id))
 		n.quotas.setLeading(leader == coord.VMID(n.settings.Vm.Id))
--- a/internal/edge/localplacement.go
+++ b/internal/edge/localplacement.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/rendezvous"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/events"
@@ -76,15 +77,77 @@
 	}
 }
 
-// canPlaceLocally reports whether this VM can choose a target for a request without the leader.
+// markAsked records that a request goes to a target which this VM chose.
+func (n *Node) markAsked(r *gateway.AdmitRequest, d gateway.Decision) {
+	n.updateReplica(grantMessage(d.DecidedAt, r, d), d.SoftwareVersion, func(l *lastReplica) { l.askedAt = d.DecidedAt })
+}
+
+// canPlaceLocally reports whether this VM can choose a target for a request without the leader, so that the
+// request does not wait for the next one.
 func (n *Node) canPlaceLocally(r *gateway.AdmitRequest) bool {
 	if r.Plain || r.Request.Adapter.IsBase() {
 		return true
 	}
-	t, _ := n.knownReplica(r)
+	if t, _ := n.knownReplica(r); t != nil {
+		return true
+	}
+	if !n.isLeaderless() {
+		return false
+	}
+	t, _ := n.observedReplica(r)
 	return t != nil
 }
 
+// leaderlessAfter is how long this VM has to know no leader until its requests no longer wait for one. A leader is
+// usually replaced within that time.
+const leaderlessAfter = 2 * time.Second
+
+// isLeaderless reports whether this VM has known no leader for so long that it may remain without one.
+func (n *Node) isLeaderless() bool {
+	since := n.leaderlessSince.Load()
+	return since != nil && n.now().Sub(*since) >= leaderlessAfter
+}
+
+// recordLeader records the leader; empty: there is none.
+func (n *Node) recordLeader(leader coord.VMID) {
+	n.leader.Store(&leader)
+	if leader != "" {
+		n.leaderlessSince.Store(nil)
+		return
+	}
+	now := n.now()
+	n.leaderlessSince.Store(&now)
+}
+
+// observedReplica returns a target that holds a request's adapter by its report and the version that it must run, as
+// knownReplica does. This VM reads reports while it observes the orders of VMs that it cannot find. A target that lacks
+// the adapter by now says so and does not run the request. Requests for an adapter are spread over its targets.
+func (n *Node) observedReplica(r *gateway.AdmitRequest) (t *fleet.Target, version int64) {
+	now, dir := n.now(), n.feed.Directory()
+	versions := map[string]int64{}
+	var ids []string
+	for _, replica := range n.schedulers.observedReplicas(r.Service, r.Request.Adapter) {
+		t := dir.Targets[replica.Target]
+		required := dir.RequiredVersion(r.Request.Adapter, replica.Version, now, versionGrace(n.settings.Times))
+		if isUsable(t, r) && required <= replica.Version && !n.lacksAdapter(t, r) {
+			ids = append(ids, t.ID)
+			versions[t.ID] = required
+		}
+	}
+	if len(ids) == 0 {
+		return nil, 0
+	}
+	id := rendezvous.Winner(ids, rendezvous.Hash(r.Request.ID))
+	return dir.Targets[id], versions[id]
+}
+
+// lacksAdapter reports whether a target has said that it lacks the adapter of a request, and may not be asked
+// again yet.
+func (n *Node) lacksAdapter(t *fleet.Target, r *gateway.AdmitRequest) bool {
+	replica, known := n.lastReplicas.Peek(replicaKey{r.Service, r.SoftwareVersion, r.Request.Adapter})
+	return known && replica.target == t.ID && replica.missing && n.now().Sub(replica.askedAt) < askInterval
+}
+
 // knownReplica returns the target that last served a request's adapter and the version that it must run
 // (0: whichever it holds). It returns nil if the target is unknown or cannot be used now. A target that held an
 // older version is asked for the newest: the last leader may have ordered its load, and the target does not
@@ -102,8 +165,8 @@
 	return t, version
 }
 
-// chooseKnownTarget places a request without the leader: at the target that last served its
-// adapter, or, if it asks for a base model, at any target that holds the model.
+// chooseKnownTarget places a request without the leader: at the target that last served its adapter, else at
+// one that holds the adapter by its report, or, if it asks for a base model, at any target that holds the model.
 func (n *Node) chooseKnownTarget(r *gateway.AdmitRequest) gateway.Decision {
 	d := gateway.Decision{
 		Service: r.Service, DecidedBy: n.settings.Vm.Id, Ticket: n.tickets.Add(1), DecidedAt: n.now(),
@@ -112,7 +175,13 @@
 	}
 	if t, version := n.knownReplica(r); t != nil {
 		d.Target, d.Address, d.SoftwareVersion, d.AdapterVersion = t.ID, t.Address, t.SoftwareVersion, version
-		n.updateReplica(grantMessage(d.DecidedAt, r, d), t.SoftwareVersion, func(l *lastReplica) { l.askedAt = d.DecidedAt })
+		n.markAsked(r, d)
+		return d
+	}
+	if t, version := n.observedReplica(r); t != nil {
+		d.Target, d.Address, d.SoftwareVersion, d.AdapterVersion = t.ID, t.Address, t.SoftwareVersion, version
+		n.rememberReplica(r, d)
+		n.markAsked(r, d)
 		return d
 	}
 	if !r.Request.Adapter.IsBase() {
--- a/internal/edge/localplacement_test.go
+++ b/internal/edge/localplacement_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/junctionfold/junctionfold/coord"
 	"github.com/junctionfold/junctionfold/coord/scheduler"
 	"github.com/junctionfold/junctionfold/internal/feed"
 	"github.com/junctionfold/junctionfold/internal/fleet"
@@ -117,3 +118,74 @@
 	(*admission)(n).FirstEvent(d)
 	assert.Equal(t, n.chooseKnownTarget(r).Target, "e")
 }
+
+// observingNode returns a node without a leader that has read the report of the target "e", which holds version 1 of an
+// adapter.
+func observingNode(t *testing.T) (n *Node, now *time.Time) {
+	n, now = disconnectedNode(t)
+	n.settings.Times = &schema.EdgeTimes{VersionMs: 5000}
+	n.recordLeader("")
+	s := scheduler.New(scheduler.Config{AdapterSlots: 4})
+	n.schedulers.services["models"] = &serviceScheduler{service: "models", scheduler: s}
+	s.SetTargets(*now, []scheduler.AnnouncedTarget{{ID: "e", Ready: true}})
+	n.schedulers.setObserving(true)
+	observe(n, *now)
+	return n, now
+}
+
+// observe lets a node read the report of the target "e".
+func observe(n *Node, now time.Time) {
+	s := n.schedulers.services["models"].scheduler
+	s.Tick(now)
+	s.HandleReport(now, "e", scheduler.Report{Resident: []scheduler.ResidentItem{
+		{Ref: coord.AdapterRef{Model: "m"}}, {Ref: coord.AdapterRef{Model: "m", Adapter: "held"}, Version: 1},
+	}}, true)
+}
+
+// TestReportedAdapterIsRefusedWithoutLeader guards against requests that a VM without a leader refuses although an
+// engine reports their adapter, and against requests that wait for a leader which has been missing for long.
+func TestReportedAdapterIsRefusedWithoutLeader(t *testing.T) {
+	n, now := observingNode(t)
+	r := adapterRequest("held")
+	assert.Assert(t, !n.canPlaceLocally(r), "a leader may follow soon")
+	*now = now.Add(leaderlessAfter)
+	observe(n, *now)
+	assert.Assert(t, n.canPlaceLocally(r))
+	assert.Assert(t, !n.canPlaceLocally(adapterRequest("other")))
+	n.recordLeader("b")
+	assert.Assert(t, !n.canPlaceLocally(r))
+	n.recordLeader("")
+
+	d := n.recordDecision(r, n.chooseKnownTarget(r))
+	assert.Equal(t, d.Target, "e")
+	(*admission)(n).Done(d, scheduler.EndedMisrouted)
+	assert.Equal(t, n.chooseKnownTarget(r).Target, "", "the target has just said that it lacks the adapter")
+	*now = now.Add(askInterval)
+	assert.Equal(t, n.chooseKnownTarget(r).Target, "e")
+}
+
+// TestOutdatedReportIsUsed guards against requests without a leader that go to a target of another service or
+// software version, to one whose report is old, or to one that holds an older version of the adapter.
+func TestOutdatedReportIsUsed(t *testing.T) {
+	n, now := observingNode(t)
+	choose := func(change func(*gateway.AdmitRequest)) string {
+		r := adapterRequest("held")
+		change(r)
+		t, _ := n.observedReplica(r)
+		if t == nil {
+			return ""
+		}
+		return t.ID
+	}
+	unchanged := func(*gateway.AdmitRequest) {}
+	assert.Equal(t, choose(unchanged), "e")
+	assert.Equal(t, choose(func(r *gateway.AdmitRequest) { r.Service = "others" }), "")
+	assert.Equal(t, choose(func(r *gateway.AdmitRequest) { r.SoftwareVersion = "v2" }), "")
+	assert.Equal(t, choose(func(r *gateway.AdmitRequest) { r.Exclude = []string{"e"} }), "")
+	n.feed.Apply(feed.Update{From: 1, To: 2, Items: []fleet.Item{{Key: "held", Revision: 2, Value: []byte("2")}}})
+	assert.Equal(t, choose(unchanged), "e", "within the bound of versions")
+	*now = now.Add(versionGrace(n.settings.Times))
+	assert.Equal(t, choose(unchanged), "", "the report is old")
+	observe(n, *now)
+	assert.Equal(t, choose(unchanged), "", "the version is old")
+}
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -200,6 +200,17 @@
 	})
 }
 
+// observedReplicas returns the targets of a service that hold an adapter, as observed without a leader.
+func (ss *schedulers) observedReplicas(service string, ref coord.AdapterRef) []scheduler.Replica {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	sc := ss.services[service]
+	if sc == nil {
+		return nil
+	}
+	return sc.scheduler.ObservedReplicas(ss.node.now(), ref)
+}
+
 // othersOrderedAt returns when an order of another VM was last observed; zero if none was.
 func (ss *schedulers) othersOrderedAt() (last time.Time) {
 	ss.mu.Lock()
