origin: Unnamed streams go on only where one version was seen for long enough

What callers saw, reported from a system like this one: two software versions were in service, or the servers of the older one had just left, when all VMs were killed; many streams that were taken up after it were joined from two versions.

Callers that name none went on at the only version that the VM knew, however short a time.

Cause: what a VM had observed since its start was taken for all that there was.

Change: a request that names no attempt goes on if some VM has seen one version only since before the stream can have begun, the route's timeout and 2 s ago, and no VM has seen another. VMs that start adopt what others have seen, along with the records; at the first start of a deployment nothing came before (new setting vm.first_start). In TestVersionListedNowProvesNothing the rows of a VM that started within the window now expect that nothing is proved: they asserted the guess.

Weighed: the store's history of 20 s covers a timeout of 15 s hardly, and is megabytes at large deployments while all VMs start; start times of targets say nothing of one that has left.

Conclusion: no version is guessed; the price are take-ups for 17 to 27 s after the loss of all VMs.

--- a/coord/origin/history.go
+++ b/coord/origin/history.go
@@ -3,7 +3,13 @@
 import "time"
 
 // History tells for how long the targets of each service have had one software version only.
-type History struct{ spans map[string]Span }
+type History struct {
+	spans map[string]Span
+	// told has what other VMs told of services that this VM has not observed yet.
+	told map[string]Seen
+	// begins is from when on the first observation of a service counts; zero: from the observation.
+	begins time.Time
+}
 
 // Span is what a VM knows of the software versions of a service.
 type Span struct {
@@ -11,12 +17,18 @@
 	// several, or one is unknown.
 	Version string
 	Since   time.Time
-	// changed reports that there was another version, or an unknown one, before Since.
+	// SeenSince is since when Version has been the only one that was observed. Others may have come and
+	// gone unobserved.
+	SeenSince time.Time
+	// changed reports that this VM has observed another version, or an unknown one, before SeenSince.
 	changed bool
 }
 
-// NewHistory returns a History without observations.
-func NewHistory() *History { return &History{spans: map[string]Span{}} }
+// NewHistory returns a History without observations. What it observes first counts from begins on; zero: from
+// the observation.
+func NewHistory(begins time.Time) *History {
+	return &History{spans: map[string]Span{}, told: map[string]Seen{}, begins: begins}
+}
 
 // Observe records the software versions of all announced targets of a service; an empty one is unknown.
 // A service without targets keeps its last version, because streams that began there may be taken up.
@@ -30,8 +42,47 @@
 			only = ""
 		}
 	}
-	if last, observed := h.spans[service]; !observed || only == "" || last.Version != only {
-		h.spans[service] = Span{Version: only, Since: now, changed: observed}
+	last, observed := h.spans[service]
+	if observed && only != "" && last.Version == only {
+		return
+	}
+	since := now
+	if !observed && !h.begins.IsZero() {
+		since = h.begins
+	}
+	h.spans[service] = Span{Version: only, Since: since, SeenSince: since, changed: observed}
+	if !observed {
+		h.Adopt(h.told[service])
+		delete(h.told, service)
+	}
+}
+
+// Seen is what a VM tells another one: the only software version that it has seen at a service, and since when.
+type Seen struct {
+	Service, Version string
+	Since            time.Time
+}
+
+// Seen returns what this VM has seen of each service that has one version only.
+func (h *History) Seen() (seen []Seen) {
+	for service, s := range h.spans {
+		if s.Version != "" {
+			seen = append(seen, Seen{Service: service, Version: s.Version, Since: s.SeenSince})
+		}
+	}
+	return seen
+}
+
+// Adopt adds what another VM has seen to the observations of this VM, which has started later.
+func (h *History) Adopt(seen Seen) {
+	s, observed := h.spans[seen.Service]
+	switch {
+	case seen.Service == "":
+	case !observed:
+		h.told[seen.Service] = seen
+	case s.Version == seen.Version && seen.Since.Before(s.SeenSince) && !s.changed:
+		s.SeenSince = seen.Since
+		h.spans[seen.Service] = s
 	}
 }
 
@@ -43,16 +94,6 @@
 	}
 }
 
-// OnlySeen returns the only version of a service's targets that was observed within the window, however
-// short a time ago the first observation was; empty: there were several, or one is unknown.
-func (h *History) OnlySeen(now time.Time, service string, window time.Duration) string {
-	s := h.spans[service]
-	if s.changed && now.Sub(s.Since) < window {
-		return ""
-	}
-	return s.Version
-}
-
 // Span returns what is known of a service. observed is false if no target was ever announced.
 func (h *History) Span(service string) (s Span, observed bool) {
 	s, observed = h.spans[service]
--- a/coord/origin/origin_test.go
+++ b/coord/origin/origin_test.go
@@ -54,49 +54,57 @@
 // announced, although the one that began them has left since, or its targets were not seen.
 func TestVersionListedNowProvesNothing(t *testing.T) {
 	const window = time.Minute
-	claim := func(h *History, now time.Time) Claim {
+	claims := func(h *History, now time.Time) (proved, seen Claim) {
 		s, observed := h.Span("models")
-		return Claim{observed, s.Version, now.Sub(s.Since)}
+		return Claim{observed, s.Version, now.Sub(s.Since)}, Claim{observed, s.Version, now.Sub(s.SeenSince)}
 	}
 	for _, row := range []struct {
 		name    string
 		observe func(h *History)
 		// proved is what a stream of unknown origin may rely on, seen what one that names no attempt may.
 		proved, seen string
+		// begins is the begin of the history; zero: the first observation.
+		begins time.Time
 	}{
-		{"one version over the window", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v1"}) }, "v1", "v1"},
+		{"one version over the window", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v1"}) }, "v1", "v1", time.Time{}},
 		{"no targets in between", func(h *History) {
 			h.Observe(at(0), "models", []string{"v1"})
 			h.Observe(at(30), "models", nil)
 			h.Observe(at(31), "models", []string{"v1"})
-		}, "v1", "v1"},
-		{"the VM started within the window", func(h *History) { h.Observe(at(41), "models", []string{"v1"}) }, "", "v1"},
+		}, "v1", "v1", time.Time{}},
+		{"the VM started within the window", func(h *History) { h.Observe(at(41), "models", []string{"v1"}) }, "", "", time.Time{}},
 		{"another version has left", func(h *History) {
 			h.Observe(at(0), "models", []string{"v1", "v2"})
 			h.Observe(at(50), "models", []string{"v1"})
-		}, "", ""},
+		}, "", "", time.Time{}},
 		{"another version has left before", func(h *History) {
 			h.Observe(at(0), "models", []string{"v1", "v2"})
 			h.Observe(at(40), "models", []string{"v1"})
-		}, "v1", "v1"},
+		}, "v1", "v1", time.Time{}},
 		{"one version replaced another", func(h *History) {
 			h.Observe(at(0), "models", []string{"v2"})
 			h.Observe(at(50), "models", []string{"v1"})
-		}, "", ""},
-		{"two versions", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v2"}) }, "", ""},
-		{"an unknown version", func(h *History) { h.Observe(at(0), "models", []string{"v1", ""}) }, "", ""},
-		{"only unknown versions", func(h *History) { h.Observe(at(0), "models", []string{"", ""}) }, "", ""},
+		}, "", "", time.Time{}},
+		{"two versions", func(h *History) { h.Observe(at(0), "models", []string{"v1", "v2"}) }, "", "", time.Time{}},
+		{"an unknown version", func(h *History) { h.Observe(at(0), "models", []string{"v1", ""}) }, "", "", time.Time{}},
+		{"only unknown versions", func(h *History) { h.Observe(at(0), "models", []string{"", ""}) }, "", "", time.Time{}},
 		{"a gap in the observations", func(h *History) {
 			h.Observe(at(0), "models", []string{"v1"})
 			h.Restart(at(50))
-		}, "", "v1"},
-		{"no observation", func(*History) {}, "", ""},
+		}, "", "v1", time.Time{}},
+		{"no observation", func(*History) {}, "", "", time.Time{}},
+		{"the first start within the window", func(h *History) { h.Observe(at(60), "models", []string{"v1"}) }, "v1", "v1", at(0)},
+		{"another version has left since the first start", func(h *History) {
+			h.Observe(at(60), "models", []string{"v1", "v2"})
+			h.Observe(at(70), "models", []string{"v1"})
+		}, "", "", at(0)},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			h := NewHistory()
+			h := NewHistory(row.begins)
 			row.observe(h)
-			assert.Equal(t, Prove(window, []Claim{claim(h, at(100))}), row.proved)
-			assert.Equal(t, h.OnlySeen(at(100), "models", window), row.seen)
+			proved, seen := claims(h, at(100))
+			assert.Equal(t, Prove(window, []Claim{proved}), row.proved)
+			assert.Equal(t, Prove(window, []Claim{seen}), row.seen)
 		})
 	}
 }
@@ -119,3 +127,34 @@
 		assert.Equal(t, Prove(time.Minute, row.claims), row.want, "%+v", row.claims)
 	}
 }
+
+// TestHistoryOfOtherVMsIsAdopted guards against fleets whose VMs restart one after the other and forget that a service
+// has had one version all the time, and against a VM that adopts what contradicts its own observations.
+func TestHistoryOfOtherVMsIsAdopted(t *testing.T) {
+	told := Seen{Service: "models", Version: "v1", Since: at(0)}
+	since := func(h *History) time.Time {
+		s, _ := h.Span("models")
+		return s.SeenSince
+	}
+	h := NewHistory(time.Time{})
+	h.Observe(at(50), "models", []string{"v1"})
+	h.Adopt(told)
+	assert.Equal(t, since(h), at(0))
+	assert.DeepEqual(t, h.Seen(), []Seen{told})
+
+	h = NewHistory(time.Time{})
+	h.Adopt(told)
+	h.Observe(at(50), "models", []string{"v1"})
+	assert.Equal(t, since(h), at(0), "told before the first observation")
+
+	h = NewHistory(time.Time{})
+	h.Adopt(told)
+	h.Observe(at(50), "models", []string{"v2"})
+	assert.Equal(t, since(h), at(50), "another version")
+
+	h = NewHistory(time.Time{})
+	h.Observe(at(50), "models", []string{"v1", "v2"})
+	h.Observe(at(60), "models", []string{"v1"})
+	h.Adopt(told)
+	assert.Equal(t, since(h), at(60), "the teller has missed a version")
+}
--- a/internal/edge/originmessages.go
+++ b/internal/edge/originmessages.go
@@ -17,6 +17,13 @@
 	}
 }
 
+// seenClaimOf returns the claim of a VM about all copies of the store that it had.
+func seenClaimOf(m *schema.OriginReply) origin.Claim {
+	return origin.Claim{
+		Observed: m.GetSeen(), Version: m.GetSeenVersion(), For: time.Duration(m.GetSeenForMs()) * time.Millisecond,
+	}
+}
+
 // originsToProto groups records by origin.
 func originsToProto(now time.Time, records []origin.Record) *schema.StreamOrigins {
 	out := &schema.StreamOrigins{}
@@ -34,6 +41,23 @@
 	return out
 }
 
+// seenToProto returns the message for what a VM has seen of services.
+func seenToProto(now time.Time, seen []origin.Seen) (out []*schema.SeenVersion) {
+	for _, s := range seen {
+		out = append(out, &schema.SeenVersion{Service: s.Service, SoftwareVersion: s.Version, ForMs: now.Sub(s.Since).Milliseconds()})
+	}
+	return out
+}
+
+// seenFromProto returns what another VM has seen of services.
+func seenFromProto(now time.Time, m *schema.StreamOrigins) (out []origin.Seen) {
+	for _, s := range m.Seen {
+		since := now.Add(-time.Duration(s.ForMs) * time.Millisecond)
+		out = append(out, origin.Seen{Service: s.Service, Version: s.SoftwareVersion, Since: since})
+	}
+	return out
+}
+
 // originsFromProto returns the records of a message.
 func originsFromProto(now time.Time, m *schema.StreamOrigins) []origin.Record {
 	var out []origin.Record
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -27,6 +27,8 @@
 	// maxOriginGap is the age of the copy of the store above which a software version may have come
 	// and gone unobserved. Copies are usually younger than a second.
 	maxOriginGap = 1500 * time.Millisecond
+	// maxOriginWindow exceeds the time for which any caller waits for its stream.
+	maxOriginWindow = 24 * time.Hour
 )
 
 // origins holds which software versions began the streams of this VM's callers and of others', and finds
@@ -48,7 +50,16 @@
 }
 
 func newOrigins(n *Node) *origins {
-	return &origins{node: n, table: origin.NewTable(), history: origin.NewHistory()}
+	return &origins{node: n, table: origin.NewTable(), history: origin.NewHistory(historyBegin(n))}
+}
+
+// historyBegin returns from when on the software versions that a VM observes first are known. Where the
+// deployment starts for the first time, there were no streams before.
+func historyBegin(n *Node) time.Time {
+	if !n.settings.Vm.FirstStart {
+		return time.Time{}
+	}
+	return n.startedAt.Add(-maxOriginWindow)
 }
 
 // observe records the software versions of all services in a changed directory.
@@ -105,13 +116,13 @@
 	records := o.unsent
 	o.unsent, o.sendScheduled, o.sentAt = nil, false, now
 	o.mu.Unlock()
-	o.send(now, records, o.node.originHolders())
+	o.send(originsToProto(now, records), o.node.originHolders())
 }
 
-// handOver sends all records to the holders, because this VM leaves.
+// handOver sends all that this VM knows to the holders, because it leaves.
 func (o *origins) handOver() { o.sendAll(o.node.originHolders()) }
 
-// sendTo sends all records to a VM that has joined, restarted or become responsive again, if it is one of
+// sendTo sends all that this VM knows to a VM that has joined, restarted or become responsive again, if it is one of
 // the holders: it lacks those of the time before.
 func (o *origins) sendTo(vm coord.VMID) {
 	if slices.Contains(o.node.originHolders(), vm) {
@@ -122,22 +133,23 @@
 func (o *origins) sendAll(vms []coord.VMID) {
 	now := o.node.now()
 	o.mu.Lock()
-	records := o.table.Records(now)
+	m := originsToProto(now, o.table.Records(now))
+	m.Seen = seenToProto(now, o.history.Seen())
 	o.mu.Unlock()
-	o.send(now, records, vms)
+	o.send(m, vms)
 }
 
-func (o *origins) send(now time.Time, records []origin.Record, vms []coord.VMID) {
-	if len(records) == 0 {
+func (o *origins) send(m *schema.StreamOrigins, vms []coord.VMID) {
+	if len(m.Groups) == 0 && len(m.Seen) == 0 {
 		return
 	}
-	call := &schema.Call{Body: &schema.Call_StreamOrigins{StreamOrigins: originsToProto(now, records)}}
+	call := &schema.Call{Body: &schema.Call_StreamOrigins{StreamOrigins: m}}
 	for _, vm := range vms {
 		go o.node.notify(vm, call)
 	}
 }
 
-// merge stores the records of another VM.
+// merge stores what another VM knows.
 func (o *origins) merge(m *schema.StreamOrigins) {
 	now := o.node.now()
 	o.mu.Lock()
@@ -145,6 +157,9 @@
 	for _, r := range originsFromProto(now, m) {
 		o.table.Add(r)
 	}
+	for _, seen := range seenFromProto(now, m) {
+		o.history.Adopt(seen)
+	}
 }
 
 // Find implements gateway.Origins. A record, also of another VM, goes before a proof: this VM's copy of the
@@ -207,18 +222,25 @@
 	if found, ok := o.table.Find(now, origin.Attempt(q.Attempt)); ok {
 		out.Service, out.SoftwareVersion = found.Service, found.SoftwareVersion
 	}
-	if span, observed := o.history.Span(q.Service); observed && isCurrent {
+	span, observed := o.history.Span(q.Service)
+	if observed {
+		out.Seen, out.SeenVersion, out.SeenForMs = true, span.Version, now.Sub(span.SeenSince).Milliseconds()
+	}
+	if observed && isCurrent {
 		out.Observed, out.OnlyVersion, out.OnlyForMs = true, span.Version, now.Sub(span.Since).Milliseconds()
 	}
 	return out
 }
 
-// OnlySeen implements gateway.Origins.
-func (o *origins) OnlySeen(service string, window time.Duration) string {
-	now := o.node.now()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.history.OnlySeen(now, service, window)
+// OnlySeen implements gateway.Origins. A VM that has just started knows nothing of the versions before, so
+// that others are asked as well.
+func (o *origins) OnlySeen(ctx context.Context, service string, window time.Duration) string {
+	request := &schema.OriginQuery{Service: service}
+	claims := []origin.Claim{seenClaimOf(o.reply(request))}
+	for reply := range o.ask(ctx, request) {
+		claims = append(claims, seenClaimOf(reply))
+	}
+	return origin.Prove(window, claims)
 }
 
 // recordCount returns the number of records, for metrics.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -14,9 +14,9 @@
 	Record(r origin.Record)
 	// Find returns the origin of a stream, unless the source is OriginUnknown.
 	Find(ctx context.Context, q OriginQuery) (origin.Origin, OriginSource)
-	// OnlySeen returns the software version of a service's targets if this VM has seen no other one
-	// within the window; empty: it has.
-	OnlySeen(service string, window time.Duration) string
+	// OnlySeen returns the software version of a service's targets if the VMs have seen no other one within the
+	// window; empty: they have, or none has seen the whole window.
+	OnlySeen(ctx context.Context, service string, window time.Duration) string
 }
 
 // OriginQuery describes the stream that a request takes up.
@@ -39,7 +39,8 @@
 	OriginTold OriginSource = "told"
 	// OriginProved: the service has had one version only since before the stream can have begun.
 	OriginProved OriginSource = "proved"
-	// OriginUnnamed: the request names no attempt, and this VM knows one version only.
+	// OriginUnnamed: the request names no attempt, and the VMs have seen one version only since before the
+	// stream can have begun.
 	OriginUnnamed OriginSource = "unnamed"
 	OriginUnknown OriginSource = "unknown"
 )
@@ -83,7 +84,7 @@
 	if x.req.FirstAttemptID != "" {
 		return x.g.cfg.Origins.Find(x.ctx, OriginQuery{Attempt: x.req.FirstAttemptID, Service: service, Window: x.originWindow()})
 	}
-	if v := x.g.cfg.Origins.OnlySeen(service, x.originWindow()); v != "" {
+	if v := x.g.cfg.Origins.OnlySeen(x.ctx, service, x.unnamedWindow()); v != "" {
 		return origin.Origin{Service: service, SoftwareVersion: v}, OriginUnnamed
 	}
 	return origin.Origin{}, OriginUnknown
@@ -94,6 +95,12 @@
 	return max(minOriginWindow, x.route.Timeout, x.req.Remaining)
 }
 
+// unnamedWindow returns the longest time ago at which a stream can have begun whose caller names no attempt. Such
+// callers wait no longer than the route allows.
+func (x *exchange) unnamedWindow() time.Duration {
+	return max(x.route.Timeout, x.req.Remaining) + originMargin
+}
+
 // recordOrigin records the origin of the stream under the attempt that received its first event, each
 // time that the stream goes on: the VMs that held the record may be gone.
 func (x *exchange) recordOrigin() {
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -39,7 +39,7 @@
 	return origin.Origin{}, OriginUnknown
 }
 
-func (o *fixedOrigins) OnlySeen(string, time.Duration) string { return o.onlyVersion }
+func (o *fixedOrigins) OnlySeen(context.Context, string, time.Duration) string { return o.onlyVersion }
 
 // TestTakenUpStreamIsPlacedAsNew guards against streams that callers take up at targets of another
 // service or software version than the one that began them, or of one that is not known.
