gateway: A planned stop answers the requests that it cannot finish

What callers saw, reported from a system like this one: at the end of the grace period of a planned stop, requests that a target worked on were cut without an answer, also such as may not be repeated.

Here: requests that come late are not taken, but each one whose target works past the grace period got no answer, on every kind of route, and requests that waited were sent to targets however late.

Cause: the shutdown closes connections when the drain ends, and requests did not know of it.

Change: 0.15 s before that, a request without a begun response is ended as by its deadline: 504 if it may have run, else 503. From 2.5 s after SIGTERM on, requests that may take longer than the stop are not sent any more, but refused. Weighed: refusing those that may not be repeated from the signal on; most take a tenth of their route's time.

Conclusion: a stop leaves no caller without an answer, unless its response has begun.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/junctionfold/junctionfold/internal/framing"
+	"github.com/junctionfold/junctionfold/internal/gateway"
 )
 
 // Timing and bounds of the node's loops and servers.
@@ -92,16 +93,29 @@
 	drainAcceptTime = 2500 * time.Millisecond
 	// exitMargin is the time reserved for the exit after the drain.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is the time reserved for the answers to requests that are still open then.
+	answerMargin = 150 * time.Millisecond
 )
 
+// stopTimes returns the times of a planned stop that ends at a time.
+func (n *Node) stopTimes(end time.Time) gateway.Stop {
+	answerAt := end.Add(-answerMargin)
+	sendUntil := n.now().Add(drainAcceptTime)
+	if sendUntil.After(answerAt) {
+		sendUntil = answerAt
+	}
+	return gateway.Stop{SendUntil: sendUntil, AnswerAt: answerAt}
+}
+
 // shutdown reports this VM as not ready, serves remaining requests while closing each connection
-// after its answer, and waits for open requests within the grace period.
+// after its answer, and waits for open requests within the grace period. Requests whose response has not
+// begun near its end are answered then.
 func (n *Node) shutdown(frontEnd *http.Server) {
 	grace := time.Duration(n.settings.Times.GraceS * float64(time.Second))
 	end := n.now().Add(grace - exitMargin)
 	n.log.Draining(n.gateway.OpenRequests())
 	n.draining.Store(true)
-	n.gateway.Drain()
+	n.gateway.Drain(n.stopTimes(end))
 	n.relayServer.drain()
 	n.mu.Lock()
 	n.roster.SetLeaving()
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -36,6 +36,7 @@
 
 // beginBody sets the headers of the caller's response.
 func (x *exchange) beginBody(resp *hop.Response) {
+	x.responding.Store(true)
 	x.copyHeader(resp)
 	x.delimiter.Begin(resp.CloseDelimited)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,7 @@
 	cfg          Config
 	startedAt    time.Time
 	routeTable   atomic.Pointer[routeTable]
-	draining     atomic.Bool
+	stopping     *stopSignals
 	openRequests atomic.Int64
 	ages         *ageEstimator
 
@@ -116,15 +116,12 @@
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, startedAt: cfg.Now(), ages: newAgeEstimator(), budgets: map[string]*retry.Budget{}, balancer: balance.New(), backoffs: backoff.New()}
+	return &Gateway{cfg: cfg, startedAt: cfg.Now(), stopping: newStopSignals(), ages: newAgeEstimator(), budgets: map[string]*retry.Budget{}, balancer: balance.New(), backoffs: backoff.New()}
 }
 
 // OpenRequests returns how many requests are open.
 func (g *Gateway) OpenRequests() int64 { return g.openRequests.Load() }
 
-// Drain makes each further response close its connection.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
 // staleConfigAge is the age of the configuration above which a missing route or key may have been
 // added since. Such a request is refused with 503 instead of denied with 404 or 401.
 const staleConfigAge = 1500 * time.Millisecond
@@ -186,6 +183,9 @@
 	sentSoftware string
 	// delimiter delimits the caller's response.
 	delimiter framing.Delimiter
+	// sent reports that the request was sent to a target, or is about to be, and responding that the response to
+	// the caller has begun.
+	sent, responding atomic.Bool
 	// decision is the one on which the current attempt is based.
 	decision Decision
 	// wroteAt is the time of the last write of a relayed body to the caller; zero: there was none.
@@ -198,7 +198,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	if g.draining.Load() || g.cfg.RetiresConnections() {
+	if g.isDraining() || g.cfg.RetiresConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	g.cfg.CheckSuspension()
@@ -214,9 +214,16 @@
 		return
 	}
 	x.header = g.cfg.Codec.ForwardRequest(r.Header, x.keyed)
-	ctx, cancel := context.WithTimeout(r.Context(), x.remaining())
+	ctx, cancelStopped := context.WithCancelCause(r.Context())
+	defer cancelStopped(nil)
+	ctx, cancel := context.WithTimeout(ctx, x.remaining())
 	defer cancel()
 	x.ctx = ctx
+	defer x.endWithStop(cancelStopped)()
+	if x.isTooLateToSend() {
+		x.refuse("stopping", stopRetryDelay)
+		return
+	}
 	began, ok := x.findOrigin()
 	if !ok {
 		return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -656,7 +656,7 @@
 
 func TestDrainClosesConnections(t *testing.T) {
 	x := newFixture(t, newBackend(t, "a"))
-	x.gateway.Drain()
+	x.gateway.Drain(Stop{SendUntil: time.Now().Add(time.Hour), AnswerAt: time.Now().Add(time.Hour)})
 	resp, _ := x.send(t, "GET", "/once/x", "")
 	assert.Equal(t, resp.StatusCode, 200)
 	assert.Assert(t, resp.Close)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -44,7 +44,7 @@
 		if !x.tryModel(decision) {
 			return
 		}
-		if attempts >= maxAttempts {
+		if attempts >= maxAttempts || x.isTooLateToSend() {
 			x.giveUp(Decision{RetryAfter: busyRetryDelay}, "not_run")
 			return
 		}
@@ -157,6 +157,8 @@
 // relays and paths.
 func (x *exchange) failureEnding(err error) scheduler.Ending {
 	switch {
+	case x.isEndedByStop():
+		return scheduler.EndedAbandoned
 	case errors.IsAny(err, hop.ErrRelayLost, hop.ErrUnacknowledged, hop.ErrSilence):
 		return scheduler.EndedAbandoned
 	case errors.Is(err, answer.ErrInvalid):
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -80,7 +80,7 @@
 		if last.ran() {
 			runs++
 		}
-		if !x.canRetry(last, runs) {
+		if !x.canRetry(last, runs) || x.isTooLateToSend() {
 			break
 		}
 	}
@@ -199,7 +199,7 @@
 
 func (x *exchange) plainEnding(a *attempt) balance.Ending {
 	switch {
-	case x.callerLeft() || errors.Is(a.err, errCallerLeft):
+	case x.callerLeft() || errors.Is(a.err, errCallerLeft) || x.isEndedByStop():
 		return balance.Abandoned
 	case errors.IsAny(a.err, hop.ErrWithdrawn, hop.ErrNoPath, hop.ErrRelayLost, hop.ErrUnacknowledged, hop.ErrSilence):
 		return balance.Abandoned
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -30,6 +30,7 @@
 
 // send sends the request to one target. The context bounds the whole attempt.
 func (x *exchange) send(ctx context.Context, d destination) (*hop.Response, error) {
+	x.sent.Store(true)
 	x.logEntry.Attempts++
 	x.logEntry.Target = d.target
 	h := x.header.Clone()
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -53,7 +53,7 @@
 // fail responds that the request may have run.
 func (x *exchange) fail(reason string, err error) {
 	status := http.StatusBadGateway
-	if x.ctx != nil && errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+	if x.ctx != nil && (errors.Is(x.ctx.Err(), context.DeadlineExceeded) || x.isEndedByStop()) {
 		status = http.StatusGatewayTimeout
 	}
 	x.writeError(status, reason)
@@ -61,6 +61,9 @@
 }
 
 func (x *exchange) writeError(status int, reason string) {
+	if x.g.isDraining() {
+		x.w.Header().Set("Connection", "close")
+	}
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	x.w.WriteHeader(status)
 	_, _ = io.WriteString(x.w, reason+"\n") // a disconnected caller is detected by its context
