answer: A status outside 200 to 599 is no answer

What callers saw, reported from other systems: an answer with status 000 reached the client. Here 000, 007, 099 and 101 passed for informational: the caller waited for its deadline, or got the response that followed on the connection as its answer; 600 and 999 were delivered. In the serve role 000 of a plain service was relayed, for which net/http panics.

Cause: net/http accepts any three digits, and a status below 200 was taken as informational.

Change: internal/answer says which statuses are those of an answer, and which precede one. Head.Accept asks it for responses to this VM, for relayed ones on both sides, package target for the serve role; notices beside such a status are ignored. The request gets 502 at once, or runs again where it may, and the connection is closed.

Conclusion: one place decides what a status is.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -40,11 +40,14 @@
 	Unsigned
 	// Encoded: the body is not the target's own. The request may have run.
 	Encoded
+	// Malformed: the status is none of an answer, so that the rest of the head has no meaning. The request
+	// may have run.
+	Malformed
 )
 
 // String returns the class's name for logs and metrics.
 func (c Class) String() string {
-	return [...]string{"answered", "busy", "misrouted", "mismatched", "unsigned", "encoded"}[c]
+	return [...]string{"answered", "busy", "misrouted", "mismatched", "unsigned", "encoded", "malformed"}[c]
 }
 
 // Errors of heads that are not accepted.
@@ -60,6 +63,9 @@
 // belongs to another request, and so does one without any, unless it states that the request was not
 // run: targets may refuse a request before they have read its id.
 func (h Head) Classify(requestID string) Class {
+	if !isFinalStatus(h.Status) {
+		return Malformed
+	}
 	for _, id := range h.RequestIDs {
 		if id != requestID {
 			return Mismatched
@@ -87,12 +93,35 @@
 	switch class := h.Classify(requestID); class {
 	case Mismatched:
 		return ErrOtherRequest
-	case Unsigned, Encoded:
+	case Unsigned, Encoded, Malformed:
 		return errors.Mark(errors.Newf("answer with status %d is %s", h.Status, class), ErrInvalid)
 	}
 	return nil
 }
 
+// Bounds of the statuses of HTTP (RFC 9110, section 15). Parsers accept any three digits.
+const (
+	minInformationalStatus = 100
+	minFinalStatus         = 200
+	maxFinalStatus         = 599
+)
+
+func isFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
+
+// IsInformational reports whether a status is that of a response which precedes the answer. No request asks
+// for another protocol, so that 101 is none.
+func IsInformational(status int) bool {
+	return status >= minInformationalStatus && status < minFinalStatus && status != http.StatusSwitchingProtocols
+}
+
+// CheckStatus returns an error that is marked as ErrInvalid unless the status is that of an answer.
+func CheckStatus(status int) error {
+	if isFinalStatus(status) {
+		return nil
+	}
+	return errors.Mark(errors.Newf("status %03d is none of an answer", status), ErrInvalid)
+}
+
 // isSigned reports whether there is exactly one signature. With several, readers of the first and
 // readers of the last would see different ones.
 func (h Head) isSigned() bool { return len(h.Signatures) == 1 && h.Signatures[0] != "" }
--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -101,8 +101,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "answer of %s", req.Key)
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue // informational
+		if answer.IsInformational(resp.StatusCode) {
+			continue
 		}
 		switch err := req.Accept(resp.StatusCode, resp.Header); {
 		case err == nil:
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -15,6 +15,7 @@
 	"github.com/tidwall/sjson"
 
 	"github.com/junctionfold/junctionfold/coord/attempt"
+	"github.com/junctionfold/junctionfold/internal/answer"
 	"github.com/junctionfold/junctionfold/internal/forward"
 	"github.com/junctionfold/junctionfold/internal/framing"
 	"github.com/junctionfold/junctionfold/schema"
@@ -89,7 +90,19 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(RequestIDHeader, r.Forward.RequestId)
 	req.Header.Set(FencingTokenHeader, strconv.FormatUint(r.FencingToken, 10))
-	return r.engine.runClient.Do(req)
+	return checkStatus(r.engine.runClient.Do(req))
+}
+
+// checkStatus returns an error in place of a response whose status is none of an answer.
+func checkStatus(resp *http.Response, err error) (*http.Response, error) {
+	if err != nil {
+		return nil, err
+	}
+	if err := answer.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close() // the error is reported
+		return nil, err
+	}
+	return resp, nil
 }
 
 // nonReplayableBody hides the type of the body from net/http. Otherwise net/http would keep a copy
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -65,7 +65,7 @@
 		req.Header.Add(h.Name, h.Value)
 	}
 	req.Header.Set(RequestIDHeader, f.RequestId)
-	resp, err := s.client.Do(req)
+	resp, err := checkStatus(s.client.Do(req))
 	if err != nil {
 		a.ConnectionLost()
 		return FailureResult(ctx, a, err)
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -58,7 +58,7 @@
 		return errors.Wrap(err, "make resume request")
 	}
 	req.Header.Set(LastEventIDHeader, strconv.Itoa(r.eventsRelayed))
-	resp, err := r.engine.runClient.Do(req)
+	resp, err := checkStatus(r.engine.runClient.Do(req))
 	if err != nil {
 		return errors.Wrap(err, "resume stream")
 	}
