--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,7 @@
 // request backoff, limit their rate or hold an outdated version of an adapter, and relayed.go those that this VM sends for others. relay.go
 // returns responses that package answer accepts, framing.go detects those that were broken off, resume.go resumes broken streams at
 // another target, software.go and incarnation.go keep each stream at the software version that began it, and origins.go finds
-// that version for streams that callers take up.
+// that version for streams that callers take up. stop.go ends what a VM that stops cannot finish.
 //
 // Responses state only what is certain: 503 and 429 mean that the request has not run and never
 // will; 502 and 504 mean that it may have run. A response that breaks off ends with its connection.
